Build: Lay the design, the build and the shared interfaces

Cause: the repository was empty. All parts need one design and one set of interfaces before they can be written side by side.

--- /dev/null
+++ b/Source/core/manualclock.cpp
@@ -0,0 +1,119 @@
+#include "core/manualclock.h"
+
+namespace Lycheewall
+{
+
+struct ManualClock::Timer
+{
+    std::uint64_t id;
+    Duration period;
+    std::function<void()> callback;
+};
+
+struct ManualClock::State
+{
+    mutable std::mutex mutex;
+    TimePoint now { std::chrono::seconds(1000) };
+    std::uint64_t lastId = 0;
+    std::multimap<TimePoint, Timer> timers;
+
+    void remove(std::uint64_t id)
+    {
+        const std::lock_guard lock(this->mutex);
+        for (auto entry = this->timers.begin(); entry != this->timers.end(); ++entry) {
+            if (entry->second.id == id) {
+                this->timers.erase(entry);
+                return;
+            }
+        }
+    }
+};
+
+class ManualClock::Handle : public TimerSubscription
+{
+public:
+    Handle(std::weak_ptr<State> owner, std::uint64_t timerId)
+        : state(std::move(owner))
+        , id(timerId)
+    {
+    }
+    ~Handle() override
+    {
+        if (const auto owner = this->state.lock()) {
+            owner->remove(this->id);
+        }
+    }
+
+private:
+    std::weak_ptr<State> state;
+    std::uint64_t id;
+};
+
+ManualClock::ManualClock()
+    : state(std::make_shared<State>())
+{
+}
+
+ManualClock::~ManualClock() = default;
+
+TimePoint ManualClock::now() const
+{
+    const std::lock_guard lock(this->state->mutex);
+    return this->state->now;
+}
+
+Subscription ManualClock::after(Duration delay, std::function<void()> callback)
+{
+    return this->add(delay, Duration::zero(), std::move(callback));
+}
+
+Subscription ManualClock::every(Duration period, std::function<void()> callback)
+{
+    return this->add(period, period, std::move(callback));
+}
+
+Subscription ManualClock::add(Duration delay, Duration period, std::function<void()> callback)
+{
+    const std::lock_guard lock(this->state->mutex);
+    const std::uint64_t id = ++this->state->lastId;
+    this->state->timers.emplace(this->state->now + delay, Timer { id, period, std::move(callback) });
+    return std::make_unique<Handle>(this->state, id);
+}
+
+bool ManualClock::runNext(TimePoint limit)
+{
+    std::function<void()> callback;
+    {
+        const std::lock_guard lock(this->state->mutex);
+        const auto next = this->state->timers.begin();
+        if (next == this->state->timers.end() || next->first > limit) {
+            return false;
+        }
+        this->state->now = std::max(this->state->now, next->first);
+        Timer timer = std::move(next->second);
+        const TimePoint due = next->first;
+        this->state->timers.erase(next);
+        callback = timer.callback;
+        if (timer.period > Duration::zero()) {
+            this->state->timers.emplace(due + timer.period, std::move(timer));
+        }
+    }
+    callback();
+    return true;
+}
+
+void ManualClock::advance(Duration step)
+{
+    const TimePoint limit = this->now() + step;
+    while (this->runNext(limit)) { }
+    const std::lock_guard lock(this->state->mutex);
+    this->state->now = std::max(this->state->now, limit);
+}
+
+void ManualClock::jump(Duration step)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->now += step;
+}
+
+}
--- /dev/null
+++ b/Source/core/random.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <random>
+
+namespace Lycheewall
+{
+
+/// Seeded random numbers. Thread safety: any thread.
+class Random
+{
+public:
+    explicit Random(std::uint64_t seed);
+
+    /// Uniform in [0, bound). Precondition: bound > 0.
+    std::uint64_t below(std::uint64_t bound);
+
+    /// Uniform in [0, 1).
+    double unit();
+
+    /// 64 random bits.
+    std::uint64_t bits();
+
+private:
+    std::mutex mutex;
+    std::mt19937_64 engine;
+};
+
+}
--- /dev/null
+++ b/Tests/core/manualclocktest.cpp
@@ -0,0 +1,51 @@
+#include "core/manualclock.h"
+#include "core/counters.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+using namespace Lycheewall;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(CoreTest)
+
+// Guards against timers that run out of order or after their subscription ended.
+BOOST_AUTO_TEST_CASE(timersRunInOrderUntilTheSubscriptionEnds)
+{
+    ManualClock clock;
+    std::vector<int> ran;
+    auto late = clock.after(20ms, [&] { ran.push_back(2); });
+    auto early = clock.after(10ms, [&] { ran.push_back(1); });
+    auto ended = clock.after(15ms, [&] { ran.push_back(9); });
+    auto periodic = clock.every(8ms, [&] { ran.push_back(8); });
+    ended.reset();
+    clock.advance(20ms);
+    BOOST_TEST(ran == (std::vector<int> { 8, 1, 8, 2 }), boost::test_tools::per_element());
+    periodic.reset();
+    clock.advance(20ms);
+    BOOST_TEST(ran.size() == 4U);
+}
+
+// Guards against a refusal without a code of its own: two reasons would then share one counter.
+BOOST_AUTO_TEST_CASE(eachRefusalHasItsOwnCode)
+{
+    for (std::size_t index = 0; index < refusalCount; ++index) {
+        const auto refusal = static_cast<Refusal>(index);
+        BOOST_TEST(!refusalCode(refusal).empty());
+        BOOST_TEST((refusalFromCode(refusalCode(refusal)) == refusal));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(expositionHasOneTypeLinePerFamily)
+{
+    Counters counters;
+    counters.refused(Refusal::QueueFull);
+    counters.refused(Refusal::QueueFull);
+    counters.refused(Refusal::CutOff);
+    BOOST_TEST(counters.exposition()
+               == "# TYPE lycheewall_refusals_total counter\n"
+                  "lycheewall_refusals_total{reason=\"cut-off\"} 1\n"
+                  "lycheewall_refusals_total{reason=\"queue-full\"} 2\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
