Lease: Lay the headers of membership, lease and admission

Other areas compile against these signatures. LeaseRelease, TokenRequest and TokenReply get fields that default to 0: a release must not end a newer grant, returned tokens must only reach the bucket that granted them, and a batch carries the validity that its owner computed.

--- a/Source/catalogue/instancelist.h
+++ b/Source/catalogue/instancelist.h
@@ -28,6 +28,12 @@
 public:
     InstanceList() = default;
 
+    /// A list of these entries, in this order. Precondition: no id occurs twice.
+    explicit InstanceList(std::vector<ListedInstance> listed)
+        : entries(std::move(listed))
+    {
+    }
+
     /// Parses YAML: a map "instances" of id to {zone, caller-address, peer-address, state: live|leaving}.
     static ResultOr<InstanceList, std::vector<CatalogueProblem>> parse(const std::string &text,
                                                                        const std::string &file);
--- a/Source/peer/codec/messages.h
+++ b/Source/peer/codec/messages.h
@@ -69,6 +69,7 @@
 
 struct LeaseRequest
 {
+    /// The upper 32 bits are random for each run of the sender, the lower ones count its requests.
     std::uint64_t id = 0;
     std::vector<ResourceId> resources;
     ValueVersion listVersion;
@@ -93,6 +94,9 @@
 
 struct LeaseRelease
 {
+    /// Id of the newest LeaseRequest that the sender made for these resources. A release does not end a grant that
+    /// answers a later request. 0, as sent by a peer without this field, releases nothing.
+    std::uint64_t id = 0;
     std::vector<ResourceId> resources;
 };
 
@@ -103,6 +107,9 @@
     std::uint32_t wanted = 0;
     /// Unused tokens of earlier batches that the sender can no longer use.
     std::uint32_t returned = 0;
+    /// Id of the TokenRequest whose batch the returned tokens are from. The owner credits them only when its present
+    /// bucket granted that batch. 0, as sent by a peer without this field, credits nothing.
+    std::uint64_t returnedBatch = 0;
 };
 
 struct TokenReply
@@ -110,6 +117,8 @@
     std::uint64_t id = 0;
     OrganisationId organisation;
     std::uint32_t granted = 0;
+    /// How long the batch may be used, counted from the sending of the request. 0: as the receiver's catalogue says.
+    std::int64_t validMs = 0;
     std::int64_t retryAfterMs = 0;
     /// None, RateExceeded, NotOwner, NoOwner or CutOff.
     Refusal reason = Refusal::None;
