--- a/Source/admission/ratelimiter.h
+++ b/Source/admission/ratelimiter.h
@@ -50,7 +50,7 @@
     Duration validity(const OrganisationId &organisation) const;
 
 private:
-    TokenReply refuse(const InstanceId &from, const TokenRequest &request) const;
+    TokenReply refuse(const TokenRequest &request) const;
 
     const Clock &clock;
     const Ownership &ownership;
--- a/Source/admission/tokenbucket.h
+++ b/Source/admission/tokenbucket.h
@@ -3,6 +3,7 @@
 #include "admission/ratelimit.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 
 namespace Lycheewall
@@ -52,19 +53,37 @@
     {
         std::uint32_t count = 0;
         TimePoint taken;
-        /// Highest level since the batch was taken.
-        double highest = 0;
+        /// Levels recorded from this number on were seen after the batch was taken.
+        std::uint64_t sequence = 0;
+    };
+    /// A local maximum of the level, without the credits of returned tokens.
+    struct Peak
+    {
+        std::uint64_t sequence = 0;
+        double level = 0;
     };
 
+    void applyLimit(const RateLimit &newLimit);
     void refill(TimePoint now);
-    void noteLevel();
+    void recordPeak();
+    double highestSince(const Batch &batch) const;
+    void prune(TimePoint now);
 
     RateLimit limit;
+    Duration batchValidity = longestValidity;
+    double capacity = 0;
     double level = 0;
     /// Tokens deducted for one granted token; above 1 only when the burst is too small for the validity.
     double cost = 1;
+    /// Sum of all credits. Levels of the past count as raised by the credits given since.
+    double credits = 0;
     TimePoint updated;
     std::map<BatchKey, Batch> batches;
+    /// Keys of batches in the order of taking.
+    std::deque<BatchKey> order;
+    std::uint64_t lastSequence = 0;
+    /// Decreasing in level, increasing in sequence.
+    std::deque<Peak> peaks;
 };
 
 }
--- a/Source/admission/tokencache.h
+++ b/Source/admission/tokencache.h
@@ -59,7 +59,6 @@
         std::uint64_t id = 0;
         InstanceId owner;
         TimePoint sent;
-        std::uint32_t wanted = 0;
         bool redirected = false;
     };
     struct State
@@ -71,36 +70,56 @@
         TimePoint askAfter;
         Refusal lastRefusal = Refusal::NoOwner;
         Duration lastRetryAfter = Duration::zero();
+        /// When the owner last had too few tokens.
+        TimePoint refusedAt;
         /// Requests per second that arrive here, smoothed.
         double demand = 0;
         TimePoint demandUpdated;
+        /// Requests that were given up; tokens that arrive for them are returned.
+        std::deque<std::uint64_t> abandoned;
+        /// Holder that a NotOwner reply named, to be asked next.
+        std::optional<InstanceId> redirect;
         Subscription timer;
-        TimePoint timerAt;
+        std::optional<TimePoint> timerAt;
     };
-    /// A step that is carried out without the lock.
+    /// What to do next, without the lock.
     struct Step
     {
+        enum class Kind {
+            /// Call a waiter back.
+            Answer,
+            /// Give unused tokens back to the owner.
+            Return,
+            /// Ask an owner for tokens.
+            Ask
+        };
+        Kind kind = Kind::Answer;
         Callback callback;
         Refusal refusal = Refusal::None;
         Duration retryAfter = Duration::zero();
-        std::optional<InstanceId> peer;
+        InstanceId peer;
         TokenRequest request;
     };
 
     void run(const OrganisationId &organisation);
-    std::optional<Step> next(const OrganisationId &organisation, State &state, const std::optional<InstanceId> &owner);
+    std::optional<Step> next(const OrganisationId &organisation, State &state);
     std::optional<Step> giveUpBatch(const OrganisationId &organisation, State &state, TimePoint now);
-    std::optional<Step> admit(State &state);
+    static std::optional<Step> admit(State &state, TimePoint now);
     std::optional<Step> refuseImpatient(State &state, TimePoint now);
-    std::optional<Step>
-    ask(const OrganisationId &organisation, State &state, const std::optional<InstanceId> &owner, TimePoint now);
+    Step answer(Waiter waiter, Refusal refusal, Duration retryAfter) const;
+    Step returnStep(const OrganisationId &organisation, const Batch &batch);
+    void retryLater(State &state, TimePoint now);
+    void abandon(State &state, TimePoint now);
     void perform(const OrganisationId &organisation, Step &step);
-    void sendFailed(const OrganisationId &organisation, std::uint64_t id);
-    void retryLater(State &state, Refusal reason, TimePoint now);
-    void noteDemand(State &state, TimePoint now) const;
-    std::optional<TimePoint> wakeTime(const State &state) const;
+    void ask(const OrganisationId &organisation);
+    SendResult send(const InstanceId &peer, const TokenRequest &request);
+    void apply(const InstanceId &from, const TokenReply &reply);
+    void noteOutcome(State &state, const Pending &asked, const TokenReply &reply, TimePoint now);
+    std::optional<Step> applyLate(State &state, const InstanceId &from, const TokenReply &reply);
+    Duration jitter(Duration bound);
+    static void noteDemand(State &state, TimePoint now);
+    static std::optional<TimePoint> wakeTime(const State &state);
     void schedule(const OrganisationId &organisation, State &state, TimePoint now);
-    void applyReply(const InstanceId &from, const TokenReply &reply);
 
     const Clock &clock;
     TimerService &timers;
--- a/Source/lease/leaseholder.h
+++ b/Source/lease/leaseholder.h
@@ -36,7 +36,7 @@
     /// When the present series of requests began.
     TimePoint askedSince;
     std::size_t granted = 0;
-    /// Voters whose newest answer names another holder.
+    /// Voters that are bound to another holder, according to their newest answer.
     std::size_t bound = 0;
     std::size_t members = 0;
     std::size_t quorum = 0;
@@ -84,7 +84,7 @@
     std::optional<LeaseProgress> progress(const ResourceId &resource) const;
 
     /// The panel of a resource in the present list.
-    Panel panel(const ResourceId &resource) const;
+    Panel panel(const ResourceId &resource);
 
 private:
     struct Lease
@@ -92,9 +92,11 @@
         Panel panel;
         /// Sending time of the newest granted request, for each voter.
         std::map<InstanceId, TimePoint> grants;
-        std::set<InstanceId> bound;
+        /// Voters that named another holder, and until when it may hold.
+        std::map<InstanceId, TimePoint> bound;
+        /// Until when a quorum of the panel has granted.
+        TimePoint validUntil;
         TimePoint askedSince;
-        std::uint64_t newestRequest = 0;
         /// Number of the present acquisition, 0 while the resource is not held.
         std::uint64_t acquisition = 0;
         bool active = false;
@@ -106,11 +108,13 @@
         std::set<ResourceId> resources;
     };
 
-    bool valid(const Lease &lease, TimePoint now) const;
+    void recount(Lease &lease) const;
     std::size_t liveGrants(const Lease &lease, TimePoint now) const;
     void noticeLapse(const ResourceId &resource, Lease &lease, TimePoint now);
     void noticeGain(const ResourceId &resource, Lease &lease, TimePoint now);
     Lease &leaseFor(const ResourceId &resource, TimePoint now);
+    const Panel &panelLocked(const ResourceId &resource);
+    void applyGrant(const ResourceId &resource, const InstanceId &voter, TimePoint sent, TimePoint now);
     void prunePending(TimePoint now);
 
     const LeaseSettings settings;
@@ -121,6 +125,7 @@
     std::uint64_t lastRequest;
     std::uint64_t lastAcquisition = 0;
     std::map<ResourceId, Lease> leases;
+    std::map<ResourceId, Panel> panels;
     std::map<std::uint64_t, Pending> pending;
     std::vector<LeaseChange> changes;
 };
--- a/Source/lease/leaseservice.h
+++ b/Source/lease/leaseservice.h
@@ -43,7 +43,7 @@
     void setList(std::shared_ptr<const InstanceList> list, ValueVersion version);
 
     /// All resources of the catalogue.
-    void setResources(std::vector<ResourceId> resources);
+    void setResources(const std::vector<ResourceId> &resources);
 
     /// Whether this instance may take leases.
     void setReady(bool ready);
@@ -61,6 +61,9 @@
     /// highest-ranked live instance. Empty when the resource has no live candidate.
     std::optional<InstanceId> holder(const ResourceId &resource) const;
 
+    /// The id of this instance.
+    const InstanceId &instance() const;
+
     /// Leases that are valid now, those being handed over included. For gossip.
     std::vector<ResourceId> held() const;
 
@@ -90,7 +93,6 @@
     void dispatch(const LeaseChange &change);
 
     const LeaseSettings settings;
-    const Clock &clock;
     TimerService &timers;
     PeerTransport &transport;
     PeerTable &peers;
@@ -98,13 +100,15 @@
     const InstanceId self;
     const std::function<bool()> cutOff;
     LeaseVoter voter;
-    LeaseHolder leases;
+    mutable LeaseHolder leases;
     OwnershipPlanner planner;
     ResourceCallback gained;
     ResourceCallback lost;
     ResourceCallback handover;
     mutable std::mutex mutex;
     std::set<ResourceId> handingOver;
+    /// Resources whose Gained callback ran and whose Lost callback has not.
+    std::set<ResourceId> announced;
     ValueVersion catalogueVersion;
     std::deque<LeaseChange> queue;
     bool dispatching = false;
--- a/Source/lease/ownershipplanner.h
+++ b/Source/lease/ownershipplanner.h
@@ -27,7 +27,7 @@
     OwnershipPlanner(LeaseSettings times, const Clock &timeSource, const PeerTable &peerTable, InstanceId selfId);
 
     /// All resources of the catalogue. Resources that are no longer in it are handed over when held.
-    void setResources(std::vector<ResourceId> all);
+    void setResources(const std::vector<ResourceId> &all);
 
     /// Whether this instance may become an owner.
     void setReady(bool value);
@@ -36,7 +36,7 @@
     void leave();
 
     /// The plan for now. @p handingOver are resources that the application was asked to stop using.
-    OwnershipPlan plan(const LeaseHolder &holder, const std::set<ResourceId> &handingOver);
+    OwnershipPlan plan(LeaseHolder &holder, const std::set<ResourceId> &handingOver);
 
 private:
     struct Memory
@@ -45,23 +45,37 @@
         std::optional<TimePoint> higherSince;
         /// Since when no holder is known.
         std::optional<TimePoint> orphanSince;
+        /// Since when partial grants are held although others make a quorum impossible.
+        std::optional<TimePoint> deadlockSince;
         /// No requests before this time.
         TimePoint notBefore;
+        bool held = false;
         /// True when the lease was taken although a higher-ranked instance was in view.
         bool outOfTurn = false;
     };
+    /// Where this instance stands in a panel.
+    struct Position
+    {
+        bool member = false;
+        /// Index in the panel.
+        std::size_t rank = 0;
+        /// Higher-ranked members that may own.
+        std::size_t ahead = 0;
+    };
 
-    void planHeld(const ResourceId &resource, std::size_t position, TimePoint now, OwnershipPlan &out);
-    void planOther(const ResourceId &resource, std::size_t position, const LeaseHolder &holder, OwnershipPlan &out);
-    bool mayAsk(Memory &memory, const ResourceId &resource, std::size_t position, TimePoint now) const;
-    std::optional<std::size_t> positionOf(const Panel &panel) const;
+    Position positionIn(const Panel &panel) const;
+    bool mustHandOver(Memory &memory, const Position &position, TimePoint now) const;
+    bool mayAsk(Memory &memory, const ResourceId &resource, const Position &position, TimePoint now) const;
+    bool mustGiveBack(Memory &memory, const LeaseProgress &progress, const Position &position, TimePoint now) const;
+    void planHeld(const ResourceId &resource, const Panel &panel, bool handingOver, OwnershipPlan &out);
+    void planOther(const ResourceId &resource, LeaseHolder &holder, OwnershipPlan &out);
 
     const LeaseSettings settings;
     const Clock &clock;
     const PeerTable &peers;
     const InstanceId self;
     mutable std::mutex mutex;
-    std::vector<ResourceId> resources;
+    std::set<ResourceId> resources;
     std::map<ResourceId, Memory> memories;
     bool ready = false;
     bool leaving = false;
