Scheduling: Split decisions from delivery and add Query

Change: GroupWork decides, OwnerScheduler locks, times and calls the transport; EndpointState, ReplicaSet, HedgePolicy, RetryBudget, FairQueue and the naive version; Query, Coverage and SnapshotChooser; a fake EndpointTransport. SchedulerContext moves to its own header.

--- a/Source/query/query.h
+++ b/Source/query/query.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -100,20 +101,35 @@
     Query(Private, const QueryContext &queryContext, QuerySpec querySpec, Done whenDone);
 
 private:
-    struct Steps;
+    /// What has to happen once the lock is released.
+    struct Steps
+    {
+        /// Submission to cancel; 0 for none.
+        std::uint64_t cancel = 0;
+        std::optional<PartRequest> request;
+        /// Number of restarts before `request`.
+        int attempt = 0;
+        /// Destroyed without the lock, because it may hold the last reference to the query.
+        Subscription timer;
+        Done done;
+        QueryAnswer answer;
+    };
 
+    // Without the lock.
     void begin();
-    void take(int try_, PartOutcome outcome);
-    Steps decide(int try_, PartOutcome &outcome);
-    void expire();
+    void end(Refusal whenEmpty);
+    void take(int attempt, PartOutcome outcome);
     void perform(Steps steps);
-    void send(const Steps &steps);
-    bool acceptable(int try_, const PartOutcome &outcome);
+    void send(PartRequest request, int attempt);
+
+    // With the lock.
+    bool isExpected(int attempt, const PartOutcome &outcome);
+    Steps settle(PartOutcome outcome);
+    std::optional<Steps> startAgain();
     void pin(SnapshotVersion version);
-    bool startAgain();
-    bool isSettled() const;
+    PartRequest request(TimePoint now) const;
     Steps finish(Refusal whenEmpty);
-    void drop(const char *reason);
+    bool drop(const char *reason);
 
     const QueryContext context;
     const QuerySpec spec;
--- a/Source/scheduling/ownerscheduler.h
+++ b/Source/scheduling/ownerscheduler.h
@@ -1,37 +1,27 @@
 #pragma once
 
-#include "core/clock.h"
-#include "core/counters.h"
-#include "core/random.h"
-#include "core/timerservice.h"
-#include "lease/ownership.h"
-#include "scheduling/groupscheduler.h"
-#include "scheduling/retrybudget.h"
+#include "scheduling/groupwork.h"
 
 #include <memory>
+#include <mutex>
 
 namespace Lycheewall
 {
 
-/// What a scheduler works with. Everything referred to outlives the scheduler and all its attempts.
-struct SchedulerContext
-{
-    const Clock &clock;
-    TimerService &timers;
-    Random &random;
-    EndpointTransport &transport;
-    const Ownership &ownership;
-    RetryBudget &budget;
-    Counters &counters;
-};
-
 /**
  * Scheduler of the owner of a group: one bounded fair queue, late binding to the replicas, hedges and retries.
  * Each dispatch asks the same gate: ownership, drained zone, leaving endpoint, deadline, slots, concurrency limit.
+ * Attempts keep the scheduler alive until they end. Call stop() before the last reference goes, so that queued tasks
+ * are answered.
  * Thread safety: any thread.
  */
-class OwnerScheduler
+class OwnerScheduler : public GroupScheduler, public std::enable_shared_from_this<OwnerScheduler>
 {
+    struct Private
+    {
+        explicit Private() = default;
+    };
+
 public:
     /// Endpoints in @p knownWarm start at their full concurrency, all others at their cold limit.
     static std::shared_ptr<GroupScheduler> create(const SchedulerContext &context,
@@ -39,6 +29,40 @@
                                                   const Group &group,
                                                   const std::set<ZoneId> &drained,
                                                   const std::set<EndpointId> &knownWarm);
+
+    OwnerScheduler(Private,
+                   const SchedulerContext &schedulerContext,
+                   const Pool &pool,
+                   const Group &group,
+                   const std::set<ZoneId> &drained,
+                   const std::set<EndpointId> &knownWarm);
+
+    TaskId submit(GroupTask task, Callback callback) override;
+    void cancel(TaskId task) override;
+    void update(const Pool &pool, const Group &group, const std::set<ZoneId> &drained) override;
+    void stop(std::function<void()> stopped) override;
+    std::vector<EndpointId> cold() const override;
+    SchedulerState state() const override;
+
+private:
+    enum class Delivery { Now, Later };
+
+    void wake();
+    void attemptEnded(AttemptId attempt, const EndpointAnswer &answer);
+    void proceed(Delivery delivery);
+    void perform(const GroupWork::Step &step);
+    void deliver(Delivery delivery);
+    void arm(TimePoint now);
+
+    const SchedulerContext context;
+
+    mutable std::mutex mutex;
+    GroupWork work;
+    Subscription wakeTimer;
+    std::optional<TimePoint> wakeAt;
+    /// Runs the callbacks that may not run inside the caller's method.
+    Subscription dueTimer;
+    bool dueArmed = false;
 };
 
 }
