Core: Add the log and the timers on Asio

Cause: parts need a log that a repeated fault cannot flood, and timers that may be ended from any thread.

Change: Log in core with a sink; log4cxx only in runtime/logoutput.cpp. AsioTimerService arms one steady_timer per subscription; an ended timer is cancelled on the context's thread, and a periodic one does not catch up.

--- /dev/null
+++ b/Source/runtime/asiotimerservice.cpp
@@ -0,0 +1,113 @@
+#include "runtime/asiotimerservice.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+/// One timer. Everything but the flag is used on the context's thread only, once armed.
+class Timer : public std::enable_shared_from_this<Timer>
+{
+public:
+    Timer(boost::asio::io_context &context, Duration timerPeriod, std::function<void()> body)
+        : timer(context)
+        , period(timerPeriod)
+        , callback(std::move(body))
+    {
+    }
+
+    void arm(Duration delay)
+    {
+        this->timer.expires_after(delay);
+        this->wait();
+    }
+
+    /// Called on any thread.
+    void end()
+    {
+        this->ended.store(true);
+        boost::asio::post(this->timer.get_executor(), [self = this->shared_from_this()] {
+            self->timer.cancel();
+            // Releases what the callback holds, in a context where no callback of this timer runs.
+            self->callback = nullptr;
+        });
+    }
+
+private:
+    void wait()
+    {
+        this->timer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+            if (!error) {
+                self->fire();
+            }
+        });
+    }
+
+    void fire()
+    {
+        if (this->ended.load()) {
+            return;
+        }
+        this->callback();
+        if (this->period == Duration::zero() || this->ended.load()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        const auto next = this->timer.expiry() + this->period;
+        this->timer.expires_at(next > now ? next : now + this->period);
+        this->wait();
+    }
+
+    boost::asio::steady_timer timer;
+    Duration period;
+    std::function<void()> callback;
+    std::atomic<bool> ended { false };
+};
+
+class Handle : public TimerSubscription
+{
+public:
+    explicit Handle(std::shared_ptr<Timer> target)
+        : timer(std::move(target))
+    {
+    }
+    ~Handle() override
+    {
+        this->timer->end();
+    }
+
+private:
+    std::shared_ptr<Timer> timer;
+};
+
+Subscription
+startTimer(boost::asio::io_context &context, Duration delay, Duration period, std::function<void()> callback)
+{
+    auto timer = std::make_shared<Timer>(context, period, std::move(callback));
+    timer->arm(delay);
+    return std::make_unique<Handle>(std::move(timer));
+}
+
+}
+
+AsioTimerService::AsioTimerService(boost::asio::io_context &ioContext)
+    : context(ioContext)
+{
+}
+
+Subscription AsioTimerService::after(Duration delay, std::function<void()> callback)
+{
+    return startTimer(this->context, delay, Duration::zero(), std::move(callback));
+}
+
+Subscription AsioTimerService::every(Duration period, std::function<void()> callback)
+{
+    return startTimer(this->context, period, period, std::move(callback));
+}
+
+}
--- /dev/null
+++ b/Source/runtime/logoutput.cpp
@@ -0,0 +1,47 @@
+#include "core/log.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+log4cxx::LevelPtr outputLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+        return log4cxx::Level::getInfo();
+    case LogLevel::Warning:
+        return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getError();
+}
+
+void writeLine(LogLevel level, const std::string &part, const std::string &message)
+{
+    log4cxx::LogManager::getLogger(part)->forcedLog(outputLevel(level), message, log4cxx::spi::LocationInfo());
+}
+
+}
+
+void Log::configure(LogLevel level)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c: %m%n");
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto root = log4cxx::LogManager::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(appender);
+    root->setLevel(log4cxx::Level::getAll());
+    Log::setLevel(level);
+    Log::setSink(&writeLine);
+}
+
+}
