Tool: Add the commands of lycheewallctl

Change: validate, state, counters, explain, log-level for operators; query, request and addresses as a caller of the real interface, with exit codes for scripts.

--- a/Source/daemon/daemonparts.cpp
+++ b/Source/daemon/daemonparts.cpp
@@ -4,7 +4,9 @@
 #include "daemon/statereport.h"
 #include "runtime/address.h"
 
+#include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
+#include <future>
 #include <random>
 #include <thread>
 
--- /dev/null
+++ b/Source/tool/main.cpp
@@ -0,0 +1,79 @@
+#include "tool/callercommands.h"
+#include "tool/operatorcommands.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+DEFINE_bool(json, false, "print JSON instead of text");
+DEFINE_string(
+    addresses,
+    "",
+    "comma-separated ip:port list of the daemons: operators' addresses, or callers' addresses for callers' commands");
+DEFINE_string(key, "", "key of the organisation; the environment variable LYCHEEWALL_KEY is used when empty");
+DEFINE_int32(deadline_ms, 0, "deadline of the request in milliseconds; 0 leaves it to the daemon");
+DEFINE_bool(idempotent, true, "whether the request may be repeated");
+DEFINE_string(routing_key, "", "requests with the same routing key go to the same group");
+
+namespace
+{
+
+using namespace Lycheewall;
+
+std::vector<std::unique_ptr<Command>> allCommands()
+{
+    std::vector<std::unique_ptr<Command>> commands;
+    commands.push_back(std::make_unique<AddressesCommand>());
+    commands.push_back(std::make_unique<CountersCommand>());
+    commands.push_back(std::make_unique<ExplainCommand>());
+    commands.push_back(std::make_unique<LogLevelCommand>());
+    commands.push_back(std::make_unique<QueryCommand>());
+    commands.push_back(std::make_unique<RequestCommand>());
+    commands.push_back(std::make_unique<StateCommand>());
+    commands.push_back(std::make_unique<ValidateCommand>());
+    return commands;
+}
+
+ToolOptions optionsFromFlags()
+{
+    ToolOptions options;
+    options.json = FLAGS_json;
+    std::stringstream list(FLAGS_addresses);
+    for (std::string address; std::getline(list, address, ',');) {
+        options.addresses.push_back(address);
+    }
+    const char *environmentKey = std::getenv("LYCHEEWALL_KEY");
+    options.key = FLAGS_key.empty() && environmentKey != nullptr ? environmentKey : FLAGS_key;
+    options.deadlineMs = FLAGS_deadline_ms;
+    options.idempotent = FLAGS_idempotent;
+    options.routingKey = FLAGS_routing_key;
+    return options;
+}
+
+std::string usageText(const std::vector<std::unique_ptr<Command>> &commands)
+{
+    std::string text = "lycheewallctl [flags] COMMAND [arguments]\n\nCommands:\n";
+    for (const auto &command : commands) {
+        text += "  " + command->name() + ' ' + command->arguments() + "\n      " + command->summary() + '\n';
+    }
+    return text;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    const auto commands = allCommands();
+    gflags::SetUsageMessage(usageText(commands));
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    for (const auto &command : commands) {
+        if (!words.empty() && command->name() == words.front()) {
+            return static_cast<int>(command->run(optionsFromFlags(), { words.begin() + 1, words.end() }));
+        }
+    }
+    std::cerr << usageText(commands);
+    return static_cast<int>(ExitCode::BadUsage);
+}
