Catalogue: Implement parser, configuration store, freshness, key check and settings

Cause: the interfaces were declared without code.

Ruled out: YAML::Node as the tree. It merges aliases into shared nodes, so a loop or a chain of aliases costs more than the length of the text, and it hides duplicate keys. Text with U+0004 ended there in silence, because yaml-cpp takes that character for the end of its input.

Change: a plain tree built from yaml-cpp events with limits on size, encoding, depth and problems; the schemas of catalogue, instance list and settings on top of it; the store, which remembers refused values by version and text, so that damaged text from a peer does not block the same version from the platform.

--- /dev/null
+++ b/Source/catalogue/catalogueparser.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "catalogue/schemamap.h"
+
+#include <map>
+
+namespace Lycheewall
+{
+
+/// Turns YAML text into a Catalogue or into all of its problems. Thread safety: none; one parser reads one text.
+class CatalogueParser
+{
+public:
+    explicit CatalogueParser(const std::string &file);
+
+    /// See Catalogue::parse(). Call once.
+    ResultOr<Catalogue, std::vector<CatalogueProblem>> parse(const std::string &text);
+
+private:
+    void parseDocument(const YamlValue &root);
+    void parseZones(const SchemaMap &map);
+    void parsePools(const SchemaMap &map);
+    Organisation parseOrganisation(const std::string &id, const YamlValue &value);
+    void parseKeys(const SchemaMap &map, Organisation &organisation);
+    void parseAllowedPools(const SchemaMap &map, Organisation &organisation);
+
+    ProblemList problems;
+    Catalogue catalogue;
+    std::map<KeyHash, OrganisationId> keyOwners;
+};
+
+}
--- a/Source/catalogue/instancelist.h
+++ b/Source/catalogue/instancelist.h
@@ -32,6 +32,7 @@
     static ResultOr<InstanceList, std::vector<CatalogueProblem>> parse(const std::string &text,
                                                                        const std::string &file);
 
+    /// All instances in the order of their ids.
     const std::vector<ListedInstance> &instances() const;
     const ListedInstance *find(const InstanceId &instance) const;
 
--- a/Source/configuration/configurationreader.h
+++ b/Source/configuration/configurationreader.h
@@ -36,7 +36,7 @@
 
     /// Makes one read, and no watch, when neither the platform was read within the last second nor a majority of peers
     /// was heard. A waiting watch gives no evidence of freshness for up to 10 s, so an instance that hears no peers
-    /// calls this each 500 ms beside the watches. Does not sleep.
+    /// calls this each 500 ms beside the watches. Makes at most one call per second for each value; does not sleep.
     void pollWhenAlone(ValueName name);
 
 private:
@@ -46,6 +46,7 @@
         unsigned failures = 0;
         /// Highest version that the platform offered and the store refused as invalid.
         ValueVersion refused;
+        std::optional<TimePoint> lastPoll;
     };
 
     /// What follows from an answer.
@@ -55,7 +56,9 @@
     void leave(ValueName name);
     ValueVersion newestSeen(ValueName name) const;
     Result<VersionedValue> call(ValueName name, ValueVersion after);
-    Outcome take(ValueName name, const Result<VersionedValue> &answer, ValueVersion after, TimePoint asked);
+    /// @p held is how long the platform may have held the call open.
+    Outcome
+    take(ValueName name, const Result<VersionedValue> &answer, ValueVersion after, TimePoint asked, Duration held);
     Duration backoff(ValueName name);
     Duration pause(ValueName name, Outcome outcome, TimePoint asked);
 
--- a/Source/configuration/freshness.h
+++ b/Source/configuration/freshness.h
@@ -51,6 +51,7 @@
 
 private:
     bool majorityAt(TimePoint now) const;
+    TimePoint majorityEnd() const;
 
     const Clock &clock;
     const Duration limit;
@@ -58,6 +59,11 @@
     std::optional<TimePoint> lastRead;
     std::map<InstanceId, std::optional<TimePoint>> members;
     bool selfCounts = false;
+    /// Moment at which the evidence of a majority ends. Kept because the question comes with each admission and each
+    /// dispatch, and the list may have thousands of members.
+    mutable TimePoint majorityUntil = TimePoint::min();
+    /// True when evidence came since majorityUntil was computed.
+    mutable bool evidenceChanged = false;
 };
 
 }
