Configuration: Use one log level type

Cause: settings and log each declared an enum LogLevel, so no file could use both. Change: settings use that of core/log.h; the level trace goes, which nothing logged at.

--- a/Source/configuration/settingstable.cpp
+++ b/Source/configuration/settingstable.cpp
@@ -129,7 +129,7 @@
 
 const std::vector<std::string_view> &logLevelTexts()
 {
-    static const std::vector<std::string_view> levels { "trace", "debug", "info", "warn", "error" };
+    static const std::vector<std::string_view> levels { "debug", "info", "warn", "error" };
     return levels;
 }
 
--- a/Source/daemon/settings.h
+++ b/Source/daemon/settings.h
@@ -2,6 +2,7 @@
 
 #include "catalogue/catalogue.h"
 #include "core/clock.h"
+#include "core/log.h"
 #include "core/result.h"
 #include "core/strongid.h"
 
@@ -12,9 +13,7 @@
 namespace Lycheewall
 {
 
-enum class LogLevel { Trace, Debug, Info, Warn, Error };
-
-/// "trace", "debug", "info", "warn" or "error".
+/// "debug", "info", "warn" or "error".
 std::string_view logLevelText(LogLevel level);
 
 /**
--- a/Source/daemon/statereport.cpp
+++ b/Source/daemon/statereport.cpp
@@ -1,6 +1,7 @@
 #include "daemon/statereport.h"
 
 #include "core/log.h"
+#include "daemon/settings.h"
 
 #include <nlohmann/json.hpp>
 
@@ -102,16 +103,13 @@
 
 bool setLogLevelByName(const std::string &level)
 {
-    const std::map<std::string, LogLevel> levels { { "debug", LogLevel::Debug },
-                                                   { "info", LogLevel::Info },
-                                                   { "warn", LogLevel::Warning },
-                                                   { "error", LogLevel::Error } };
-    const auto found = levels.find(level);
-    if (found == levels.end()) {
-        return false;
+    for (const LogLevel known : { LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error }) {
+        if (logLevelText(known) == level) {
+            Log::setLevel(known);
+            return true;
+        }
     }
-    Log::setLevel(found->second);
-    return true;
+    return false;
 }
 
 }
