Tests: Add open-loop callers of the real interface

Cause: the demo, the measurements and the integration tests need callers that ask for addresses, keep the answer and log what they got. Change: standin_callers sends Poisson streams per organisation and pool and prints one JSON summary.

--- /dev/null
+++ b/Tests/standins/callers.cpp
@@ -0,0 +1,393 @@
+// Open-loop callers of the real interface: they ask for addresses, keep the answer for its time and connect themselves.
+#include "runtime/address.h"
+#include "runtime/await.h"
+#include "runtime/worker.h"
+
+#include <algorithm>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <cmath>
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <sstream>
+
+DEFINE_string(addresses, "", "callers' addresses to ask first, comma-separated ip:port");
+DEFINE_string(streams, "", "key,pool,query|request|once,rate per second,organisation; several separated by semicolons");
+DEFINE_double(seconds, 5, "how long to send");
+DEFINE_int32(deadline_ms, 2000, "deadline of each request");
+DEFINE_uint64(seed, 1, "seed of the arrival times and of the choice of addresses");
+DEFINE_string(answers, "", "file that gets one JSON line per answer");
+DEFINE_double(mark_seconds, 0, "length of the intervals whose figures are printed one by one; 0 prints none");
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Lycheewall::awaitDone;
+using Lycheewall::awaitValue;
+using nlohmann::json;
+using SteadyClock = std::chrono::steady_clock;
+
+struct Stream
+{
+    std::string key;
+    std::string pool;
+    std::string kind;
+    double rate = 0;
+    std::string organisation;
+};
+
+struct Sample
+{
+    std::size_t stream = 0;
+    double atSeconds = 0;
+    double ms = 0;
+    /// "complete", "partial", a refusal code, or "cut".
+    std::string end;
+    double coverage = 0;
+};
+
+std::vector<std::string> split(const std::string &text, char separator)
+{
+    std::vector<std::string> items;
+    std::stringstream stream(text);
+    for (std::string item; std::getline(stream, item, separator);) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+/// Everything below runs on one worker, so nothing needs a lock.
+class Callers
+{
+public:
+    Callers(Lycheewall::Worker &runningWorker, std::vector<Stream> allStreams)
+        : worker(runningWorker)
+        , streams(std::move(allStreams))
+        , engine(FLAGS_seed)
+        , known(split(FLAGS_addresses, ','))
+        , answers(FLAGS_answers)
+    {
+    }
+
+    void run()
+    {
+        this->start = SteadyClock::now();
+        this->refreshAddresses();
+        for (std::size_t index = 0; index < this->streams.size(); ++index) {
+            ++this->open;
+            boost::fibers::fiber([this, index] { this->arrivals(index); }).detach();
+        }
+        while (this->open > 0) {
+            boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+            if (SteadyClock::now() >= this->keepUntil && this->secondsNow() < FLAGS_seconds) {
+                this->refreshAddresses();
+            }
+        }
+        this->connections.clear();
+    }
+
+    json summary(double from, double to) const;
+    json summaryOf(const std::vector<Sample> &chosen) const;
+    const std::vector<Sample> &allSamples() const
+    {
+        return this->samples;
+    }
+    std::vector<Sample> samplesOf(std::size_t stream) const;
+
+private:
+    using Connection = std::unique_ptr<beast::tcp_stream>;
+    using Response = http::response<http::string_body>;
+
+    double secondsNow() const
+    {
+        return std::chrono::duration<double>(SteadyClock::now() - this->start).count();
+    }
+
+    void arrivals(std::size_t index)
+    {
+        std::mt19937_64 times(FLAGS_seed * 1000 + index);
+        std::exponential_distribution<double> gap(this->streams[index].rate);
+        double at = gap(times);
+        while (at < FLAGS_seconds) {
+            boost::this_fiber::sleep_until(
+                this->start + std::chrono::duration_cast<SteadyClock::duration>(std::chrono::duration<double>(at)));
+            ++this->open;
+            const double due = at;
+            boost::fibers::fiber([this, index, due] {
+                this->send(index, due);
+                --this->open;
+            }).detach();
+            at += gap(times);
+        }
+        --this->open;
+    }
+
+    std::string bodyOf(const Stream &stream)
+    {
+        const std::string text = "words-" + std::to_string(++this->sequence);
+        if (stream.kind == "query") {
+            return json { { "query", text }, { "deadline-ms", FLAGS_deadline_ms } }.dump();
+        }
+        return json {
+            { "body", text }, { "idempotent", stream.kind != "once" }, { "deadline-ms", FLAGS_deadline_ms }
+        }.dump();
+    }
+
+    void send(std::size_t index, double due)
+    {
+        const Stream &stream = this->streams[index];
+        const std::string action = stream.kind == "query" ? "query" : "request";
+        http::request<http::string_body> request(
+            http::verb::post, "/v1/pools/" + stream.pool + "/" + action, 11, this->bodyOf(stream));
+        request.set(http::field::host, "lycheewall");
+        if (!stream.key.empty()) {
+            request.set(http::field::authorization, "Bearer " + stream.key);
+        }
+        request.prepare_payload();
+        const std::string address = this->known.empty() ? "" : this->known[this->engine() % this->known.size()];
+        const auto response = this->exchange(address, request);
+        this->note(index, due, response);
+    }
+
+    std::optional<Response> exchange(const std::string &address, const http::request<http::string_body> &request)
+    {
+        Connection connection = this->connect(address);
+        if (!connection) {
+            return std::nullopt;
+        }
+        connection->expires_after(std::chrono::milliseconds(FLAGS_deadline_ms + 3000));
+        const auto [writeError, written]
+            = awaitValue<std::size_t>([&](auto done) { http::async_write(*connection, request, std::move(done)); });
+        if (writeError) {
+            return std::nullopt;
+        }
+        beast::flat_buffer buffer;
+        Response response;
+        const auto [readError, size] = awaitValue<std::size_t>(
+            [&](auto done) { http::async_read(*connection, buffer, response, std::move(done)); });
+        if (readError) {
+            return std::nullopt;
+        }
+        if (response.keep_alive()) {
+            connection->expires_never();
+            this->connections[address].push_back(std::move(connection));
+        }
+        return response;
+    }
+
+    Connection connect(const std::string &address)
+    {
+        auto &idle = this->connections[address];
+        if (!idle.empty()) {
+            Connection connection = std::move(idle.back());
+            idle.pop_back();
+            return connection;
+        }
+        const auto target = Lycheewall::parseAddress(address);
+        if (!target) {
+            return nullptr;
+        }
+        auto connection = std::make_unique<beast::tcp_stream>(this->worker.context());
+        connection->expires_after(std::chrono::seconds(1));
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(target.value().host), target.value().port);
+        const auto error = awaitDone([&](auto done) { connection->async_connect(endpoint, std::move(done)); });
+        return error ? nullptr : std::move(connection);
+    }
+
+    void refreshAddresses()
+    {
+        this->keepUntil = SteadyClock::now() + std::chrono::milliseconds(500);
+        http::request<http::string_body> request(http::verb::get, "/v1/addresses", 11);
+        request.set(http::field::host, "lycheewall");
+        for (const std::string &address : std::vector<std::string>(this->known)) {
+            const auto response = this->exchange(address, request);
+            const json parsed = response ? json::parse(response->body(), nullptr, false) : json();
+            if (!parsed.is_object() || response->result_int() != 200) {
+                continue;
+            }
+            this->known.clear();
+            for (const json &instance : parsed["addresses"]) {
+                this->known.push_back(instance["address"]);
+            }
+            this->keepUntil = SteadyClock::now() + std::chrono::milliseconds(parsed["keep-ms"].get<int>());
+            return;
+        }
+    }
+
+    void note(std::size_t index, double due, const std::optional<Response> &response)
+    {
+        Sample sample { index, due, (this->secondsNow() - due) * 1000, "cut", 0 };
+        const Stream &stream = this->streams[index];
+        json line { { "organisation", stream.organisation },
+                    { "pool", stream.pool },
+                    { "idempotent", stream.kind != "once" },
+                    { "status", 0 } };
+        const json parsed = response ? json::parse(response->body(), nullptr, false) : json();
+        if (parsed.is_object()) {
+            line["status"] = response->result_int();
+            line["request"] = parsed["request-id"];
+            if (parsed.contains("error")) {
+                sample.end = parsed["error"]["code"];
+                line["code"] = parsed["error"]["code"];
+                line["run"] = parsed["error"]["run"];
+            } else {
+                this->noteResult(parsed, sample, line);
+            }
+        }
+        this->samples.push_back(sample);
+        if (this->answers.is_open()) {
+            this->answers << line.dump() << '\n';
+        }
+    }
+
+    static void noteResult(const json &parsed, Sample &sample, json &line)
+    {
+        sample.end = "complete";
+        sample.coverage = 1;
+        line["result"] = parsed["result"];
+        if (!parsed.contains("coverage")) {
+            return;
+        }
+        const json &coverage = parsed["coverage"];
+        line["snapshot"] = parsed["snapshot"];
+        line["coverage"] = coverage;
+        sample.end = coverage["missing"].empty() ? "complete" : "partial";
+        sample.coverage
+            = coverage["documents-answered"].get<double>() / std::max(1.0, coverage["documents-asked"].get<double>());
+    }
+
+    Lycheewall::Worker &worker;
+    std::vector<Stream> streams;
+    std::mt19937_64 engine;
+    std::vector<std::string> known;
+    std::ofstream answers;
+    std::map<std::string, std::vector<Connection>> connections;
+    SteadyClock::time_point start;
+    SteadyClock::time_point keepUntil;
+    std::vector<Sample> samples;
+    std::uint64_t sequence = 0;
+    int open = 0;
+};
+
+double quantile(std::vector<double> sorted, double share)
+{
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size()));
+    return sorted[std::min(index, sorted.size() - 1)];
+}
+
+json Callers::summaryOf(const std::vector<Sample> &chosen) const
+{
+    std::map<std::string, int> ends;
+    std::vector<double> times;
+    double covered = 0;
+    for (const Sample &sample : chosen) {
+        ++ends[sample.end];
+        if (sample.end == "complete" || sample.end == "partial") {
+            times.push_back(sample.ms);
+            covered += sample.coverage;
+        }
+    }
+    std::sort(times.begin(), times.end());
+    json refused = json::object();
+    for (const auto &[end, count] : ends) {
+        if (end != "complete" && end != "partial" && end != "cut") {
+            refused[end] = count;
+        }
+    }
+    const auto rounded = [](double value) {
+        return std::round(value * 100) / 100;
+    };
+    return { { "queries", chosen.size() },
+             { "complete", ends["complete"] },
+             { "partial", ends["partial"] },
+             { "cut", ends["cut"] },
+             { "refused", refused },
+             { "p50-ms", rounded(quantile(times, 0.5)) },
+             { "p99-ms", rounded(quantile(times, 0.99)) },
+             { "p999-ms", rounded(quantile(times, 0.999)) },
+             { "coverage", times.empty() ? 0.0 : covered / static_cast<double>(times.size()) } };
+}
+
+json Callers::summary(double from, double to) const
+{
+    std::vector<Sample> chosen;
+    for (const Sample &sample : this->samples) {
+        if (sample.atSeconds >= from && sample.atSeconds < to) {
+            chosen.push_back(sample);
+        }
+    }
+    return this->summaryOf(chosen);
+}
+
+std::vector<Sample> Callers::samplesOf(std::size_t stream) const
+{
+    std::vector<Sample> chosen;
+    for (const Sample &sample : this->samples) {
+        if (sample.stream == stream) {
+            chosen.push_back(sample);
+        }
+    }
+    return chosen;
+}
+
+std::vector<Stream> parseStreams()
+{
+    std::vector<Stream> streams;
+    for (const std::string &text : split(FLAGS_streams, ';')) {
+        const auto fields = split(text, ',');
+        if (fields.size() != 5) {
+            std::cerr << "standin_callers: a stream has 5 fields: " << text << '\n';
+            std::exit(2);
+        }
+        streams.push_back({ fields[0], fields[1], fields[2], std::stod(fields[3]), fields[4] });
+    }
+    return streams;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto worker = Lycheewall::Worker::create();
+    const auto streams = parseStreams();
+    Callers callers(*worker, streams);
+    std::promise<void> done;
+    worker->spawn([&] {
+        callers.run();
+        done.set_value();
+    });
+    done.get_future().wait();
+    for (double from = 0; FLAGS_mark_seconds > 0 && from < FLAGS_seconds; from += FLAGS_mark_seconds) {
+        json interval = callers.summary(from, from + FLAGS_mark_seconds);
+        interval["from-s"] = from;
+        std::cout << "interval " << interval.dump() << '\n';
+    }
+    json all = callers.summaryOf(callers.allSamples());
+    all["streams"] = json::array();
+    for (std::size_t index = 0; index < streams.size(); ++index) {
+        json one = callers.summaryOf(callers.samplesOf(index));
+        one["organisation"] = streams[index].organisation;
+        one["pool"] = streams[index].pool;
+        one["kind"] = streams[index].kind;
+        all["streams"].push_back(one);
+    }
+    std::cout << all.dump() << std::endl;
+    std::quick_exit(0);
+}
