--- a/Source/peer/peernetwork.h
+++ b/Source/peer/peernetwork.h
@@ -23,7 +23,7 @@
 {
 public:
     /// Listens and starts the thread. @p handler, @p clock and @p counters outlive the network.
-    /// Errors: an address that is not "ip:port", or the operating system's when the port cannot be bound.
+    /// Errors: invalid_argument for an address that is not "ip:port", address_in_use when the port cannot be bound.
     static Result<std::unique_ptr<PeerNetwork>>
     create(PeerSettings settings, PeerHandler &handler, const Clock &clock, Counters &counters);
 
@@ -49,9 +49,9 @@
 private:
     class Core;
 
-    explicit PeerNetwork(std::shared_ptr<Core> core);
+    explicit PeerNetwork(std::unique_ptr<Core> core);
 
-    std::shared_ptr<Core> core;
+    std::unique_ptr<Core> core;
     std::thread thread;
 };
 
