Membership: Leave instances with an older list out of planning

With a list that three of nine instances got 9 s late, the higher-ranked stale instances kept asking voters that refused them, and no owner was found for up to 9 s. Peers that announce an older list no longer count as candidates, and an instance that hears of a newer list asks for nothing new.

--- a/Source/lease/ownershipplanner.cpp
+++ b/Source/lease/ownershipplanner.cpp
@@ -141,6 +141,10 @@
     } else if (!memory.orphanSince) {
         memory.orphanSince = now;
     }
+    // Voters with the newer list would refuse, and the grants of the others would only block better candidates.
+    if (this->peers.listIsStale()) {
+        return false;
+    }
     if (!this->ready || this->leaving || !position.member || now < memory.notBefore) {
         return false;
     }
--- a/Source/membership/peertable.cpp
+++ b/Source/membership/peertable.cpp
@@ -121,7 +121,7 @@
     return entry == this->peerById.end() ? PeerHealth::Unknown : this->healthOf(peer, entry->second);
 }
 
-bool PeerTable::mayOwnLocked(const ListedInstance &listed) const
+bool PeerTable::isReady(const ListedInstance &listed) const
 {
     if (listed.state == ListedState::Leaving) {
         return false;
@@ -140,7 +140,20 @@
 {
     const std::lock_guard lock(this->mutex);
     const ListedInstance *listed = this->list->find(instance);
-    return listed != nullptr && this->mayOwnLocked(*listed);
+    if (listed == nullptr || !this->isReady(*listed)) {
+        return false;
+    }
+    const auto entry = this->peerById.find(instance);
+    return entry == this->peerById.end() || !(entry->second.said->listVersion < this->listVersion);
+}
+
+bool PeerTable::listIsStale() const
+{
+    const std::lock_guard lock(this->mutex);
+    return std::any_of(this->peerById.begin(), this->peerById.end(), [this](const auto &entry) {
+        const auto &[id, peer] = entry;
+        return peer.said && this->listVersion < peer.said->listVersion && this->healthOf(id, peer) != PeerHealth::Dead;
+    });
 }
 
 std::vector<InstanceId> PeerTable::peers() const
@@ -160,7 +173,7 @@
     const std::lock_guard lock(this->mutex);
     std::vector<ReadyInstance> instances;
     for (const ListedInstance &listed : this->list->instances()) {
-        if (this->mayOwnLocked(listed)) {
+        if (this->isReady(listed)) {
             instances.push_back({ listed.id, listed.zone, listed.callerAddress });
         }
     }
--- a/Source/membership/peertable.h
+++ b/Source/membership/peertable.h
@@ -65,13 +65,17 @@
 
     PeerHealth health(const InstanceId &peer) const;
 
-    /// True when the instance may take leases: alive, listed as live and announced as ready. Valid for self also.
+    /// True when the instance may take leases: alive, listed as live, announced as ready and not with an older instance
+    /// list than this one, because voters refuse requests made with an older list. Valid for self also.
     bool mayOwn(const InstanceId &instance) const;
 
+    /// True while a live peer announces a newer instance list than the present one here.
+    bool listIsStale() const;
+
     /// The listed instances without this one, in the order of the list.
     std::vector<InstanceId> peers() const;
 
-    /// Instances for callers: this one when ready, and the peers that may own.
+    /// Instances for callers: this one when ready, and the live peers that are.
     std::vector<ReadyInstance> ready() const;
 
     /// The live peer that most recently announced a lease on the resource.
@@ -98,7 +102,7 @@
     };
 
     PeerHealth healthOf(const InstanceId &id, const Peer &peer) const;
-    bool mayOwnLocked(const ListedInstance &listed) const;
+    bool isReady(const ListedInstance &listed) const;
     void note(Peer &peer);
     void dropClaims(const InstanceId &id, const Peer &peer);
 
