Scheduling: Count a replica as slow only beyond the usual service time

Cause: slow replicas were told by medians of 9 answers that differ by 2; with exponential service times that is so frequent that tasks waited beside free slots. At load 0.7 the queue was not empty 54% of the time with 4.06 of 5.97 slots taken.

Ruled out: cold flaps (the limit was 5.97 of 6 on average) and the fixed 95th percentile alone (delay from the budget fill: p99 167 ms against 165 ms).

Change: slow means beyond twice the best and twice the usual time; the hedge delay follows the budget; the longest straggler is hedged first.

--- a/Source/scheduling/groupwork.cpp
+++ b/Source/scheduling/groupwork.cpp
@@ -249,39 +249,48 @@
     if (this->stopping) {
         return std::nullopt;
     }
-    for (const auto &[attemptId, attempt] : this->attempts) {
-        if (!this->isStraggler(attempt, now)) {
-            continue;
-        }
-        Task &task = this->tasks.at(attempt.task);
-        if (!this->queue.empty()) {
-            this->refuseHedge(task, "queue-not-empty");
-            continue;
-        }
-        if (!this->owns()) {
-            this->refuseHedge(task, "not-owner");
-            continue;
-        }
-        if (task.deadline - now < this->hedging.expectedService()) {
-            this->refuseHedge(task, "deadline-unreachable");
-            continue;
+    std::vector<std::pair<TimePoint, TaskId>> stragglers;
+    for (const auto &[id, attempt] : this->attempts) {
+        if (this->isStraggler(attempt, now)) {
+            stragglers.emplace_back(attempt.started, attempt.task);
         }
-        const auto endpoint = this->replicas.choose(this->wishOf(task), 0, now, this->context.random);
-        if (!endpoint) {
-            this->refuseHedge(task, "no-free-slot");
-            continue;
+    }
+    // The longest running one first: it is the most likely to be a real straggler.
+    std::sort(stragglers.begin(), stragglers.end());
+    for (const auto &[started, id] : stragglers) {
+        Task &task = this->tasks.at(id);
+        std::optional<EndpointId> endpoint;
+        const char *obstacle = this->hedgeObstacle(task, now, endpoint);
+        if (obstacle == nullptr) {
+            ++task.hedges;
+            this->hedgeCounter.add();
+            return this->startAttempt(id, task, *endpoint, true, now);
         }
-        if (!this->context.budget.take()) {
-            this->refuseHedge(task, "budget");
-            continue;
+        if (task.hedgeRefusals.insert(obstacle).second) {
+            this->count(hedgesRefusedName, obstacle);
         }
-        ++task.hedges;
-        this->hedgeCounter.add();
-        return this->startAttempt(attempt.task, task, *endpoint, true, now);
     }
     return std::nullopt;
 }
 
+const char *GroupWork::hedgeObstacle(const Task &task, TimePoint now, std::optional<EndpointId> &endpoint)
+{
+    if (!this->queue.empty()) {
+        return "queue-not-empty";
+    }
+    if (!this->owns()) {
+        return "not-owner";
+    }
+    if (task.deadline - now < this->hedging.expectedService()) {
+        return "deadline-unreachable";
+    }
+    endpoint = this->replicas.choose(this->wishOf(task), 0, now, this->context.random);
+    if (!endpoint) {
+        return "no-free-slot";
+    }
+    return this->context.budget.take() ? nullptr : "budget";
+}
+
 bool GroupWork::isStraggler(const Attempt &attempt, TimePoint now) const
 {
     if (attempt.hedge || attempt.cancelled || attempt.overdue) {
@@ -513,13 +522,6 @@
     this->finish(task, task->second.mayHaveRun ? AttemptOutcome::Unknown : AttemptOutcome::NotRun, reason, now);
 }
 
-void GroupWork::refuseHedge(Task &task, const char *reason)
-{
-    if (task.hedgeRefusals.insert(reason).second) {
-        this->count(hedgesRefusedName, reason);
-    }
-}
-
 ReplicaSet::Wish GroupWork::wishOf(const Task &task) const
 {
     ReplicaSet::Wish wish;
--- a/Source/scheduling/groupwork.h
+++ b/Source/scheduling/groupwork.h
@@ -109,6 +109,8 @@
     void endQueued(Refusal reason, TimePoint now);
     std::optional<Start> nextDispatch(TimePoint now);
     std::optional<Start> nextHedge(TimePoint now);
+    /// Why a straggler is not hedged, or null; then a budget token is taken and @p endpoint is set.
+    const char *hedgeObstacle(const Task &task, TimePoint now, std::optional<EndpointId> &endpoint);
     bool isStraggler(const Attempt &attempt, TimePoint now) const;
     Start startAttempt(TaskId id, Task &task, const EndpointId &endpoint, bool hedge, TimePoint now);
     void enqueue(TaskId id, Task &task, bool front, TimePoint now);
@@ -121,7 +123,6 @@
     void finish(Tasks::iterator task, GroupOutcome outcome, TimePoint now);
     void finish(Tasks::iterator task, AttemptOutcome outcome, Refusal reason, TimePoint now);
     void finishQueued(Tasks::iterator task, Refusal reason, TimePoint now);
-    void refuseHedge(Task &task, const char *reason);
     ReplicaSet::Wish wishOf(const Task &task) const;
     bool owns() const;
     void count(const char *name, std::string_view reason);
--- a/Source/scheduling/hedgepolicy.cpp
+++ b/Source/scheduling/hedgepolicy.cpp
@@ -8,10 +8,9 @@
 namespace
 {
 
-constexpr double usualShare = 0.95;
+/// Share of attempts below the delay at a full and at an empty budget; 0.945 at half of it.
+constexpr double plentifulShare = 0.90;
 constexpr double scarceShare = 0.99;
-/// Budget fill from which on the usual share applies.
-constexpr double plentifulFill = 0.5;
 /// The 95th percentile of an exponential distribution is 3 times its mean.
 constexpr int delayOverMean = 3;
 /// Samples between two sorts of the window.
@@ -44,8 +43,7 @@
     if (this->window.size() < fewestSamples) {
         return std::max(shortestDelay, this->usual * delayOverMean);
     }
-    const double scarcity = std::clamp(1 - budgetFill / plentifulFill, 0.0, 1.0);
-    const double share = usualShare + (scarceShare - usualShare) * scarcity;
+    const double share = scarceShare - (scarceShare - plentifulShare) * std::clamp(budgetFill, 0.0, 1.0);
     return std::max(shortestDelay, this->quantile(share));
 }
 
--- a/Source/scheduling/hedgepolicy.h
+++ b/Source/scheduling/hedgepolicy.h
@@ -33,8 +33,9 @@
     /// left out: they run only for stragglers and would bias the distribution.
     void observe(Duration service);
 
-    /// Time after its start at which an attempt is hedged: the 95th percentile while at least half of the budget is
-    /// left, rising to the 99th at an empty budget, so that what is left goes to the longest stragglers.
+    /// Time after its start at which an attempt is hedged: the 90th percentile at a full budget, rising to the 99th at
+    /// an empty one. So hedges settle at the rate that the budget allows, and what is left goes to the longest
+    /// stragglers; a fixed 95th percentile asks for 5% and is refused for one straggler in five.
     Duration delay(double budgetFill) const;
 
     /// Time that a task needs at least once it runs: the median of the recent service times, within a quarter and twice
--- a/Source/scheduling/replicaset.cpp
+++ b/Source/scheduling/replicaset.cpp
@@ -9,6 +9,7 @@
                        const Group &group,
                        const std::set<ZoneId> &drained,
                        const std::set<EndpointId> &knownWarm)
+    : usualService(pool.limits.service)
 {
     for (const Endpoint &endpoint : group.endpoints) {
         const bool zoneDrained = drained.count(endpoint.zone) > 0;
@@ -20,6 +21,7 @@
 
 void ReplicaSet::update(const Pool &pool, const Group &group, const std::set<ZoneId> &drained)
 {
+    this->usualService = pool.limits.service;
     for (auto &[id, replica] : this->replicas) {
         replica.listed = false;
     }
@@ -177,7 +179,8 @@
 
 bool ReplicaSet::isSlow(const Replica &replica, Duration best, TimePoint now) const
 {
-    return replica.state.typical() > best * slowFactor && replica.state.lastDispatch() + probeInterval > now;
+    return replica.state.typical() > std::max(best, this->usualService) * slowFactor
+        && replica.state.lastDispatch() + probeInterval > now;
 }
 
 Duration ReplicaSet::bestTypical() const
--- a/Source/scheduling/replicaset.h
+++ b/Source/scheduling/replicaset.h
@@ -18,7 +18,9 @@
 class ReplicaSet
 {
 public:
-    /// A replica counts as slow when its typical service time exceeds the best one's by this factor.
+    /// A replica counts as slow when its typical service time exceeds this many times both the best one's and the usual
+    /// one. The best one's alone is not enough: medians of 9 exponential times differ by 2 so often that tasks waited
+    /// beside free slots half of the time at load 0.7.
     static constexpr int slowFactor = 2;
     /// A slow replica gets an attempt at least this often, so that its recovery is seen.
     static constexpr Duration probeInterval = Milliseconds(1000);
@@ -82,6 +84,7 @@
     int usableSlots(const Wish &wish, TimePoint now) const;
     static const Entry *leastLoaded(Candidates &candidates, Random &random);
 
+    Duration usualService;
     std::map<EndpointId, Replica> replicas;
 };
 
--- a/Tests/scheduling/bench.h
+++ b/Tests/scheduling/bench.h
@@ -105,7 +105,9 @@
     double p99 = 0;
     /// Share of extra sub-requests.
     double extra = 0;
+    /// Share of queries that were answered whole, and of parts.
     double answered = 0;
+    double parts = 0;
 };
 
 /// Runs Poisson arrivals of queries; a query that is not answered whole counts with its deadline.
@@ -118,6 +120,7 @@
     };
     std::vector<double> times;
     std::uint64_t whole = 0;
+    std::uint64_t parts = 0;
     for (int query = 0; query < queries; ++query) {
         const double gap = -std::log(1 - bench.arrivals.unit()) / perSecond;
         bench.clock.advance(Duration(static_cast<std::int64_t>(gap * 1e9)));
@@ -128,6 +131,7 @@
         for (const auto &scheduler : bench.schedulers) {
             scheduler->submit(task, [&, progress, begun](const GroupOutcome &outcome) {
                 progress->whole = progress->whole && outcome.outcome == AttemptOutcome::Answered;
+                parts += outcome.outcome == AttemptOutcome::Answered ? 1U : 0U;
                 if (--progress->open == 0) {
                     whole += progress->whole ? 1U : 0U;
                     const Duration time = progress->whole ? bench.clock.now() - begun : deadline;
@@ -143,6 +147,7 @@
     load.p99 = percentile(times, 0.99);
     load.extra = static_cast<double>(bench.transport.starts) / needed - 1;
     load.answered = static_cast<double>(whole) / queries;
+    load.parts = static_cast<double>(parts) / needed;
     return load;
 }
 
--- a/Tests/scheduling/stragglertest.cpp
+++ b/Tests/scheduling/stragglertest.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr int groups = 10;
-constexpr int queries = 6000;
+constexpr int queries = 12000;
 constexpr Duration deadline = 2s;
 /// Slots of a group over the mean service time.
 constexpr double groupCapacity = 6 / 0.010;
@@ -21,12 +21,14 @@
 struct Run
 {
     QueryLoad load;
+    /// Extra attempts that the budget allows.
     double allowance = 0;
+    double extraAttempts = 0;
     std::uint64_t hedgesAndRetries = 0;
     std::uint64_t hedges = 0;
 };
 
-Run measure(Kind kind, bool naive, double share, std::uint64_t seed)
+Run measure(Kind kind, bool naive, double share, std::uint64_t seed, int shedFrom = 1000000)
 {
     Bench bench(seed, naive, groups, 2, true);
     double capacity = groupCapacity;
@@ -39,11 +41,15 @@
         // Four slots at full speed and two at a twentieth; the slow group bounds the capacity of whole queries.
         capacity = groupCapacity * (4 + 2 / 20.0) / 6;
     }
+    for (auto &[id, endpoint] : bench.transport.endpoints) {
+        endpoint.shedFrom = shedFrom;
+    }
     Run run;
     run.load = runQueries(bench, capacity * share, queries, deadline);
     run.allowance = RetryBudget::perFirstAttempt
             * static_cast<double>(bench.counters.value("lycheewall_scheduling_first_attempts_total"))
         + RetryBudget::depth;
+    run.extraAttempts = static_cast<double>(bench.transport.starts) - static_cast<double>(queries) * groups;
     run.hedges = bench.total("lycheewall_scheduling_hedges_total");
     run.hedgesAndRetries = run.hedges + bench.total("lycheewall_scheduling_retries_total");
     return run;
@@ -83,17 +89,22 @@
     compare(Kind::SlowReplica, "one replica is 20 times slower,", 0.7);
 }
 
-// Guards against a hedge storm: extra attempts that feed an overload.
+// Guards against a hedge or retry storm: extra attempts that feed an overload of endpoints which shed what they cannot
+// hold.
 BOOST_AUTO_TEST_CASE(overloadStaysWithinTheBudget)
 {
-    const Run naive = measure(Kind::RandomStragglers, true, 1.5, 21);
-    const Run current = measure(Kind::RandomStragglers, false, 1.5, 21);
-    BOOST_TEST_MESSAGE("load 1.5: naive whole " << naive.load.answered << " extra " << naive.load.extra
-                                                << "; current whole " << current.load.answered << ", hedges "
-                                                << current.hedges << ", hedges and retries " << current.hedgesAndRetries
-                                                << " of " << current.allowance);
+    constexpr int shedFrom = 4;
+    const Run naive = measure(Kind::RandomStragglers, true, 1.5, 21, shedFrom);
+    const Run current = measure(Kind::RandomStragglers, false, 1.5, 21, shedFrom);
+    const double allowed = RetryBudget::perFirstAttempt * queries * groups + RetryBudget::depth;
+    BOOST_TEST_MESSAGE("load 1.5, endpoints shed: extra attempts naive "
+                       << naive.extraAttempts << ", current " << current.hedgesAndRetries << " (hedges "
+                       << current.hedges << "), allowed " << current.allowance << "; parts answered naive "
+                       << naive.load.parts << ", current " << current.load.parts << "; whole queries naive "
+                       << naive.load.answered << ", current " << current.load.answered);
+    BOOST_TEST(naive.extraAttempts > allowed);
     BOOST_TEST(static_cast<double>(current.hedgesAndRetries) <= current.allowance);
-    BOOST_TEST(current.load.answered > naive.load.answered);
+    BOOST_TEST(current.load.parts > 0.9 / 1.5);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
