--- a/Source/query/query.cpp
+++ b/Source/query/query.cpp
@@ -18,6 +18,14 @@
 /// Usual service times that have to remain for a restart: one for the queue, one to run, one hedge, one for the hops.
 constexpr int restartServiceTimes = 4;
 
+/// Precondition: the pool lists the version.
+const Snapshot &snapshotOf(const Pool &pool, SnapshotVersion version)
+{
+    return *std::find_if(pool.snapshots.begin(), pool.snapshots.end(), [version](const Snapshot &each) {
+        return each.version == version;
+    });
+}
+
 /// The reason of most missing parts; the first in the order of the group names among equals.
 Refusal commonReason(const Coverage &coverage)
 {
@@ -145,7 +153,7 @@
     this->trace.push_back(traceOf(outcome, this->restarts));
     this->open.erase(outcome.group);
     if (outcome.outcome == AttemptOutcome::Answered) {
-        if (outcome.documents != this->spec.pool->findSnapshot(this->snapshot)->documents.at(outcome.group)) {
+        if (outcome.documents != snapshotOf(*this->spec.pool, this->snapshot).documents.at(outcome.group)) {
             this->context.counters.counter(documentsName).add();
         }
         this->coverage.answer(outcome.group, outcome.documents);
@@ -171,7 +179,7 @@
         return std::nullopt;
     }
     const auto other = this->context.snapshots.chooseOther(*this->spec.pool, this->tried);
-    if (!other || this->spec.pool->findSnapshot(*other)->documents.empty()) {
+    if (!other || snapshotOf(*this->spec.pool, *other).documents.empty()) {
         return std::nullopt;
     }
     ++this->restarts;
@@ -186,7 +194,7 @@
 
 void Query::pin(SnapshotVersion version)
 {
-    const Snapshot &pinned = *this->spec.pool->findSnapshot(version);
+    const Snapshot &pinned = snapshotOf(*this->spec.pool, version);
     this->snapshot = version;
     this->tried.insert(version);
     // A part that never reports is missing because of the deadline.
