--- a/Source/tool/toolclient.cpp
+++ b/Source/http/blockingclient.cpp
@@ -1,4 +1,4 @@
-#include "tool/toolclient.h"
+#include "http/blockingclient.h"
 
 #include "runtime/address.h"
 
@@ -30,7 +30,7 @@
 
 }
 
-Result<HttpResponse> ToolClient::exchange(const std::string &address, const HttpRequest &request, int seconds)
+Result<HttpResponse> BlockingClient::exchange(const std::string &address, const HttpRequest &request, int seconds)
 {
     const auto target = parseAddress(address);
     if (!target) {
--- a/Source/tool/toolclient.h
+++ b/Source/http/blockingclient.h
@@ -8,8 +8,8 @@
 namespace Lycheewall
 {
 
-/// Blocking HTTP requests of the tool. Thread safety: static functions without state.
-class ToolClient
+/// Blocking HTTP requests, for programs without fibers. Thread safety: static functions without state.
+class BlockingClient
 {
 public:
     /// Errors: those of connecting and of the exchange; timed_out after @p seconds.
--- a/Source/tool/callercommands.cpp
+++ b/Source/tool/callercommands.cpp
@@ -1,6 +1,6 @@
 #include "tool/callercommands.h"
 
-#include "tool/toolclient.h"
+#include "http/blockingclient.h"
 
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -18,7 +18,7 @@
 {
     std::error_code last = std::make_error_code(std::errc::invalid_argument);
     for (const std::string &address : known) {
-        const auto answer = ToolClient::exchange(address, { "GET", "/v1/addresses", {}, {} });
+        const auto answer = BlockingClient::exchange(address, { "GET", "/v1/addresses", {}, {} });
         if (!answer) {
             last = answer.error();
             continue;
@@ -93,7 +93,7 @@
     }
     for (const json &instance : known.value()["addresses"]) {
         const std::string address = instance.value("address", "");
-        const auto answer = ToolClient::exchange(address, request);
+        const auto answer = BlockingClient::exchange(address, request);
         if (answer) {
             return printAnswer(answer.value(), options.json);
         }
--- a/Source/tool/operatorcommands.cpp
+++ b/Source/tool/operatorcommands.cpp
@@ -1,7 +1,7 @@
 #include "tool/operatorcommands.h"
 
 #include "catalogue/instancelist.h"
-#include "tool/toolclient.h"
+#include "http/blockingclient.h"
 
 #include <fstream>
 #include <iostream>
@@ -133,7 +133,7 @@
     ExitCode worst = ExitCode::Success;
     json all = json::array();
     for (const std::string &address : options.addresses) {
-        const auto answer = ToolClient::exchange(address, { "GET", "/state", {}, {} });
+        const auto answer = BlockingClient::exchange(address, { "GET", "/state", {}, {} });
         if (!answer) {
             worst = unreachable(address, answer.error());
             continue;
@@ -169,7 +169,7 @@
 {
     ExitCode worst = ExitCode::Success;
     for (const std::string &address : options.addresses) {
-        const auto answer = ToolClient::exchange(address, { "GET", "/counters", {}, {} });
+        const auto answer = BlockingClient::exchange(address, { "GET", "/counters", {}, {} });
         if (!answer) {
             worst = unreachable(address, answer.error());
             continue;
@@ -200,7 +200,7 @@
         return usage(*this);
     }
     for (const std::string &address : options.addresses) {
-        const auto answer = ToolClient::exchange(address, { "GET", "/requests/" + arguments[0], {}, {} });
+        const auto answer = BlockingClient::exchange(address, { "GET", "/requests/" + arguments[0], {}, {} });
         if (!answer || answer.value().status != 200) {
             continue;
         }
@@ -234,7 +234,7 @@
     }
     ExitCode worst = ExitCode::Success;
     for (const std::string &address : options.addresses) {
-        const auto answer = ToolClient::exchange(address, { "POST", "/log-level", {}, arguments[0] });
+        const auto answer = BlockingClient::exchange(address, { "POST", "/log-level", {}, arguments[0] });
         if (!answer) {
             worst = unreachable(address, answer.error());
         } else if (answer.value().status != 200) {
