--- a/Source/peer/codec/peercodec.h
+++ b/Source/peer/codec/peercodec.h
@@ -10,7 +10,7 @@
 {
 
 /// Largest frame between daemons in bytes; a configuration value may hold 1 MB of text.
-constexpr std::size_t maxPeerFrameBytes = 2 * 1024 * 1024;
+constexpr std::size_t maxPeerFrameBytes = std::size_t(2) * 1024 * 1024;
 
 /// Most entries in one list of a message.
 constexpr std::size_t maxPeerListLength = 16384;
--- a/Source/peer/peersettings.h
+++ b/Source/peer/peersettings.h
@@ -22,7 +22,7 @@
     /// A link without any traffic for this long is closed; also the bound of a handshake.
     Duration answerBound = std::chrono::seconds(3);
     /// Outgoing bytes that may wait on one link. One batch of frames that is being written comes on top.
-    std::size_t queueBytes = 8 * 1024 * 1024;
+    std::size_t queueBytes = std::size_t(8) * 1024 * 1024;
     Duration firstBackoff = std::chrono::milliseconds(50);
     Duration longestBackoff = std::chrono::seconds(1);
     /// Seed of the backoff jitter and the frame masks.
