--- a/Source/catalogue/problemlist.cpp
+++ b/Source/catalogue/problemlist.cpp
@@ -16,6 +16,7 @@
 /// Longer words are compared by their beginning only, because the edit distance costs the product of both lengths.
 constexpr std::size_t maxCompared = 64;
 
+/// A replaced character costs 2, like a removed and an added one: "idle" is then nearer to "idle-ms" than to "zone".
 std::size_t editDistance(std::string_view left, std::string_view right)
 {
     std::vector<std::size_t> row(right.size() + 1);
@@ -24,7 +25,7 @@
         std::size_t diagonal = row[0];
         row[0] = i + 1;
         for (std::size_t j = 0; j < right.size(); ++j) {
-            const std::size_t replaced = diagonal + (left[i] == right[j] ? 0 : 1);
+            const std::size_t replaced = diagonal + (left[i] == right[j] ? 0 : 2);
             diagonal = row[j + 1];
             row[j + 1] = std::min({ replaced, row[j] + 1, row[j + 1] + 1 });
         }
