Runtime: Keep one parser of socket addresses

Cause: runtime/address and runtime/socketaddress both defined parseAddress(const std::string &) with different results. The linker took one of them for both, so the peer listener bound a garbled address (EAFNOSUPPORT in strace) and every daemon ended at start. Ruled out: ports in use (ss showed no listener).

--- a/Source/daemon/daemonparts.cpp
+++ b/Source/daemon/daemonparts.cpp
@@ -2,7 +2,6 @@
 
 #include "core/log.h"
 #include "daemon/statereport.h"
-#include "runtime/address.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
--- a/Source/http/blockingclient.cpp
+++ b/Source/http/blockingclient.cpp
@@ -1,6 +1,6 @@
 #include "http/blockingclient.h"
 
-#include "runtime/address.h"
+#include "runtime/socketaddress.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
@@ -43,8 +43,7 @@
     beast::flat_buffer buffer;
     http::response<http::string_body> response;
     beast::error_code outcome;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(target.value().host), target.value().port);
-    stream.async_connect(endpoint, [&](const beast::error_code &connected) {
+    stream.async_connect(target.value(), [&](const beast::error_code &connected) {
         outcome = connected;
         if (connected) {
             return;
--- a/Tests/configuration/settingstest.cpp
+++ b/Tests/configuration/settingstest.cpp
@@ -79,7 +79,7 @@
     BOOST_TEST(settings.idle.count() == 777);
     BOOST_TEST(settings.workerThreads == 9);
     BOOST_TEST(settings.maxBodyBytes == 2048U);
-    BOOST_TEST((settings.logLevel == LogLevel::Warn));
+    BOOST_TEST((settings.logLevel == LogLevel::Warning));
 }
 
 BOOST_AUTO_TEST_CASE(faultsNameLineAndExpectation)
--- a/Tests/integration/demo.cpp
+++ b/Tests/integration/demo.cpp
@@ -20,9 +20,9 @@
 DemoPlan planFor(const std::string &deployment)
 {
     if (deployment == "craglanka") {
-        return { { { "kandy-press", "route-search", "query", 30 },
-                   { "kandy-press", "ascent-registry", "query", 20 },
-                   { "kandy-press", "archive", "request", 15 },
+        return { { { "adams-peak-press", "route-search", "query", 30 },
+                   { "adams-peak-press", "ascent-registry", "query", 20 },
+                   { "adams-peak-press", "archive", "request", 15 },
                    { "", "layout", "request", 15 } },
                  "cl-b" };
     }
@@ -96,7 +96,7 @@
     summary["cold-violations"] = fleet.endpointSum("cold-violations");
     summary["key-headers"] = fleet.endpointSum("key-headers");
     std::cout << summary.dump() << std::endl;
-    return checked.value("clean", false) && summary["complete"] > 0 ? 0 : 1;
+    return checked["violations"].empty() && summary["complete"] > 0 ? 0 : 1;
 }
 
 }
--- a/Tests/integration/wholepathtest.cpp
+++ b/Tests/integration/wholepathtest.cpp
@@ -26,7 +26,7 @@
     BOOST_TEST(summary["queries"].get<int>() > 200);
     std::string violations;
     const nlohmann::json checked = fleet.checkLogs(violations);
-    BOOST_TEST(checked["violations"] == 0, violations);
+    BOOST_TEST(checked["violations"].empty(), violations);
     BOOST_TEST(fleet.endpointSum("cap-violations") == 0U);
     BOOST_TEST(fleet.endpointSum("cold-violations") == 0U);
 }
--- a/Tests/standins/callers.cpp
+++ b/Tests/standins/callers.cpp
@@ -1,5 +1,5 @@
 // Open-loop callers of the real interface: they ask for addresses, keep the answer for its time and connect themselves.
-#include "runtime/address.h"
+#include "runtime/socketaddress.h"
 #include "runtime/await.h"
 #include "runtime/worker.h"
 
@@ -201,8 +201,7 @@
         }
         auto connection = std::make_unique<beast::tcp_stream>(this->worker.context());
         connection->expires_after(std::chrono::seconds(1));
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(target.value().host), target.value().port);
-        const auto error = awaitDone([&](auto done) { connection->async_connect(endpoint, std::move(done)); });
+        const auto error = awaitDone([&](auto done) { connection->async_connect(target.value(), std::move(done)); });
         return error ? nullptr : std::move(connection);
     }
 
