Tests: Keep an endpoint's versions when a versions command is malformed

A list with a bad item emptied the served versions before it was refused with 400, so the endpoint answered nothing afterwards. The list is now parsed before it replaces the old one; a test sends a bad list and asks for a run.

--- a/Tests/standins/endpointserver.cpp
+++ b/Tests/standins/endpointserver.cpp
@@ -429,10 +429,11 @@
           } },
         { "versions",
           [](Self &self, const Target &to, const Text &) {
-              self.versions.clear();
+              std::set<std::uint64_t> versions;
               for (const Text &version : splitList(to.get("list"))) {
-                  self.versions.insert(std::stoull(version));
+                  versions.insert(std::stoull(version));
               }
+              self.versions = std::move(versions);
           } },
         { "health",
           [](Self &self, const Target &to, const Text &body) {
--- a/Tests/standins/tests/endpointstest.cpp
+++ b/Tests/standins/tests/endpointstest.cpp
@@ -85,6 +85,10 @@
     const std::string incarnation(answer["Lycheewall-Incarnation"]);
     command("/pool/search/versions?list=1");
     BOOST_TEST(reason() == "version");
+    BOOST_TEST(exchange(control, "POST", "/pool/search/versions?list=x").result_int() == 400U);
+    headers["Lycheewall-Snapshot"] = "1";
+    BOOST_TEST(reason() == "");
+    headers["Lycheewall-Snapshot"] = "2";
     command("/pool/search/versions?list=1,2");
     BOOST_TEST(reason() == "");
     headers["Lycheewall-Shard"] = "south";
