Tests: Check index versions of every pool that lists groups

standin_endpoints looked for a key "sharded" that the catalogue doesn't have: the parser takes a pool with groups as sharded. The reader now goes by "groups" too, and the test catalogue has no such key; the version test failed on it before the change.

--- a/Tests/standins/endpoints.cpp
+++ b/Tests/standins/endpoints.cpp
@@ -52,7 +52,7 @@
         common.slots = pool["slots"].as<int>();
         common.connections = pool["connections"].as<int>();
         common.coldSlots = pool["cold-slots"].as<int>(1);
-        common.sharded = pool["sharded"].as<bool>(false);
+        common.sharded = pool["groups"].IsDefined();
         common.serviceMs = FLAGS_service_ms > 0 ? FLAGS_service_ms : pool["service-ms"].as<double>(common.serviceMs);
         common.stragglerShare = FLAGS_straggler_share;
         common.stragglerFactor = FLAGS_straggler_factor;
--- a/Tests/standins/tests/endpointstest.cpp
+++ b/Tests/standins/tests/endpointstest.cpp
@@ -11,7 +11,6 @@
 const std::string catalogueText = R"(
 pools:
   search:
-    sharded: true
     slots: 2
     connections: 4
     cold-slots: 1
