--- a/Tests/standins/tests/endpointstest.cpp
+++ b/Tests/standins/tests/endpointstest.cpp
@@ -11,7 +11,6 @@
 const std::string catalogueText = R"(
 pools:
   search:
-    sharded: true
     slots: 2
     connections: 4
     cold-slots: 1
@@ -85,6 +84,10 @@
     const std::string incarnation(answer["Lycheewall-Incarnation"]);
     command("/pool/search/versions?list=1");
     BOOST_TEST(reason() == "version");
+    BOOST_TEST(exchange(control, "POST", "/pool/search/versions?list=x").result_int() == 400U);
+    headers["Lycheewall-Snapshot"] = "1";
+    BOOST_TEST(reason() == "");
+    headers["Lycheewall-Snapshot"] = "2";
     command("/pool/search/versions?list=1,2");
     BOOST_TEST(reason() == "");
     headers["Lycheewall-Shard"] = "south";
