Peer: Report answered pings as evidence of freshness

Cause: no daemon became ready. Nothing told Freshness that peers were heard, and messages that waited in a socket during a pause must not count. Change: PeerHandler::answered() passes the moment at which an answered ping was sent; the first ping goes out at once. SubCancel names its parts.

--- a/Source/daemon/peerdispatcher.cpp
+++ b/Source/daemon/peerdispatcher.cpp
@@ -90,6 +90,11 @@
     std::visit(Dispatch(this->context, from), message);
 }
 
+void PeerDispatcher::answered(const InstanceId &peer, TimePoint asked)
+{
+    this->context.freshness.heard(peer, asked);
+}
+
 void PeerDispatcher::linkUp(const InstanceId &peer)
 {
     this->context.peers.heard(peer);
--- a/Source/daemon/peerdispatcher.h
+++ b/Source/daemon/peerdispatcher.h
@@ -36,6 +36,7 @@
     explicit PeerDispatcher(const PeerDispatcherContext &dispatcherContext);
 
     void message(const InstanceId &from, PeerMessage message) override;
+    void answered(const InstanceId &peer, TimePoint asked) override;
     void linkUp(const InstanceId &peer) override;
     void linkLost(const InstanceId &peer) override;
 
--- a/Source/peer/codec/messagefields.h
+++ b/Source/peer/codec/messagefields.h
@@ -196,6 +196,7 @@
     template<typename Visitor> static void visit(Visitor &visitor)
     {
         visitor("i", &SubCancel::id);
+        visitor("g", &SubCancel::parts);
     }
 };
 
--- a/Source/peer/codec/messages.h
+++ b/Source/peer/codec/messages.h
@@ -164,7 +164,7 @@
 {
     std::uint64_t id = 0;
     /// The parts to cancel; empty means all parts of the request.
-    std::vector<GroupId> parts;
+    std::vector<GroupId> parts {};
 };
 
 using PeerMessage = std::variant<Hello,
--- a/Source/peer/peerhandler.h
+++ b/Source/peer/peerhandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/strongid.h"
 #include "peer/codec/messages.h"
 
@@ -19,6 +20,10 @@
     /// handled by the network.
     virtual void message(const InstanceId &from, PeerMessage message) = 0;
 
+    /// A ping sent at @p asked was answered. Other messages may have waited in the socket while this process was paused,
+    /// so only this tells that the peer was alive at a known moment.
+    virtual void answered(const InstanceId &peer, TimePoint asked) = 0;
+
     /// A link has passed the handshake. A link that replaces an older one is preceded by linkLost() of the older.
     virtual void linkUp(const InstanceId &peer) = 0;
 
--- a/Source/peer/peernetworkcore.cpp
+++ b/Source/peer/peernetworkcore.cpp
@@ -221,7 +221,11 @@
         this->write(link, Pong { ping->sequence });
     } else if (std::holds_alternative<Hello>(message)) {
         this->drop(link, "unexpected-hello", Ending::Graceful);
-    } else if (!std::holds_alternative<Pong>(message)) {
+    } else if (const auto *pong = std::get_if<Pong>(&message)) {
+        if (pong->sequence == link->pings) {
+            this->handler.answered(link->peer, link->pinged);
+        }
+    } else {
         this->handler.message(link->peer, std::move(message));
     }
 }
@@ -262,7 +266,8 @@
     }
     link->peer = hello.instance;
     link->up = true;
-    link->pinged = this->clock.now();
+    // The next check sends the first ping, so that the peer counts as heard soon.
+    link->pinged = TimePoint();
     link->queue = std::make_shared<LinkQueue>(this->settings.queueBytes);
     link->bufferTimer = std::make_unique<boost::asio::steady_timer>(this->context);
     peer.link = link;
--- a/Tests/integration/fleet.cpp
+++ b/Tests/integration/fleet.cpp
@@ -296,7 +296,8 @@
 std::uint64_t Fleet::endpointSum(const std::string &name) const
 {
     std::uint64_t sum = 0;
-    for (const auto &[id, endpoint] : this->endpointStats().items()) {
+    const json stats = this->endpointStats();
+    for (const auto &[id, endpoint] : stats.items()) {
         sum += endpoint.at(name).get<std::uint64_t>();
     }
     return sum;
@@ -315,7 +316,7 @@
     for (const CallerStream &stream : streams) {
         text += text.empty() ? "" : ";";
         text += this->keyOf(stream.organisation) + "," + stream.pool + "," + stream.kind + "," + std::to_string(stream.rate) + ","
-            + stream.organisation;
+            + (stream.organisation.empty() ? "open" : stream.organisation);
     }
     std::string addresses;
     for (const auto &[number, process] : this->daemons) {
--- a/Tests/peer/peernetworktest.cpp
+++ b/Tests/peer/peernetworktest.cpp
@@ -36,6 +36,18 @@
             this->add(from.value() + ": " + std::to_string(cancel->id));
         }
     }
+    void answered(const InstanceId &peer, TimePoint asked) override
+    {
+        const std::lock_guard lock(this->mutex);
+        this->askedAt[peer] = asked;
+    }
+    /// When the last answered ping was sent; the epoch when none was answered.
+    TimePoint lastAsked(const InstanceId &peer) const
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto entry = this->askedAt.find(peer);
+        return entry == this->askedAt.end() ? TimePoint() : entry->second;
+    }
     void linkUp(const InstanceId &peer) override
     {
         this->add("up " + peer.value());
@@ -63,6 +75,7 @@
     }
     mutable std::mutex mutex;
     std::vector<std::string> lines;
+    std::map<InstanceId, TimePoint> askedAt;
 };
 
 /// One daemon under test. Bounds are short, so that silence is noticed quickly.
@@ -178,6 +191,9 @@
     }
     BOOST_TEST((second.network->send(InstanceId("a"), SubCancel { 9 }) == SendResult::HandedOver));
     BOOST_TEST(waitUntil([&] { return first.recorder.heard("b: 9") && second.recorder.heard("a: 3"); }));
+    // Without the moment of an answered ping, a daemon that hears its peers would count as cut off.
+    const TimePoint linkUp = BootTimeClock().now();
+    BOOST_TEST(waitUntil([&] { return first.recorder.lastAsked(InstanceId("b")) > linkUp; }));
     // Pings keep an otherwise quiet link alive beyond the answer bound.
     std::this_thread::sleep_for(Milliseconds(900));
     second.network->stop();
