--- a/Source/peer/peerendpointconfig.h
+++ b/Source/peer/peerendpointconfig.h
@@ -39,7 +39,7 @@
     static constexpr bool drop_on_protocol_error = true;
     static constexpr std::size_t max_message_size = maxPeerFrameBytes;
 
-    struct transport_config : public websocketpp::config::core::transport_config
+    struct TransportConfig : public websocketpp::config::core::transport_config
     {
         using concurrency_type = type::concurrency_type;
         using alog_type = type::alog_type;
@@ -50,6 +50,7 @@
         static constexpr long timeout_connect = 3000;
         static constexpr long timeout_socket_shutdown = 1000;
     };
+    using transport_config = TransportConfig;
     using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
 };
 
