Http: Rank failing platform paths as slow

Cause: a path that never answered ranked as the fastest one after each time of avoidance, so a silent path cost its bound of 1 s again and again.

Change: a failure counts as a slow answer. The test of paths that go backwards now starts with the newer path, because a failed path is no longer tried while another answers; it also checks the error. New tests: a silent path is tried once, and idle connections are closed after their time.

--- a/Source/http/platformclient.cpp
+++ b/Source/http/platformclient.cpp
@@ -245,8 +245,11 @@
         Log::part("platform").warn("read from " + this->settings.addresses[index] + " failed: " + error.message());
         const TimePoint until = this->clock.now() + this->settings.avoidFor;
         const std::lock_guard lock(this->mutex);
-        ++this->known[index].failures;
-        this->known[index].avoidedUntil = until;
+        PlatformPath &path = this->known[index];
+        ++path.failures;
+        path.avoidedUntil = until;
+        // Counts as a slow answer, so that a silent path does not cost its bound again each time it may be tried.
+        path.answerTime = std::max(path.answerTime, this->settings.answerBound);
     }
 
     Worker &worker;
--- a/Tests/http/endpointclienttest.cpp
+++ b/Tests/http/endpointclienttest.cpp
@@ -219,6 +219,23 @@
     BOOST_TEST(waitUntil([&] { return server.open == 0; }));
 }
 
+// Guards against idle connections that stay open for ever, or that are closed while they are still in use.
+BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAfterTheirTime)
+{
+    TestServer server([](const TestRequest &) { return answer(); });
+    EndpointClientSettings settings;
+    settings.idleFor = Milliseconds(240);
+    this->client = std::make_unique<EndpointClient>(
+        std::vector<Worker *> { this->first.get() }, this->clock, this->counters, settings);
+    this->serve(server);
+    for (std::uint64_t attempt = 0; attempt < 6; ++attempt) {
+        this->expect(this->ask(request(attempt)), AttemptOutcome::Answered, Refusal::None);
+        std::this_thread::sleep_for(Milliseconds(60));
+    }
+    BOOST_TEST(server.accepted == 1);
+    BOOST_TEST(waitUntil([&] { return this->client->openConnections(endpoint) == 0 && server.open == 0; }));
+}
+
 // Guards against pooled connections that went silent being used again and again: two attempts time out, then the idle
 // connections are gone and the next attempt uses a new one.
 BOOST_AUTO_TEST_CASE(silenceClosesIdleConnections)
--- a/Tests/http/platformclienttest.cpp
+++ b/Tests/http/platformclienttest.cpp
@@ -108,19 +108,27 @@
 // Guards against a configuration that reverts because one path lags, and against reports of it as fresh.
 BOOST_AUTO_TEST_CASE(pathsThatGoBackwardsAreAvoided)
 {
-    this->two.version = 9;
-    this->one.broken = true;
-    BOOST_TEST(this->client.read(ValueName::Catalogue).value().version.value() == 9U);
-    this->one.broken = false;
-    std::this_thread::sleep_for(Milliseconds(350));
-    this->two.delayMs = 30;
-    for (int round = 0; round < 5; ++round) {
+    this->one.version = 9;
+    for (int round = 0; round < 6; ++round) {
         BOOST_TEST(this->client.read(ValueName::Catalogue).value().version.value() == 9U);
     }
-    BOOST_TEST(this->client.paths()[0].backwards >= 1U);
-    this->two.server.stop();
-    std::this_thread::sleep_for(Milliseconds(350));
-    BOOST_TEST(!this->client.read(ValueName::Catalogue).has_value());
+    BOOST_TEST(this->client.paths()[0].answers == 6U);
+    BOOST_TEST(this->client.paths()[1].backwards == 1U);
+    this->one.server.stop();
+    BOOST_TEST(this->client.read(ValueName::Catalogue).error() == make_error_code(PlatformClientError::WentBackwards));
+    this->two.version = 10;
+    BOOST_TEST(this->client.read(ValueName::Catalogue).value().version.value() == 10U);
+}
+
+// Guards against a silent path that costs its bound again after each time of avoidance.
+BOOST_AUTO_TEST_CASE(silentPathIsNotTriedWhileOthersAnswer)
+{
+    this->one.delayMs = 2000;
+    for (int round = 0; round < 5; ++round) {
+        BOOST_TEST(this->client.read(ValueName::Catalogue).has_value());
+        std::this_thread::sleep_for(Milliseconds(320));
+    }
+    BOOST_TEST(this->client.paths()[0].failures == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
