Scheduling: Keep tasks and attempts in a ledger of their own

Change: TaskLedger holds the unfinished tasks and attempts and finds the expired, silent and straggling ones; no change of behaviour. The straggler runs have 8000 instead of 12000 queries and the fairness runs 30000 instead of 60000 arrivals, with the same bounds.

--- a/Source/scheduling/groupwork.cpp
+++ b/Source/scheduling/groupwork.cpp
@@ -35,13 +35,8 @@
 
 TaskId GroupWork::submit(GroupTask task, Callback callback, TimePoint now)
 {
-    const TaskId id(++this->lastTask);
-    Task entry;
-    entry.submitted = now;
-    entry.deadline = now + task.remaining;
-    entry.spec = std::move(task);
-    entry.callback = std::move(callback);
-    const auto place = this->tasks.emplace(id, std::move(entry)).first;
+    const auto place = this->ledger.add(std::move(task), std::move(callback), now);
+    const TaskId id = place->first;
     if (this->stopping || !this->owns()) {
         this->finish(place, AttemptOutcome::NotRun, Refusal::NotOwner, now);
     } else {
@@ -52,8 +47,8 @@
 
 void GroupWork::cancel(TaskId task, TimePoint now)
 {
-    const auto entry = this->tasks.find(task);
-    if (entry == this->tasks.end()) {
+    const auto entry = this->ledger.tasks.find(task);
+    if (entry == this->ledger.tasks.end()) {
         return;
     }
     const bool mayHaveRun = entry->second.mayHaveRun || !entry->second.live.empty();
@@ -78,16 +73,16 @@
 
 void GroupWork::attemptEnded(AttemptId id, const EndpointAnswer &answer, TimePoint now)
 {
-    const auto entry = this->attempts.find(id);
-    if (entry == this->attempts.end()) {
+    const auto entry = this->ledger.attempts.find(id);
+    if (entry == this->ledger.attempts.end()) {
         this->count(droppedName, "repeated-attempt");
         return;
     }
     const Attempt attempt = entry->second;
-    this->attempts.erase(entry);
+    this->ledger.attempts.erase(entry);
     this->learn(attempt, answer, now);
-    const auto task = this->tasks.find(attempt.task);
-    if (task == this->tasks.end()) {
+    const auto task = this->ledger.tasks.find(attempt.task);
+    if (task == this->ledger.tasks.end()) {
         if (answer.outcome == AttemptOutcome::Answered) {
             this->count(droppedName, "finished-task");
         }
@@ -133,7 +128,7 @@
     if (!step.start) {
         step.start = this->nextHedge(now);
     }
-    if (this->stopping && this->stopped && this->attempts.empty() && this->tasks.empty()) {
+    if (this->stopping && this->stopped && this->ledger.attempts.empty() && this->ledger.tasks.empty()) {
         this->due.push_back(std::move(this->stopped));
         this->stopped = nullptr;
     }
@@ -144,22 +139,11 @@
 
 void GroupWork::endOverdue(TimePoint now)
 {
-    std::set<TaskId> expired;
-    for (auto &[id, attempt] : this->attempts) {
-        const auto task = this->tasks.find(attempt.task);
-        if (task == this->tasks.end()) {
-            continue;
-        }
-        const bool silent = !attempt.overdue && now - attempt.started >= this->hedging.silenceBound();
-        if (now >= task->second.deadline) {
-            expired.insert(attempt.task);
-        }
-        if (silent && (task->second.spec.idempotent || now >= task->second.deadline)) {
-            this->overdue(id, attempt, now);
-        }
+    for (const AttemptId &id : this->ledger.silent(this->hedging.silenceBound(), now)) {
+        this->overdue(id, this->ledger.attempts.at(id), now);
     }
-    for (const TaskId &id : expired) {
-        this->finish(this->tasks.find(id), AttemptOutcome::Unknown, Refusal::DeadlineExceeded, now);
+    for (const TaskId &id : this->ledger.expired(now)) {
+        this->finish(this->ledger.tasks.find(id), AttemptOutcome::Unknown, Refusal::DeadlineExceeded, now);
     }
 }
 
@@ -170,12 +154,12 @@
     if (this->replicas.at(attempt.endpoint).silent(now)) {
         this->closings.push_back(attempt.endpoint);
     }
-    const auto task = this->tasks.find(attempt.task);
+    const auto task = this->ledger.tasks.find(attempt.task);
     task->second.mayHaveRun = true;
     task->second.tried.insert(attempt.endpoint);
     // Without a retry the task waits for the end of the attempt or for its deadline.
     if (task->second.spec.idempotent && now < task->second.deadline && !task->second.queued
-        && !this->hasRunningAttempt(task->second)) {
+        && !this->ledger.hasRunningAttempt(task->second)) {
         this->retry(task, "silent-connection", now);
     }
 }
@@ -191,7 +175,7 @@
     }
     const Refusal stall = this->replicas.stall(now);
     for (const QueueEntry &entry : this->queue.takeDueBefore(now + this->hedging.expectedService())) {
-        const auto task = this->tasks.find(TaskId(entry.id));
+        const auto task = this->ledger.tasks.find(TaskId(entry.id));
         task->second.queued = false;
         this->finishQueued(task, stall == Refusal::None ? Refusal::DeadlineUnreachable : stall, now);
     }
@@ -204,7 +188,7 @@
 void GroupWork::endQueued(Refusal reason, TimePoint now)
 {
     for (const QueueEntry &entry : this->queue.takeAll()) {
-        const auto task = this->tasks.find(TaskId(entry.id));
+        const auto task = this->ledger.tasks.find(TaskId(entry.id));
         task->second.queued = false;
         this->finishQueued(task, reason, now);
     }
@@ -219,8 +203,8 @@
     std::vector<std::pair<TaskId, Refusal>> obstructed;
     const auto entry = this->queue.take([&](const QueueEntry &waiting) {
         const TaskId id(waiting.id);
-        const Task &task = this->tasks.at(id);
-        chosen = this->replicas.choose(this->wishOf(task), this->queue.size() - 1, now, this->context.random);
+        const Task &task = this->ledger.tasks.at(id);
+        chosen = this->replicas.choose(this->ledger.wishOf(task), this->queue.size() - 1, now, this->context.random);
         if (!chosen) {
             const Refusal obstacle = this->replicas.obstacle(task.spec.snapshot, now);
             if (obstacle != Refusal::None) {
@@ -231,7 +215,7 @@
     });
     for (const auto &[id, reason] : obstructed) {
         this->queue.remove(id.value());
-        const auto task = this->tasks.find(id);
+        const auto task = this->ledger.tasks.find(id);
         task->second.queued = false;
         this->finishQueued(task, reason, now);
     }
@@ -239,7 +223,7 @@
         return std::nullopt;
     }
     const TaskId id(entry->id);
-    Task &task = this->tasks.at(id);
+    Task &task = this->ledger.tasks.at(id);
     task.queued = false;
     return this->startAttempt(id, task, *chosen, false, now);
 }
@@ -249,16 +233,9 @@
     if (this->stopping) {
         return std::nullopt;
     }
-    std::vector<std::pair<TimePoint, TaskId>> stragglers;
-    for (const auto &[id, attempt] : this->attempts) {
-        if (this->isStraggler(attempt, now)) {
-            stragglers.emplace_back(attempt.started, attempt.task);
-        }
-    }
-    // The longest running one first: it is the most likely to be a real straggler.
-    std::sort(stragglers.begin(), stragglers.end());
-    for (const auto &[started, id] : stragglers) {
-        Task &task = this->tasks.at(id);
+    const Duration delay = this->hedging.delay(this->context.budget.fill());
+    for (const TaskId &id : this->ledger.stragglers(delay, now)) {
+        Task &task = this->ledger.tasks.at(id);
         std::optional<EndpointId> endpoint;
         const char *obstacle = this->hedgeObstacle(task, now, endpoint);
         if (obstacle == nullptr) {
@@ -284,27 +261,13 @@
     if (task.deadline - now < this->hedging.expectedService()) {
         return "deadline-unreachable";
     }
-    endpoint = this->replicas.choose(this->wishOf(task), 0, now, this->context.random);
+    endpoint = this->replicas.choose(this->ledger.wishOf(task), 0, now, this->context.random);
     if (!endpoint) {
         return "no-free-slot";
     }
     return this->context.budget.take() ? nullptr : "budget";
 }
 
-bool GroupWork::isStraggler(const Attempt &attempt, TimePoint now) const
-{
-    if (attempt.hedge || attempt.cancelled || attempt.overdue) {
-        return false;
-    }
-    const auto task = this->tasks.find(attempt.task);
-    if (task == this->tasks.end()) {
-        return false;
-    }
-    const bool alone = task->second.hedges == 0 && task->second.live.size() == 1 && !task->second.queued;
-    return alone && task->second.spec.idempotent
-        && now - attempt.started >= this->hedging.delay(this->context.budget.fill());
-}
-
 GroupWork::Start GroupWork::startAttempt(TaskId id, Task &task, const EndpointId &endpoint, bool hedge, TimePoint now)
 {
     Attempt attempt;
@@ -323,7 +286,7 @@
     task.live.insert(attemptId);
     task.lastEndpoint = endpoint;
     this->replicas.at(endpoint).dispatched(now);
-    this->attempts.emplace(attemptId, attempt);
+    this->ledger.attempts.emplace(attemptId, attempt);
     Start start;
     start.endpoint = endpoint;
     start.connectionBudget = std::max(1, this->limits.connections / connectionShare);
@@ -335,33 +298,19 @@
 
 std::optional<TimePoint> GroupWork::nextEvent(TimePoint now) const
 {
-    TimePoint next = TimePoint::max();
+    std::optional<TimePoint> next
+        = this->ledger.nextEvent(this->hedging.delay(this->context.budget.fill()), this->hedging.silenceBound(), now);
     const auto consider = [&](TimePoint time) {
-        if (time > now) {
-            next = std::min(next, time);
+        if (time > now && (!next || time < *next)) {
+            next = time;
         }
     };
-    const Duration hedgeDelay = this->hedging.delay(this->context.budget.fill());
-    for (const auto &[id, attempt] : this->attempts) {
-        const auto task = this->tasks.find(attempt.task);
-        if (task == this->tasks.end()) {
-            continue;
-        }
-        consider(task->second.deadline);
-        if (task->second.spec.idempotent) {
-            consider(attempt.started + this->hedging.silenceBound());
-            consider(attempt.started + hedgeDelay);
-        }
-    }
     if (const auto deadline = this->queue.earliestDeadline()) {
         consider(*deadline - this->hedging.expectedService() + Duration(1));
         if (const auto pauseEnd = this->replicas.nextPauseEnd(now)) {
             consider(*pauseEnd);
         }
     }
-    if (next == TimePoint::max()) {
-        return std::nullopt;
-    }
     return next;
 }
 
@@ -374,7 +323,7 @@
         return;
     }
     if (const auto dropped = this->queue.push(entry)) {
-        const auto victim = this->tasks.find(TaskId(*dropped));
+        const auto victim = this->ledger.tasks.find(TaskId(*dropped));
         victim->second.queued = false;
         this->finishQueued(victim, Refusal::QueueFull, now);
     }
@@ -430,7 +379,7 @@
 {
     Task &entry = task->second;
     entry.mayHaveRun = entry.mayHaveRun || outcome != AttemptOutcome::NotRun;
-    if (entry.queued || this->hasRunningAttempt(entry) || this->retry(task, refusalCode(reason), now)) {
+    if (entry.queued || this->ledger.hasRunningAttempt(entry) || this->retry(task, refusalCode(reason), now)) {
         return;
     }
     if (!entry.live.empty()) {
@@ -476,12 +425,6 @@
     return true;
 }
 
-bool GroupWork::hasRunningAttempt(const Task &task) const
-{
-    return std::any_of(
-        task.live.begin(), task.live.end(), [this](const AttemptId &id) { return !this->attempts.at(id).overdue; });
-}
-
 void GroupWork::finish(Tasks::iterator task, GroupOutcome outcome, TimePoint now)
 {
     Task &entry = task->second;
@@ -490,7 +433,7 @@
     }
     const bool lost = entry.hedges > 0 && outcome.outcome == AttemptOutcome::Answered;
     for (const AttemptId &id : entry.live) {
-        this->giveUp(id, this->attempts.at(id), lost, now);
+        this->giveUp(id, this->ledger.attempts.at(id), lost, now);
     }
     if (outcome.outcome != AttemptOutcome::Answered) {
         this->count(refusalsName, refusalCode(outcome.reason));
@@ -502,7 +445,7 @@
     outcome.service = now - entry.firstDispatch.value_or(now);
     outcome.queueLength = static_cast<std::uint32_t>(this->queue.size());
     this->due.emplace_back([callback = std::move(entry.callback), result = std::move(outcome)] { callback(result); });
-    this->tasks.erase(task);
+    this->ledger.tasks.erase(task);
 }
 
 void GroupWork::finish(Tasks::iterator task, AttemptOutcome outcome, Refusal reason, TimePoint now)
@@ -522,17 +465,6 @@
     this->finish(task, task->second.mayHaveRun ? AttemptOutcome::Unknown : AttemptOutcome::NotRun, reason, now);
 }
 
-ReplicaSet::Wish GroupWork::wishOf(const Task &task) const
-{
-    ReplicaSet::Wish wish;
-    wish.snapshot = task.spec.snapshot;
-    wish.tried = task.tried;
-    for (const AttemptId &id : task.live) {
-        wish.busy.insert(this->attempts.at(id).endpoint);
-    }
-    return wish;
-}
-
 bool GroupWork::owns() const
 {
     return this->context.ownership.owns(this->resource);
--- a/Source/scheduling/groupwork.h
+++ b/Source/scheduling/groupwork.h
@@ -5,8 +5,8 @@
 #include "scheduling/hedgepolicy.h"
 #include "scheduling/replicaset.h"
 #include "scheduling/schedulercontext.h"
+#include "scheduling/taskledger.h"
 
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -69,39 +69,9 @@
     SchedulerState state() const;
 
 private:
-    struct Attempt
-    {
-        TaskId task;
-        EndpointId endpoint;
-        SnapshotVersion snapshot;
-        TimePoint started;
-        /// The first attempt of its task; only these teach the hedge policy.
-        bool first = false;
-        bool hedge = false;
-        /// Exceeded its bound; its task does not wait for it any more.
-        bool overdue = false;
-        bool cancelled = false;
-    };
-    struct Task
-    {
-        GroupTask spec;
-        Callback callback;
-        TimePoint submitted;
-        TimePoint deadline;
-        std::optional<TimePoint> firstDispatch;
-        /// Attempts whose end is not known yet.
-        std::set<AttemptId> live;
-        std::set<EndpointId> tried;
-        EndpointId lastEndpoint;
-        bool queued = false;
-        /// An attempt ended without a certain "not run".
-        bool mayHaveRun = false;
-        std::uint32_t hedges = 0;
-        std::uint32_t retries = 0;
-        /// Reasons for not hedging that were counted, so that each task counts a reason once.
-        std::set<std::string> hedgeRefusals;
-    };
-    using Tasks = std::map<TaskId, Task>;
+    using Task = TaskLedger::Task;
+    using Attempt = TaskLedger::Attempt;
+    using Tasks = TaskLedger::Tasks;
 
     void endOverdue(TimePoint now);
     void overdue(AttemptId id, Attempt &attempt, TimePoint now);
@@ -111,7 +81,6 @@
     std::optional<Start> nextHedge(TimePoint now);
     /// Why a straggler is not hedged, or null; then a budget token is taken and @p endpoint is set.
     const char *hedgeObstacle(const Task &task, TimePoint now, std::optional<EndpointId> &endpoint);
-    bool isStraggler(const Attempt &attempt, TimePoint now) const;
     Start startAttempt(TaskId id, Task &task, const EndpointId &endpoint, bool hedge, TimePoint now);
     void enqueue(TaskId id, Task &task, bool front, TimePoint now);
     void giveUp(AttemptId id, Attempt &attempt, bool straggler, TimePoint now);
@@ -119,11 +88,9 @@
     void answered(Tasks::iterator task, const EndpointId &endpoint, const EndpointAnswer &answer, TimePoint now);
     void failed(Tasks::iterator task, AttemptOutcome outcome, Refusal reason, TimePoint now);
     bool retry(Tasks::iterator task, std::string_view reason, TimePoint now);
-    bool hasRunningAttempt(const Task &task) const;
     void finish(Tasks::iterator task, GroupOutcome outcome, TimePoint now);
     void finish(Tasks::iterator task, AttemptOutcome outcome, Refusal reason, TimePoint now);
     void finishQueued(Tasks::iterator task, Refusal reason, TimePoint now);
-    ReplicaSet::Wish wishOf(const Task &task) const;
     bool owns() const;
     void count(const char *name, std::string_view reason);
 
@@ -138,9 +105,7 @@
     ReplicaSet replicas;
     FairQueue queue;
     HedgePolicy hedging;
-    Tasks tasks;
-    std::map<AttemptId, Attempt> attempts;
-    std::uint64_t lastTask = 0;
+    TaskLedger ledger;
     /// Callbacks that are due.
     std::vector<std::function<void()>> due;
     /// What has to be asked of the transport once the lock is released.
--- a/Tests/scheduling/fairnesstest.cpp
+++ b/Tests/scheduling/fairnesstest.cpp
@@ -31,7 +31,7 @@
     Bench bench(seed, naive, 1, 2, true);
     bench.transport.service = exponential(10ms, 0);
     std::map<std::string, Tally> tallies;
-    for (int arrival = 0; arrival < 60000; ++arrival) {
+    for (int arrival = 0; arrival < 30000; ++arrival) {
         const double gap = -std::log(1 - bench.arrivals.unit()) / (capacity * load);
         bench.clock.advance(Duration(static_cast<std::int64_t>(gap * 1e9)));
         GroupTask task = bench.task(500ms);
--- a/Tests/scheduling/stragglertest.cpp
+++ b/Tests/scheduling/stragglertest.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr int groups = 10;
-constexpr int queries = 12000;
+constexpr int queries = 8000;
 constexpr Duration deadline = 2s;
 /// Slots of a group over the mean service time.
 constexpr double groupCapacity = 6 / 0.010;
