--- a/Tests/scheduling/stragglertest.cpp
+++ b/Tests/scheduling/stragglertest.cpp
@@ -73,6 +73,8 @@
 }
 
 // Guards against stragglers that decide the latency of whole queries, at the price of at most 5% extra load.
+// The bound is not safe at load 0.7: in a trial over seeds 100 to 111, 2 of 12 runs exceeded a quarter (0.28 and 0.37).
+// The tail comes from moments when stragglers hold most slots of a group, so that its queue forbids hedges.
 BOOST_AUTO_TEST_CASE(randomStragglersDoNotDecideTheTail)
 {
     compare(Kind::RandomStragglers, "1 in 100 is 20 times slower,", 0.3);
