Codec: Carry the ids of releases and token batches

Cause: the lease messages gained fields (release id, batch id, validity) after the codec was written; without them no release would apply. Change: the codec carries them, the tests check them.

--- a/Source/peer/codec/messagefields.h
+++ b/Source/peer/codec/messagefields.h
@@ -121,6 +121,7 @@
     static constexpr const char *tag = "lx";
     template<typename Visitor> static void visit(Visitor &visitor)
     {
+        visitor("i", &LeaseRelease::id);
         visitor("r", &LeaseRelease::resources);
     }
 };
@@ -134,6 +135,7 @@
         visitor("o", &TokenRequest::organisation);
         visitor("w", &TokenRequest::wanted);
         visitor("r", &TokenRequest::returned);
+        visitor("rb", &TokenRequest::returnedBatch);
     }
 };
 
@@ -145,6 +147,7 @@
         visitor("i", &TokenReply::id);
         visitor("o", &TokenReply::organisation);
         visitor("g", &TokenReply::granted);
+        visitor("vt", &TokenReply::validMs);
         visitor("ra", &TokenReply::retryAfterMs);
         visitor("r", &TokenReply::reason);
         visitor("h", &TokenReply::holder);
--- a/Tests/codec/peercodectest.cpp
+++ b/Tests/codec/peercodectest.cpp
@@ -32,9 +32,9 @@
         ConfigurationValue { "catalogue", ValueVersion(10), std::string(1024 * 1024, 'x') },
         LeaseRequest { 1, { resource }, ValueVersion(2) },
         LeaseReply { 1, { resource }, { { ResourceId("r"), instance, -5 } }, ValueVersion(2), ValueVersion(3) },
-        LeaseRelease { { resource } },
-        TokenRequest { 2, school, 30, 4 },
-        TokenReply { 2, school, 29, 120, Refusal::RateExceeded, instance },
+        LeaseRelease { 6, { resource } },
+        TokenRequest { 2, school, 30, 4, 1 },
+        TokenReply { 2, school, 29, 250, 120, Refusal::RateExceeded, instance },
         SubRequest { 5,
                      RequestId("q"),
                      school,
@@ -58,7 +58,7 @@
                     4,
                     instance,
                     5 },
-        SubCancel { 5 },
+        SubCancel { 5, { GroupId("g") } },
     };
 }
 
@@ -142,7 +142,7 @@
     BOOST_TEST(decodeError(std::string(maxPeerFrameBytes + 1, 'a')) == make_error_code(PeerCodecError::FrameTooLarge));
     BOOST_TEST(decodeError("") == malformed);
     BOOST_TEST(decodeError(PeerCodec::encode(Ping { 1 }) + "x") == malformed);
-    const LeaseRelease release { std::vector<ResourceId>(maxPeerListLength + 1, ResourceId("r")) };
+    const LeaseRelease release { 1, std::vector<ResourceId>(maxPeerListLength + 1, ResourceId("r")) };
     BOOST_TEST(decodeError(PeerCodec::encode(release)) == make_error_code(PeerCodecError::ListTooLong));
     BOOST_TEST(PeerCodec::encodeChecked(release).error() == make_error_code(PeerCodecError::ListTooLong));
     const ConfigurationValue large { "catalogue", ValueVersion(1), std::string(maxPeerFrameBytes, 'x') };
