Http: Merge the parts of an answer into one list

Cause: the checker found parts that it could not assign, because each group's list stood inside a list of its own, and the caller had to know the groups. Change: the items of all parts form one list.

--- a/Source/http/callerjson.cpp
+++ b/Source/http/callerjson.cpp
@@ -72,13 +72,18 @@
     return std::nullopt;
 }
 
+/// The items of all parts in one list. Each body is the JSON text of a list or of a single value.
 std::string joinResults(const std::vector<PartResult> &results)
 {
     std::string text = "[";
     for (const PartResult &result : results) {
+        const bool isList = result.body.size() >= 2 && result.body.front() == '[' && result.body.back() == ']';
+        const std::string items = isList ? result.body.substr(1, result.body.size() - 2) : result.body;
+        if (items.empty()) {
+            continue;
+        }
         text += text.size() > 1 ? "," : "";
-        text += "{\"group\":" + json(result.group.value()).dump()
-            + ",\"items\":" + (result.body.empty() ? "null" : result.body) + "}";
+        text += items;
     }
     return text + "]";
 }
--- a/Tests/integration/demo.cpp
+++ b/Tests/integration/demo.cpp
@@ -58,7 +58,8 @@
     options.deployment = deployment;
     const DemoPlan plan = planFor(deployment);
     Fleet fleet(options);
-    say("The platform, all endpoints of " + deployment + " and 6 daemons are started. Their logs are in " + fleet.folder() + ".");
+    say("The platform, all endpoints of " + deployment + " and 6 daemons are started. Their logs are in "
+        + fleet.folder() + ".");
     if (!fleet.awaitReady(20s)) {
         return fail("the daemons did not become ready within 20 s");
     }
@@ -66,7 +67,9 @@
     constexpr double seconds = 12;
     const auto run = fleet.callers(plan.streams, seconds, { "--mark_seconds", "3" });
     say("Callers with their own keys ask which addresses to use and query every pool for 12 s.");
-    const auto sent = [&](std::uint64_t count) { return fleet.endpointSum("finished") > count; };
+    const auto sent = [&](std::uint64_t count) {
+        return fleet.endpointSum("finished") > count;
+    };
     if (!waitFor([&] { return sent(500); }, 10s)) {
         return fail("the endpoints did not run 500 sub-requests within 10 s");
     }
@@ -75,7 +78,8 @@
     const std::uint64_t before = fleet.endpointSum("finished");
     waitFor([&] { return sent(before + 1500); }, 10s);
     const int version = fleet.publishCatalogue(withDrained(fleet.catalogue(), plan.drainedZone));
-    say("The operators drain availability zone " + plan.drainedZone + " with catalogue version " + std::to_string(version) + ".");
+    say("The operators drain availability zone " + plan.drainedZone + " with catalogue version "
+        + std::to_string(version) + ".");
     if (!fleet.awaitVersion({ 0, 1, 3, 4, 5 }, "catalogue", version, 5s)) {
         return fail("the catalogue was not in force on every daemon within 5 s");
     }
@@ -85,8 +89,8 @@
         return fail("the callers did not end");
     }
     for (const json &interval : run->intervals()) {
-        say("From " + interval["from-s"].dump() + " s: " + interval["queries"].dump() + " requests, " + interval["complete"].dump() + " complete, p99 "
-            + interval["p99-ms"].dump() + " ms.");
+        say("From " + interval["from-s"].dump() + " s: " + interval["queries"].dump() + " requests, "
+            + interval["complete"].dump() + " complete, p99 " + interval["p99-ms"].dump() + " ms.");
     }
     std::string violations;
     const json checked = fleet.checkLogs(violations);
@@ -107,5 +111,9 @@
     if (deployment != "songlam" && deployment != "craglanka") {
         return fail("no such deployment: " + deployment + "; known are songlam and craglanka");
     }
-    return runDemo(deployment);
+    try {
+        return runDemo(deployment);
+    } catch (const std::exception &problem) {
+        return fail(problem.what());
+    }
 }
--- a/Tests/integration/fleet.cpp
+++ b/Tests/integration/fleet.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <sstream>
+#include <stdexcept>
 #include <unistd.h>
 #include <yaml-cpp/yaml.h>
 
@@ -93,14 +94,26 @@
     writeFile(this->directory + "/catalogue.yaml", this->catalogueText);
     writeFile(this->directory + "/instances.yaml", this->instanceListText(this->allDaemons()));
     this->platform = Process(STANDIN_PROGRAMS "/standin_platform",
-                             { "--port", std::to_string(platformPort), "--control_port", std::to_string(platformControlPort),
-                               "--catalogue", this->directory + "/catalogue.yaml", "--instances", this->directory + "/instances.yaml" },
+                             { "--port",
+                               std::to_string(platformPort),
+                               "--control_port",
+                               std::to_string(platformControlPort),
+                               "--catalogue",
+                               this->directory + "/catalogue.yaml",
+                               "--instances",
+                               this->directory + "/instances.yaml" },
                              this->directory + "/platform.log");
-    std::vector<std::string> arguments { "--catalogue", this->directory + "/catalogue.yaml", "--log", this->directory + "/runs.jsonl",
-                                         "--control_port", std::to_string(endpointControlPort), "--seed", std::to_string(this->options.seed) };
+    std::vector<std::string> arguments { "--catalogue",    this->directory + "/catalogue.yaml",
+                                         "--log",          this->directory + "/runs.jsonl",
+                                         "--control_port", std::to_string(endpointControlPort),
+                                         "--seed",         std::to_string(this->options.seed) };
     arguments.insert(arguments.end(), this->options.endpointArguments.begin(), this->options.endpointArguments.end());
     this->endpointHost = Process(STANDIN_PROGRAMS "/standin_endpoints", arguments, this->directory + "/endpoints.log");
     waitFor([&] { return !this->platformCalls().is_null() && !this->endpointStats().is_null(); }, startBound);
+    // A leftover of an aborted run would answer in their place on the fixed ports.
+    if (!this->platform.alive() || !this->endpointHost.alive()) {
+        throw std::runtime_error("the platform or the endpoints did not start; see " + this->directory);
+    }
     for (const int number : this->allDaemons()) {
         this->startDaemon(number);
     }
@@ -153,8 +166,9 @@
 {
     std::string text = "instances:\n";
     for (const int number : listed) {
-        text += "  " + this->instanceName(number) + ": { zone: " + this->zones[static_cast<std::size_t>(number) % this->zones.size()]
-            + ", caller-address: \"" + this->callerAddress(number) + "\", peer-address: \"" + loopback(peerBasePort + number)
+        text += "  " + this->instanceName(number)
+            + ": { zone: " + this->zones[static_cast<std::size_t>(number) % this->zones.size()] + ", caller-address: \""
+            + this->callerAddress(number) + "\", peer-address: \"" + loopback(peerBasePort + number)
             + "\", state: live }\n";
     }
     return text;
@@ -164,12 +178,14 @@
 {
     const std::string file = this->directory + "/" + this->instanceName(number) + ".yaml";
     writeFile(file,
-              "instance: " + this->instanceName(number) + "\nzone: " + this->zones[static_cast<std::size_t>(number) % this->zones.size()]
+              "instance: " + this->instanceName(number)
+                  + "\nzone: " + this->zones[static_cast<std::size_t>(number) % this->zones.size()]
                   + "\nregion: " + this->options.deployment + "\ncaller-address: \"" + this->callerAddress(number)
-                  + "\"\npeer-address: \"" + loopback(peerBasePort + number) + "\"\noperator-address: \"" + this->operatorAddress(number)
-                  + "\"\nplatform-addresses: [\"" + loopback(platformPort) + "\"]\nworker-threads: 2\nkeep-ms: "
-                  + std::to_string(this->options.keepMs) + "\n");
-    this->daemons[number] = Process(LYCHEEWALL_DAEMON, { "--settings", file }, this->directory + "/" + this->instanceName(number) + ".log");
+                  + "\"\npeer-address: \"" + loopback(peerBasePort + number) + "\"\noperator-address: \""
+                  + this->operatorAddress(number) + "\"\nplatform-addresses: [\"" + loopback(platformPort)
+                  + "\"]\nworker-threads: 2\nkeep-ms: " + std::to_string(this->options.keepMs) + "\n");
+    this->daemons[number] = Process(
+        LYCHEEWALL_DAEMON, { "--settings", file }, this->directory + "/" + this->instanceName(number) + ".log");
 }
 
 Process &Fleet::daemon(int number)
@@ -177,7 +193,10 @@
     return this->daemons.at(number);
 }
 
-json Fleet::ask(const std::string &address, const std::string &method, const std::string &target, const std::string &body) const
+json Fleet::ask(const std::string &address,
+                const std::string &method,
+                const std::string &target,
+                const std::string &body) const
 {
     const auto answer = Lycheewall::BlockingClient::exchange(address, { method, target, {}, body }, 2);
     if (!answer) {
@@ -225,7 +244,8 @@
     const YAML::Node parsed = YAML::Load(this->catalogueText);
     for (const auto &pool : parsed["pools"]) {
         constexpr std::size_t cut = 4;
-        resources += pool.second["groups"] ? pool.second["groups"].size() : (pool.second["endpoints"].size() + cut - 1) / cut;
+        resources
+            += pool.second["groups"] ? pool.second["groups"].size() : (pool.second["endpoints"].size() + cut - 1) / cut;
     }
     resources += parsed["organisations"].size();
     return waitFor(
@@ -233,7 +253,7 @@
             std::size_t held = 0;
             for (const auto &[number, process] : this->daemons) {
                 const json state = this->state(number);
-                if (!state.is_object() || state["state"] != "ready") {
+                if (!state.is_object() || state.value("state", "") != "ready") {
                     return false;
                 }
                 held += state["held"].size();
@@ -255,7 +275,8 @@
 
 int Fleet::publishInstances(const std::vector<int> &listed)
 {
-    return this->ask(loopback(platformControlPort), "POST", "/publish/instances", this->instanceListText(listed))["version"];
+    return this->ask(
+        loopback(platformControlPort), "POST", "/publish/instances", this->instanceListText(listed))["version"];
 }
 
 void Fleet::platformMode(const std::string &mode)
@@ -268,7 +289,10 @@
     return this->ask(loopback(platformControlPort), "GET", "/calls", "");
 }
 
-bool Fleet::awaitVersion(const std::vector<int> &numbers, const std::string &name, int version, std::chrono::milliseconds bound) const
+bool Fleet::awaitVersion(const std::vector<int> &numbers,
+                         const std::string &name,
+                         int version,
+                         std::chrono::milliseconds bound) const
 {
     return waitFor(
         [&] {
@@ -310,13 +334,14 @@
     return key ? key.as<std::string>() : "";
 }
 
-std::shared_ptr<CallerRun> Fleet::callers(const std::vector<CallerStream> &streams, double seconds, const std::vector<std::string> &more)
+std::shared_ptr<CallerRun>
+Fleet::callers(const std::vector<CallerStream> &streams, double seconds, const std::vector<std::string> &more)
 {
     std::string text;
     for (const CallerStream &stream : streams) {
         text += text.empty() ? "" : ";";
-        text += this->keyOf(stream.organisation) + "," + stream.pool + "," + stream.kind + "," + std::to_string(stream.rate) + ","
-            + (stream.organisation.empty() ? "open" : stream.organisation);
+        text += this->keyOf(stream.organisation) + "," + stream.pool + "," + stream.kind + ","
+            + std::to_string(stream.rate) + "," + (stream.organisation.empty() ? "open" : stream.organisation);
     }
     std::string addresses;
     for (const auto &[number, process] : this->daemons) {
@@ -324,9 +349,13 @@
         addresses += this->callerAddress(number);
     }
     const std::string name = this->directory + "/callers-" + std::to_string(++this->callerRuns);
-    std::vector<std::string> arguments { "--addresses", addresses, "--streams", text, "--seconds", std::to_string(seconds),
-                                         "--seed", std::to_string(this->options.seed + static_cast<std::uint64_t>(this->callerRuns)),
-                                         "--answers", name + ".answers" };
+    std::vector<std::string> arguments {
+        "--addresses", addresses,
+        "--streams",   text,
+        "--seconds",   std::to_string(seconds),
+        "--seed",      std::to_string(this->options.seed + static_cast<std::uint64_t>(this->callerRuns)),
+        "--answers",   name + ".answers"
+    };
     arguments.insert(arguments.end(), more.begin(), more.end());
     Process process(STANDIN_PROGRAMS "/standin_callers", arguments, name + ".out");
     return std::make_shared<CallerRun>(std::move(process), name + ".out");
--- a/Tests/integration/fleet.h
+++ b/Tests/integration/fleet.h
@@ -78,7 +78,10 @@
     void platformMode(const std::string &mode);
     nlohmann::json platformCalls() const;
     /// True when each of these daemons has the value's version in force within @p bound.
-    bool awaitVersion(const std::vector<int> &numbers, const std::string &name, int version, std::chrono::milliseconds bound) const;
+    bool awaitVersion(const std::vector<int> &numbers,
+                      const std::string &name,
+                      int version,
+                      std::chrono::milliseconds bound) const;
 
     /// "all/x/restart", "zone/sl-a/drain" and so on.
     void endpoints(const std::string &command);
@@ -86,7 +89,8 @@
     /// Sum of a statistic over all endpoints.
     std::uint64_t endpointSum(const std::string &name) const;
 
-    std::shared_ptr<CallerRun> callers(const std::vector<CallerStream> &streams, double seconds, const std::vector<std::string> &more = {});
+    std::shared_ptr<CallerRun>
+    callers(const std::vector<CallerStream> &streams, double seconds, const std::vector<std::string> &more = {});
     /// Runs the independent checker over the endpoints' and the callers' logs; its summary line.
     nlohmann::json checkLogs(std::string &violations);
 
@@ -99,7 +103,10 @@
     std::string operatorAddress(int number) const;
     std::string instanceName(int number) const;
     std::string instanceListText(const std::vector<int> &listed) const;
-    nlohmann::json ask(const std::string &address, const std::string &method, const std::string &target, const std::string &body) const;
+    nlohmann::json ask(const std::string &address,
+                       const std::string &method,
+                       const std::string &target,
+                       const std::string &body) const;
 
     FleetOptions options;
     std::string directory;
--- a/Tests/integration/process.cpp
+++ b/Tests/integration/process.cpp
@@ -80,8 +80,11 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
-bool Process::running() const
+bool Process::alive()
 {
+    if (this->child > 0 && ::waitpid(this->child, nullptr, WNOHANG) == this->child) {
+        this->child = 0;
+    }
     return this->child > 0;
 }
 
--- a/Tests/integration/process.h
+++ b/Tests/integration/process.h
@@ -23,7 +23,8 @@
     void signal(int number) const;
     /// Exit code, or -1 when the process did not end within @p bound; a signal's number is added to 128.
     int wait(std::chrono::milliseconds bound);
-    bool running() const;
+    /// False once the process has ended by itself or was waited for.
+    bool alive();
     pid_t id() const;
 
 private:
--- a/Tests/standins/callers.cpp
+++ b/Tests/standins/callers.cpp
@@ -1,6 +1,6 @@
 // Open-loop callers of the real interface: they ask for addresses, keep the answer for its time and connect themselves.
-#include "runtime/socketaddress.h"
 #include "runtime/await.h"
+#include "runtime/socketaddress.h"
 #include "runtime/worker.h"
 
 #include <algorithm>
@@ -96,6 +96,7 @@
             }
         }
         this->connections.clear();
+        this->answers.close();
     }
 
     json summary(double from, double to) const;
@@ -229,7 +230,7 @@
     {
         Sample sample { index, due, (this->secondsNow() - due) * 1000, "cut", 0 };
         const Stream &stream = this->streams[index];
-        json line { { "organisation", stream.organisation },
+        json line { { "organisation", stream.key.empty() ? "" : stream.organisation },
                     { "pool", stream.pool },
                     { "idempotent", stream.kind != "once" },
                     { "status", 0 } };
