Lease: Test late grants, restarted voters and late token batches

Trials on a scratch copy showed that the fleet test did not notice a holder that counts from the arrival of a reply, voters without silence, or a token batch that counts from its arrival. Two events and one test are added; with them each of these faults fails, as do a voter with two holders, a quorum two lower, a depth equal to the burst, a full bucket at the start and credit above the depth. Without a fault all pass, also with the sanitizers.

--- a/Tests/admission/admissiontest.cpp
+++ b/Tests/admission/admissiontest.cpp
@@ -338,6 +338,40 @@
     BOOST_TEST(node.counters.value("lycheewall_tokens_expired_total") > 0U);
 }
 
+// Guards against a batch whose validity counts from the arrival of a late reply.
+BOOST_AUTO_TEST_CASE(lateBatchCountsFromItsRequest)
+{
+    Load load(45);
+    load.run(5s, false);
+    const std::string owner = ownerOf(load, steady);
+    AdmissionNode &node = *load.at(owner == "a" ? "b" : "a");
+    std::vector<Refusal> answers;
+    const auto ask = [&](Duration wait) {
+        node.cache.acquire(steady, wait, [&](Refusal refusal, Duration) { answers.push_back(refusal); });
+    };
+    // Demand, so that the next batch holds more than what waits.
+    for (int count = 0; count < 60; ++count) {
+        ask(500ms);
+        load.fleet.base.advance(5ms);
+    }
+    load.fleet.base.advance(400ms);
+    answers.clear();
+    load.fleet.pause(owner);
+    ask(500ms);
+    load.fleet.base.advance(260ms);
+    BOOST_TEST(answers.empty());
+    load.fleet.resume(owner);
+    load.fleet.base.advance(20ms);
+    BOOST_REQUIRE((answers == std::vector<Refusal> { Refusal::None }));
+    ask(0ms);
+    BOOST_REQUIRE((answers.size() == 2U && answers.back() == Refusal::None));
+    const std::uint64_t expired = node.counters.value("lycheewall_tokens_expired_total");
+    load.fleet.base.advance(30ms);
+    BOOST_TEST(node.counters.value("lycheewall_tokens_expired_total") > expired);
+    ask(100ms);
+    BOOST_TEST(answers.size() == 2U);
+}
+
 // Guards against a request that hangs, or gets the wrong reason, when no owner can be reached.
 BOOST_AUTO_TEST_CASE(withoutOwnerRequestsEndWithinTheirPatience)
 {
--- a/Tests/lease/fleet.h
+++ b/Tests/lease/fleet.h
@@ -236,6 +236,9 @@
         if (this->random.unit() < this->lateShare) {
             delay = Milliseconds(this->random.below(3000));
         }
+        if (to == this->slowTo) {
+            delay += Milliseconds(1000 + this->random.below(300));
+        }
         const std::uint64_t number = ++this->lastDelivery;
         this->deliveries[number] = this->base.after(delay, [this, number, from, to, message] {
             const auto kept = std::move(this->deliveries[number]);
@@ -279,6 +282,8 @@
     std::set<std::pair<std::string, std::string>> blocked;
     double lossShare = 0;
     double lateShare = 0;
+    /// Messages to this instance take more than a second.
+    InstanceId slowTo;
     std::uint64_t lastDelivery = 0;
     std::map<std::uint64_t, Subscription> deliveries;
 };
--- a/Tests/lease/leaseservicetest.cpp
+++ b/Tests/lease/leaseservicetest.cpp
@@ -131,6 +131,38 @@
     fleet.refreshLists();
 }
 
+std::string someOwner(Fleet &fleet)
+{
+    const auto owners = fleet.ownersOf(fleet.resources[fleet.random.below(fleet.resources.size())]);
+    return owners.empty() ? pick(fleet) : owners.front()->id.value();
+}
+
+/// An owner that gets its grants late and then is cut off while the last ones are under way.
+void slowGrants(Fleet &fleet, OwnerWatch &watch)
+{
+    const std::string owner = someOwner(fleet);
+    fleet.slowTo = InstanceId(owner);
+    watch.run(3s);
+    fleet.partition({ owner });
+    watch.run(4s);
+    fleet.blocked.clear();
+    fleet.slowTo = InstanceId();
+}
+
+/// All voters but an owner restart at once and do not hear it any more.
+void restartOthers(Fleet &fleet, OwnerWatch &watch)
+{
+    const std::string owner = someOwner(fleet);
+    for (const std::string &name : eight) {
+        if (name != owner) {
+            fleet.start(name);
+        }
+    }
+    fleet.partition({ owner });
+    watch.run(4s);
+    fleet.blocked.clear();
+}
+
 void oneEvent(Fleet &fleet, OwnerWatch &watch, std::uint64_t kind)
 {
     const std::string victim = pick(fleet);
@@ -177,6 +209,12 @@
         watch.run(1s);
         fleet.zombies.back()->timers.resume();
         break;
+    case 7:
+        slowGrants(fleet, watch);
+        break;
+    case 8:
+        restartOthers(fleet, watch);
+        break;
     default:
         for (const std::string &name : eight) {
             fleet.start(name);
@@ -185,7 +223,7 @@
     }
 }
 
-constexpr std::uint64_t eventKinds = 8;
+constexpr std::uint64_t eventKinds = 10;
 
 }
 
@@ -204,7 +242,7 @@
         OwnerWatch watch(fleet);
         watch.run(5s);
         for (std::uint64_t number = 0; number < eventKinds; ++number) {
-            const std::uint64_t kind = (number * 5 + seed) % eventKinds;
+            const std::uint64_t kind = (number * 7 + seed) % eventKinds;
             oneEvent(fleet, watch, kind);
             const Duration recovery = watch.untilOwned(10s);
             slowest = std::max(slowest, recovery);
