--- a/Source/http/httpserver.cpp
+++ b/Source/http/httpserver.cpp
@@ -1,7 +1,7 @@
 #include "http/httpserver.h"
 
-#include "runtime/socketaddress.h"
 #include "runtime/await.h"
+#include "runtime/socketaddress.h"
 
 #include <atomic>
 #include <boost/asio/post.hpp>
--- a/Source/peer/codec/deferredtransport.h
+++ b/Source/peer/codec/deferredtransport.h
@@ -27,7 +27,7 @@
     }
 
 private:
-    std::atomic<PeerTransport *> target{nullptr};
+    std::atomic<PeerTransport *> target { nullptr };
 };
 
 }
--- a/Source/peer/peerhandler.h
+++ b/Source/peer/peerhandler.h
@@ -20,8 +20,8 @@
     /// handled by the network.
     virtual void message(const InstanceId &from, PeerMessage message) = 0;
 
-    /// A ping sent at @p asked was answered. Other messages may have waited in the socket while this process was paused,
-    /// so only this tells that the peer was alive at a known moment.
+    /// A ping sent at @p asked was answered. Other messages may have waited in the socket while this process was
+    /// paused, so only this tells that the peer was alive at a known moment.
     virtual void answered(const InstanceId &peer, TimePoint asked) = 0;
 
     /// A link has passed the handshake. A link that replaces an older one is preceded by linkLost() of the older.
