--- a/Tests/configuration/settingstest.cpp
+++ b/Tests/configuration/settingstest.cpp
@@ -88,7 +88,7 @@
         { minimal + "idle: 5\n",
           "daemon.yaml:7: settings: unknown key \"idle\"; the nearest known key is \"idle-ms\"" },
         { minimal + "log-level: loud\n",
-          "daemon.yaml:7: settings: log-level must be one of trace, debug, info, warn, error, got \"loud\"" },
+          "daemon.yaml:7: settings: log-level must be one of debug, info, warn, error, got \"loud\"" },
         { minimal + "operator-address: \"127.0.0.1:0\"\n",
           "daemon.yaml:7: settings: operator-address must be \"ip:port\" with a port from 1 to 65535, got "
           "\"127.0.0.1:0\"" },
