Routing: Keep cancels of an earlier ownership from later work

Each scheduler numbers its tasks from 1. After a group was lost and gained again, a cancel for work of the earlier scheduler ended the task of the new scheduler that had the same number. Task ids of the registry now carry the generation of the scheduler, and a cancel for another generation is ignored. handOver() also read the entry in two steps and could insert an empty one when the lease was lost in between; it now reads it once. That race was found by reading and has no test.

--- a/Source/routing/groupregistry.cpp
+++ b/Source/routing/groupregistry.cpp
@@ -92,7 +92,7 @@
     // Nothing is known of how warm the endpoints are after another owner's time, so all start at their cold limit.
     auto scheduler
         = OwnerScheduler::create(this->context, *located.pool, *located.group, this->catalogue->drainedZones(), {});
-    this->owned[resource] = { located.pool->id, located.group->id, std::move(scheduler) };
+    this->owned[resource] = { located.pool->id, located.group->id, std::move(scheduler), ++this->lastGeneration };
 }
 
 void GroupRegistry::lost(const ResourceId &resource)
@@ -113,19 +113,12 @@
 
 void GroupRegistry::handOver(const ResourceId &resource, std::function<void()> done)
 {
-    const auto scheduler = this->find(resource);
-    if (!scheduler) {
+    const auto entry = this->find(resource);
+    if (!entry) {
         done();
         return;
     }
-    PoolId pool;
-    GroupId group;
-    {
-        const std::lock_guard lock(this->mutex);
-        pool = this->owned[resource].pool;
-        group = this->owned[resource].group;
-    }
-    scheduler->stop([this, pool, group, done = std::move(done)] {
+    entry->scheduler->stop([this, pool = entry->pool, group = entry->group, done = std::move(done)] {
         this->closeConnections(pool, group);
         done();
     });
@@ -147,32 +140,34 @@
     }
 }
 
-std::shared_ptr<GroupScheduler> GroupRegistry::find(const ResourceId &resource) const
+std::optional<GroupRegistry::Owned> GroupRegistry::find(const ResourceId &resource) const
 {
     const std::lock_guard lock(this->mutex);
     const auto entry = this->owned.find(resource);
-    return entry == this->owned.end() ? nullptr : entry->second.scheduler;
+    return entry == this->owned.end() ? std::nullopt : std::optional<Owned>(entry->second);
 }
 
 std::optional<TaskId>
 GroupRegistry::submit(const PoolId &pool, const GroupId &group, GroupTask task, std::function<void(GroupOutcome)> done)
 {
     const ResourceId resource = groupResource(pool, group);
-    const auto scheduler = this->find(resource);
-    if (!scheduler || !this->context.ownership.owns(resource)) {
+    const auto entry = this->find(resource);
+    if (!entry || !this->context.ownership.owns(resource)) {
         return std::nullopt;
     }
     {
         const std::lock_guard lock(this->mutex);
         task.workClass = workClassOf(*this->catalogue, pool, task.organisation);
     }
-    return scheduler->submit(std::move(task), std::move(done));
+    const TaskId inner = entry->scheduler->submit(std::move(task), std::move(done));
+    return TaskId((entry->generation << taskBits) | inner.value());
 }
 
 void GroupRegistry::cancel(const PoolId &pool, const GroupId &group, TaskId task)
 {
-    if (const auto scheduler = this->find(groupResource(pool, group))) {
-        scheduler->cancel(task);
+    const auto entry = this->find(groupResource(pool, group));
+    if (entry && task.value() >> taskBits == entry->generation) {
+        entry->scheduler->cancel(TaskId(task.value() & ((std::uint64_t { 1 } << taskBits) - 1)));
     }
 }
 
--- a/Source/routing/groupregistry.h
+++ b/Source/routing/groupregistry.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace Lycheewall
@@ -57,15 +58,22 @@
         PoolId pool;
         GroupId group;
         std::shared_ptr<GroupScheduler> scheduler;
+        /// Counts the schedulers made by this registry, from 1.
+        std::uint64_t generation = 0;
     };
 
-    std::shared_ptr<GroupScheduler> find(const ResourceId &resource) const;
+    /// Each scheduler numbers its tasks from 1. The bits above these carry the generation, so that a cancel for an
+    /// earlier ownership of a group does not hit a task of the present one.
+    static constexpr unsigned taskBits = 40;
+
+    std::optional<Owned> find(const ResourceId &resource) const;
     void closeConnections(const PoolId &pool, const GroupId &group);
 
     const SchedulerContext context;
     mutable std::mutex mutex;
     std::shared_ptr<const Catalogue> catalogue;
     std::map<ResourceId, Owned> owned;
+    std::uint64_t lastGeneration = 0;
 };
 
 }
