Routing: Cancel parts that end while they are handed over

A cancel or a deadline that came between the choice of an owner and the return of submit() or send() found no task number, or overtook the frame of its part. The work then ran on for nobody until its deadline. The router now looks again after the handover and cancels what has ended meanwhile.

--- a/Source/routing/ownerrouter.cpp
+++ b/Source/routing/ownerrouter.cpp
@@ -1,6 +1,7 @@
 #include "routing/ownerrouter.h"
 
 #include "lease/ownership.h"
+#include "routing/partoutcomes.h"
 
 namespace Lycheewall
 {
@@ -8,45 +9,6 @@
 namespace
 {
 
-PartOutcome endedPart(const GroupId &group, AttemptOutcome outcome, Refusal reason)
-{
-    PartOutcome ended;
-    ended.group = group;
-    ended.outcome = outcome;
-    ended.reason = reason;
-    return ended;
-}
-
-PartOutcome fromAnswer(const SubAnswer &answer)
-{
-    PartOutcome outcome = endedPart(answer.part, answer.outcome, answer.reason);
-    outcome.snapshot = answer.snapshot;
-    outcome.documents = answer.documents;
-    outcome.body = answer.body;
-    outcome.endpoint = answer.endpoint;
-    outcome.hedges = answer.hedges;
-    outcome.retries = answer.retries;
-    outcome.queued = std::chrono::microseconds(answer.queuedUs);
-    outcome.service = std::chrono::microseconds(answer.serviceUs);
-    outcome.queueLength = answer.queueLength;
-    return outcome;
-}
-
-PartOutcome fromGroup(const GroupId &group, const GroupOutcome &ended)
-{
-    PartOutcome outcome = endedPart(group, ended.outcome, ended.reason);
-    outcome.snapshot = ended.snapshot;
-    outcome.documents = ended.documents;
-    outcome.body = ended.body;
-    outcome.endpoint = ended.endpoint;
-    outcome.hedges = ended.hedges;
-    outcome.retries = ended.retries;
-    outcome.queued = ended.queued;
-    outcome.service = ended.service;
-    outcome.queueLength = ended.queueLength;
-    return outcome;
-}
-
 /// Refusals that say that the work reached an instance that cannot run it, and another one may.
 bool meansWrongOwner(Refusal reason)
 {
@@ -209,19 +171,20 @@
         = this->local.submit(pool, send.group, std::move(task), [this, send, wireId](const GroupOutcome &outcome) {
               this->localEnded(send.submission, send.group, wireId, outcome);
           });
-    const std::lock_guard lock(this->mutex);
-    const auto entry = this->submissions.find(send.submission);
-    if (entry == this->submissions.end()) {
-        return;
-    }
-    const auto part = entry->second.parts.find(send.group);
-    if (part == entry->second.parts.end() || part->second.wireId != wireId) {
-        return;
+    {
+        const std::lock_guard lock(this->mutex);
+        RoutedPart *part = this->findSent(send.submission, send.group, wireId);
+        if (part != nullptr && taskId) {
+            part->task = *taskId;
+            return;
+        }
+        if (part != nullptr) {
+            this->returnToWaiting(*part, Refusal::NoOwner);
+        }
     }
+    // A cancel or the deadline came before the number of the task was known here.
     if (taskId) {
-        part->second.task = *taskId;
-    } else {
-        this->returnToWaiting(part->second, Refusal::NoOwner);
+        this->local.cancel(pool, send.group, *taskId);
     }
 }
 
@@ -229,6 +192,7 @@
 {
     const SendResult result = this->transport.send(send.peer, send.message);
     if (result == SendResult::HandedOver) {
+        this->cancelOvertaken(send);
         return;
     }
     const Refusal why = result == SendResult::QueueFull ? Refusal::PeerQueueFull : Refusal::PeerUnreachable;
@@ -245,6 +209,33 @@
     }
 }
 
+void OwnerRouter::cancelOvertaken(const RemoteSend &send)
+{
+    SubCancel message;
+    message.id = send.message.id;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const GroupId &group : send.message.parts) {
+            if (this->findSent(send.submission, group, send.message.id) == nullptr) {
+                message.parts.push_back(group);
+            }
+        }
+    }
+    if (!message.parts.empty()) {
+        this->transport.send(send.peer, message);
+    }
+}
+
+RoutedPart *OwnerRouter::findSent(std::uint64_t id, const GroupId &group, std::uint64_t wireId)
+{
+    const auto entry = this->submissions.find(id);
+    if (entry == this->submissions.end()) {
+        return nullptr;
+    }
+    const auto part = entry->second.parts.find(group);
+    return part == entry->second.parts.end() || part->second.wireId != wireId ? nullptr : &part->second;
+}
+
 void OwnerRouter::returnToWaiting(RoutedPart &part, Refusal why)
 {
     part.stage = PartStage::Waiting;
--- a/Source/routing/ownerrouter.h
+++ b/Source/routing/ownerrouter.h
@@ -89,6 +89,11 @@
     void addRemote(Work &work, std::uint64_t id, Submission &submission, const GroupId &group, const InstanceId &peer);
     void sendLocal(const LocalSend &send);
     void sendRemote(const RemoteSend &send);
+    /// Cancels parts of a sent frame that ended, or went elsewhere, before the frame was handed over. A part that the
+    /// peer has already answered is named too; the peer ignores that.
+    void cancelOvertaken(const RemoteSend &send);
+    /// The part when it is still with whoever got it as @p wireId, else null. Call with the lock held.
+    RoutedPart *findSent(std::uint64_t id, const GroupId &group, std::uint64_t wireId);
     void localEnded(std::uint64_t id, const GroupId &group, std::uint64_t wireId, const GroupOutcome &outcome);
     void partEnded(std::uint64_t id,
                    const InstanceId &from,
