--- a/Tests/routing/fakes.h
+++ b/Tests/routing/fakes.h
@@ -5,6 +5,7 @@
 #include "routing/localgroups.h"
 #include "routing/ownerdirectory.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
@@ -24,6 +25,9 @@
             return result->second;
         }
         this->sent.emplace_back(peer, message);
+        if (this->afterSend) {
+            std::exchange(this->afterSend, nullptr)();
+        }
         return SendResult::HandedOver;
     }
 
@@ -39,6 +43,8 @@
         return found;
     }
 
+    /// Runs once inside the next send, in place of another thread.
+    std::function<void()> afterSend;
     std::map<InstanceId, SendResult> results;
     std::vector<std::pair<InstanceId, PeerMessage>> sent;
 };
@@ -81,6 +87,9 @@
         }
         const TaskId id(++this->last);
         this->tasks[id] = Task { group, std::move(task), std::move(done) };
+        if (this->afterSubmit) {
+            std::exchange(this->afterSubmit, nullptr)();
+        }
         return id;
     }
     void cancel(const PoolId & /*pool*/, const GroupId & /*group*/, TaskId task) override
@@ -97,6 +106,8 @@
         done(ended);
     }
 
+    /// Runs once inside the next submit, in place of another thread.
+    std::function<void()> afterSubmit;
     bool owning = true;
     std::map<TaskId, Task> tasks;
     std::vector<TaskId> cancelled;
--- a/Tests/routing/ownerroutertest.cpp
+++ b/Tests/routing/ownerroutertest.cpp
@@ -26,6 +26,7 @@
     FakeGroups groups;
     OwnerRouter router { InstanceId("self"), clock, clock, transport, directory, groups, counters };
     std::vector<PartOutcome> ended;
+    bool overtaken = false;
 
     Fixture()
     {
@@ -212,4 +213,49 @@
     BOOST_TEST(this->ended.size() == 1U);
 }
 
+// Guards against work that runs on for nobody because the cancel came before its task had a number.
+BOOST_AUTO_TEST_CASE(cancelWhileTheTaskIsGivenOut)
+{
+    this->own(g, InstanceId("self"));
+    this->groups.afterSubmit = [this] {
+        this->router.cancel(1);
+    };
+    this->submit(true);
+    BOOST_TEST(this->router.pending() == 0U);
+    BOOST_REQUIRE(!this->groups.cancelled.empty());
+    BOOST_TEST(this->groups.cancelled.back() == TaskId(1));
+}
+
+// Guards against the same at a peer: a cancel that overtakes its request finds nothing to cancel there.
+BOOST_AUTO_TEST_CASE(cancelWhileTheFrameIsSent)
+{
+    this->transport.afterSend = [this] {
+        this->router.cancel(1);
+        this->transport.sent.clear();
+        this->overtaken = true;
+    };
+    this->submit(true);
+    BOOST_TEST(this->overtaken);
+    const auto cancels = this->transport.all<SubCancel>();
+    BOOST_REQUIRE(cancels.size() == 1U);
+    BOOST_TEST(cancels[0].first == a);
+    BOOST_TEST((cancels[0].second.parts == std::vector<GroupId> { g }));
+}
+
+// Guards against cancels that are lost or sent to an owner that no longer has the part.
+BOOST_AUTO_TEST_CASE(cancelReachesThePresentOwnerOnly)
+{
+    const std::uint64_t id = this->submit(true);
+    this->answer(AttemptOutcome::NotRun, Refusal::NotOwner, b);
+    this->router.cancel(id);
+    const auto cancels = this->transport.all<SubCancel>();
+    BOOST_REQUIRE(cancels.size() == 1U);
+    BOOST_TEST(cancels[0].first == b);
+    BOOST_TEST(cancels[0].second.id == this->requests().back().second.id);
+    this->answer(AttemptOutcome::Answered, Refusal::None);
+    this->clock.advance(2s);
+    BOOST_TEST(this->ended.empty());
+    BOOST_TEST(this->router.pending() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
