--- a/Source/daemon/daemonparts.cpp
+++ b/Source/daemon/daemonparts.cpp
@@ -19,8 +19,8 @@
 constexpr Duration lonelyPoll = Milliseconds(500);
 /// A first instance of a deployment hears no peer; it serves alone after this time.
 constexpr Duration waitForPeers = std::chrono::seconds(3);
-/// Callers may still get this address from a peer that has not heard of the leaving, and may send at the very end of the
-/// keep time. Without this margin, a rolling replacement cut 1 of 3132 requests.
+/// Callers may still get this address from a peer that has not heard of the leaving, and may send at the very end of
+/// the keep time. Without this margin, a rolling replacement cut 1 of 3132 requests.
 constexpr Duration addressMargin = std::chrono::seconds(1);
 /// How long a leaving instance waits for its work beyond the keep time and the longest deadline.
 constexpr Duration leaveMargin = std::chrono::seconds(5);
--- a/Source/http/httpserver.cpp
+++ b/Source/http/httpserver.cpp
@@ -271,7 +271,7 @@
     }
     auto state = std::make_shared<State>(std::move(workers), limits, handler, counters);
     boost::system::error_code error;
-    const tcp::endpoint local = endpoint.value();
+    const tcp::endpoint &local = endpoint.value();
     if (!error) {
         state->acceptor.open(local.protocol(), error);
     }
--- a/Source/routing/groupregistry.cpp
+++ b/Source/routing/groupregistry.cpp
@@ -46,7 +46,7 @@
 {
 }
 
-void GroupRegistry::setCatalogue(std::shared_ptr<const Catalogue> newCatalogue)
+void GroupRegistry::setCatalogue(const std::shared_ptr<const Catalogue> &newCatalogue)
 {
     std::map<ResourceId, Owned> present;
     {
@@ -192,6 +192,7 @@
         present = this->owned;
     }
     std::vector<GroupReport> all;
+    all.reserve(present.size());
     for (const auto &[resource, entry] : present) {
         all.push_back({ entry.pool, entry.group, entry.scheduler->state() });
     }
--- a/Source/routing/groupregistry.h
+++ b/Source/routing/groupregistry.h
@@ -32,7 +32,7 @@
     explicit GroupRegistry(const SchedulerContext &schedulerContext);
 
     /// Puts a newer catalogue into force in every scheduler.
-    void setCatalogue(std::shared_ptr<const Catalogue> newCatalogue);
+    void setCatalogue(const std::shared_ptr<const Catalogue> &newCatalogue);
 
     /// Resources of all groups of the catalogue in force.
     std::vector<ResourceId> resources() const;
