Lease: Let the successor ask as soon as a lease is released

Cause: in a rolling replacement p99 was 293 to 358 ms against about 40 ms without one. A released lease stayed without an owner until the successor's next renewal, up to 300 ms later (gap at a handover 310 ms in the unit test). Ruled out: cut requests (0), takeover after expiry (no lease expired). Change: an instance that hears a release plans again 10 ms later. What is left of the tail is not explained yet.

--- a/Source/lease/leaseservice.cpp
+++ b/Source/lease/leaseservice.cpp
@@ -128,6 +128,22 @@
 void LeaseService::handle(const InstanceId &from, const LeaseRelease &release)
 {
     this->voter.handle(from, release);
+    const std::lock_guard lock(this->mutex);
+    if (this->askDue) {
+        return;
+    }
+    // The successor need not wait for its next renewal. The other voters get the release at about the same time.
+    this->askDue = true;
+    this->askTimer = this->timers.after(askAfterRelease, [this] { this->askAgain(); });
+}
+
+void LeaseService::askAgain()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->askDue = false;
+    }
+    this->round();
 }
 
 bool LeaseService::owns(const ResourceId &resource) const
--- a/Source/lease/leaseservice.h
+++ b/Source/lease/leaseservice.h
@@ -24,6 +24,9 @@
 class LeaseService : public Ownership
 {
 public:
+    /// Wait between a release by another instance and the request of its successor.
+    static constexpr Duration askAfterRelease = Milliseconds(10);
+
     using ResourceCallback = std::function<void(ResourceId)>;
 
     /// @p cutOffTest must be callable from any thread and take no lock that is held while this class is called.
@@ -86,6 +89,7 @@
 
 private:
     void round();
+    void askAgain();
     void send(const std::vector<AddressedMessage> &messages);
     void deliver(const AddressedMessage &addressed);
     void notifyHandover(const std::vector<ResourceId> &resources);
@@ -112,6 +116,8 @@
     ValueVersion catalogueVersion;
     std::deque<LeaseChange> queue;
     bool dispatching = false;
+    bool askDue = false;
+    Subscription askTimer;
     Subscription renewTimer;
     Subscription lapseTimer;
 };
--- a/Tests/scheduling/stragglertest.cpp
+++ b/Tests/scheduling/stragglertest.cpp
@@ -55,9 +55,9 @@
     return run;
 }
 
-void compare(Kind kind, const char *name, double share)
+void compare(Kind kind, const char *name, double share, const std::vector<std::uint64_t> &seeds = { 11, 12 })
 {
-    for (const std::uint64_t seed : { 11U, 12U }) {
+    for (const std::uint64_t seed : seeds) {
         const Run naive = measure(kind, true, share, seed);
         const Run current = measure(kind, false, share, seed);
         BOOST_TEST_MESSAGE(name << " load " << share << " seed " << seed << ": naive p50 " << naive.load.p50 << " p99 "
@@ -73,8 +73,6 @@
 }
 
 // Guards against stragglers that decide the latency of whole queries, at the price of at most 5% extra load.
-// The bound is not safe at load 0.7: in a trial over seeds 100 to 111, 2 of 12 runs exceeded a quarter (0.28 and 0.37).
-// The tail comes from moments when stragglers hold most slots of a group, so that its queue forbids hedges.
 BOOST_AUTO_TEST_CASE(randomStragglersDoNotDecideTheTail)
 {
     compare(Kind::RandomStragglers, "1 in 100 is 20 times slower,", 0.3);
@@ -106,4 +104,16 @@
     BOOST_TEST(current.load.parts > 0.9 / 1.5);
 }
 
+BOOST_AUTO_TEST_SUITE(KnownRed)
+
+// Guards the same bound over more seeds. It fails for some of them: when stragglers hold most slots of a group, its
+// queue forbids hedges. See KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(stragglersAtHighLoadOverTwelveSeeds, *boost::unit_test::disabled())
+{
+    const std::vector<std::uint64_t> seeds { 100, 101, 102, 103, 104, 105, 106, 107, 108, 109, 110, 111 };
+    compare(Kind::RandomStragglers, "1 in 100 is 20 times slower,", 0.7, seeds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
