Runtime: Stop the fiber scheduler from spinning while fibers sleep

Ruled out: gossip and lease rounds (52 frames/s per daemon). A first test with two sleeping fibers did not fail on the old version, because nothing happened while they slept; the test now posts events. Change: the timer is armed only for another deadline.

--- a/Source/runtime/fiberscheduler.cpp
+++ b/Source/runtime/fiberscheduler.cpp
@@ -54,10 +54,7 @@
 
     void suspend_until(const std::chrono::steady_clock::time_point &deadline) noexcept override
     {
-        if (deadline != std::chrono::steady_clock::time_point::max()) {
-            this->timer.expires_at(deadline);
-            this->timer.async_wait([](const boost::system::error_code &) {});
-        }
+        this->arm(deadline);
         this->context->run_one();
         this->context->poll();
     }
@@ -68,6 +65,24 @@
     }
 
 private:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    /// Re-arming a timer runs the handler of its former wait, which ends the next run_one() at once. Arming it anew for
+    /// the same deadline at each suspension kept the thread spinning, so it is armed only for another deadline.
+    void arm(TimePoint deadline)
+    {
+        if (deadline == TimePoint::max() || deadline == this->armed) {
+            return;
+        }
+        this->armed = deadline;
+        this->timer.expires_at(deadline);
+        this->timer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                this->armed = TimePoint::max();
+            }
+        });
+    }
+
     /// Ready fibers served between two looks at the sockets, so that busy fibers do not starve them.
     static constexpr int pollInterval = 64;
 
@@ -76,6 +91,8 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     boost::fibers::scheduler::ready_queue_type ready;
     int sincePoll = 0;
+    /// Deadline that the timer waits for; max when it waits for none.
+    TimePoint armed = TimePoint::max();
 };
 
 }
--- a/Tests/runtime/workertest.cpp
+++ b/Tests/runtime/workertest.cpp
@@ -1,11 +1,14 @@
 #include "runtime/worker.h"
 #include "runtime/await.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ctime>
 #include <future>
 
 namespace asio = boost::asio;
@@ -104,4 +107,28 @@
     }
 }
 
+// Guards against a worker that spins while a fiber sleeps: an idle daemon then used a whole core.
+BOOST_AUTO_TEST_CASE(sleepingFibersUseNoProcessorTime)
+{
+    const auto worker = Lycheewall::Worker::create();
+    const std::clock_t before = std::clock();
+    std::promise<void> sleeping;
+    std::promise<void> done;
+    worker->spawn([&] {
+        sleeping.set_value();
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(500));
+        done.set_value();
+    });
+    sleeping.get_future().wait();
+    // Any event while a fiber sleeps makes the scheduler suspend again for the same deadline.
+    for (int event = 0; event < 10; ++event) {
+        std::promise<void> handled;
+        boost::asio::post(worker->context(), [&handled] { handled.set_value(); });
+        handled.get_future().wait();
+    }
+    BOOST_REQUIRE(done.get_future().wait_for(std::chrono::seconds(10)) == std::future_status::ready);
+    const double used = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    BOOST_TEST(used < 0.1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
