Routing: Find a group by its ids, and drop what the interface never used

Cause, found by reading the whole change: GroupRegistry built the resource name of every group to find one whose pool and group it already knew, at each catalogue change and each closing; CallerInterfaceContext carried a ConfigurationStore that nothing read, and refuseWith() had one caller. Ruled out: one struct for GroupOutcome, PartOutcome and SubAnswer. Change: locate() goes through Catalogue::findPool() and Pool::findGroup(); only gained(), which has the name alone, still searches. The unused member and the extra function are gone. Behaviour and tests stay as they are. Measured: test_routing, test_coordinator, test_http, and the fleet tests everyPoolAnswersWholly and drainedZoneGetsNoNewWork pass; formatter and, on the changed sources, linter clean.

--- a/Source/daemon/daemonparts.cpp
+++ b/Source/daemon/daemonparts.cpp
@@ -156,7 +156,6 @@
     return { this->settings.instance,
              this->settings.zone,
              this->coordinator,
-             this->store,
              this->peers,
              this->random,
              this->counters,
--- a/Source/http/callerinterface.cpp
+++ b/Source/http/callerinterface.cpp
@@ -145,15 +145,10 @@
 }
 
 HttpResponse CallerInterface::refuse(Refusal refusal)
-{
-    return this->refuseWith(refusal, this->newRequestId());
-}
-
-HttpResponse CallerInterface::refuseWith(Refusal refusal, const RequestId &id)
 {
     this->context.counters.refused(refusal);
     CallerAnswer answer;
-    answer.id = id;
+    answer.id = this->newRequestId();
     answer.refusal = refusal;
     return CallerJson::refusal(answer, true);
 }
--- a/Source/http/callerinterface.h
+++ b/Source/http/callerinterface.h
@@ -14,7 +14,6 @@
     InstanceId self;
     ZoneId zone;
     Coordinator &coordinator;
-    const ConfigurationStore &configuration;
     const PeerTable &peers;
     Random &random;
     Counters &counters;
@@ -40,7 +39,6 @@
     HttpResponse run(CallerRequest request);
     HttpResponse addresses() const;
     HttpResponse readiness() const;
-    HttpResponse refuseWith(Refusal refusal, const RequestId &id);
     RequestId newRequestId();
 
     const CallerInterfaceContext context;
--- a/Source/http/httpserver.cpp
+++ b/Source/http/httpserver.cpp
@@ -7,9 +7,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <mutex>
 #include <netinet/tcp.h>
-#include <set>
 
 namespace Lycheewall
 {
--- a/Source/routing/groupregistry.cpp
+++ b/Source/routing/groupregistry.cpp
@@ -16,7 +16,14 @@
     const Group *group = nullptr;
 };
 
-Located locate(const Catalogue &catalogue, const ResourceId &resource)
+Located locate(const Catalogue &catalogue, const PoolId &poolId, const GroupId &groupId)
+{
+    const Pool *pool = catalogue.findPool(poolId);
+    return { pool, pool == nullptr ? nullptr : pool->findGroup(groupId) };
+}
+
+/// Looks through all groups; with the ids at hand, locate() is the cheaper one.
+Located locateResource(const Catalogue &catalogue, const ResourceId &resource)
 {
     for (const auto &[id, pool] : catalogue.pools()) {
         for (const Group &group : pool.groups) {
@@ -55,7 +62,7 @@
         present = this->owned;
     }
     for (const auto &[resource, entry] : present) {
-        const Located located = locate(*newCatalogue, resource);
+        const Located located = locate(*newCatalogue, entry.pool, entry.group);
         if (located.group != nullptr) {
             entry.scheduler->update(*located.pool, *located.group, newCatalogue->drainedZones());
         } else {
@@ -85,7 +92,7 @@
     if (!this->catalogue) {
         return;
     }
-    const Located located = locate(*this->catalogue, resource);
+    const Located located = locateResource(*this->catalogue, resource);
     if (located.group == nullptr) {
         return;
     }
@@ -131,7 +138,7 @@
         const std::lock_guard lock(this->mutex);
         present = this->catalogue;
     }
-    const Located located = present ? locate(*present, groupResource(pool, group)) : Located {};
+    const Located located = present ? locate(*present, pool, group) : Located {};
     if (located.group == nullptr) {
         return;
     }
