Feed: Prove freshness by reads of the store's position, and reload settings

SIGHUP and a changed file reload the settings.

Ruled out: trusting empty watches for longer, as a watch may hear nothing for a second while the store drops its history.

--- a/Source/core/counters.cpp
+++ b/Source/core/counters.cpp
@@ -48,4 +48,16 @@
     return text.str();
 }
 
+std::string Counters::summary() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::string text;
+    for (const auto &[name, counter] : this->entries) {
+        if (counter->value() > 0) {
+            text += (text.empty() ? "" : " ") + name + '=' + std::to_string(counter->value());
+        }
+    }
+    return text;
+}
+
 }
--- a/Source/core/counters.h
+++ b/Source/core/counters.h
@@ -51,6 +51,9 @@
     /// All counters, one "name value" line each, in the usual text exposition format.
     std::string exposition() const;
 
+    /// All counters that are not 0, as "name=value" separated by spaces, for a log line.
+    std::string summary() const;
+
 private:
     mutable std::mutex mutex;
     std::map<std::string, std::unique_ptr<Counter>> entries;
--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -21,12 +21,14 @@
 FeedReader::FeedReader(const FeedReaderSettings &readerSettings, Context readerContext)
     : settings(readerSettings)
     , context(std::move(readerContext))
+    , storePause(readerSettings.storePause)
 {
 }
 
 void FeedReader::start()
 {
     this->again(Duration::zero());
+    this->checkTimer = this->context.timers.every(this->settings.checkPeriod, [this] { this->check(); });
 }
 
 bool FeedReader::usesStore() const
@@ -39,31 +41,38 @@
     this->timer = this->context.timers.after(pause, [this] { this->step(); });
 }
 
-void FeedReader::chooseSource()
+bool FeedReader::chooseSource()
 {
     const TimePoint now = this->context.clock.now();
     const bool storeWorks = now >= this->storeAvoidedUntil;
     this->usingStore = true;
     this->peer.reset();
     if (storeWorks && this->context.routes.readsStore()) {
-        return;
+        return true;
     }
     for (const FeedPeer &candidate : this->context.routes.peers()) {
         if (now >= this->peersAvoidedUntil[candidate.instance]) {
             this->peer = candidate.source;
             this->peerName = candidate.instance;
             this->usingStore = false;
-            return;
+            return true;
         }
     }
+    return storeWorks;
+}
+
+FeedSource &FeedReader::source()
+{
+    return this->usingStore ? this->context.store : *this->peer;
 }
 
 void FeedReader::step()
 {
-    const TimePoint now = this->context.clock.now();
-    if (!this->listing.started) {
-        this->chooseSource();
+    if (!this->listing.started && !this->chooseSource()) {
+        this->again(this->settings.peerPause);
+        return;
     }
+    const TimePoint now = this->context.clock.now();
     if (this->mustList || this->context.replica.isEmpty()) {
         this->list(now);
     } else {
@@ -74,8 +83,7 @@
 void FeedReader::list(TimePoint startedAt)
 {
     const std::string after = this->listing.items.empty() ? std::string() : this->listing.items.back().key;
-    FeedSource &source = this->usingStore ? this->context.store : *this->peer;
-    source.list(after, [this, startedAt](const Result<FeedPage> &page) { this->listed(startedAt, page); });
+    this->source().list(after, [this, startedAt](const Result<FeedPage> &page) { this->listed(startedAt, page); });
 }
 
 void FeedReader::listed(TimePoint startedAt, const Result<FeedPage> &page)
@@ -103,6 +111,7 @@
         return;
     }
     this->mustList = false;
+    this->worked();
     this->confirm(startedAt - page.value().age);
     this->context.replica.replace(whole.items, whole.at);
     this->context.advanced();
@@ -111,10 +120,10 @@
 
 void FeedReader::watch(TimePoint startedAt)
 {
-    FeedSource &source = this->usingStore ? this->context.store : *this->peer;
-    source.watch(this->context.replica.position(),
-                 this->settings.wait,
-                 [this, startedAt](const Result<FeedBatch> &batch) { this->watched(startedAt, batch); });
+    const Duration wait = this->usingStore ? this->settings.storeWait : this->settings.peerWait;
+    this->source().watch(this->context.replica.position(), wait, [this, startedAt](const Result<FeedBatch> &batch) {
+        this->watched(startedAt, batch);
+    });
 }
 
 void FeedReader::watched(TimePoint startedAt, const Result<FeedBatch> &batch)
@@ -130,14 +139,53 @@
         this->failed(batch ? make_error_code(FeedError::Busy) : batch.error());
         return;
     }
-    this->confirm(startedAt - batch.value().age);
+    this->worked();
+    if (!this->usingStore) {
+        this->confirm(startedAt - batch.value().age);
+    }
     this->context.replica.apply(batch.value());
+    this->confirmPending();
     this->context.advanced();
     const bool early = this->context.clock.now() - startedAt < this->settings.gather;
     const bool pause = early || !batch.value().events.empty();
     this->again(pause ? this->settings.gather : Duration::zero());
 }
 
+void FeedReader::check()
+{
+    if (this->checking || !this->usingStore || this->failing || this->context.replica.isEmpty()) {
+        return;
+    }
+    this->checking = true;
+    this->context.storePosition.position(
+        [this, startedAt = this->context.clock.now()](const Result<Revision> &position) {
+            this->checking = false;
+            this->checked(startedAt, position);
+        });
+}
+
+void FeedReader::checked(TimePoint startedAt, const Result<Revision> &position)
+{
+    if (!position) {
+        this->context.counters.counter("lycheewall_feed_check_failures_total", position.error().message()).add();
+        if (this->usingStore) {
+            // The watch would not notice for seconds that the store is away.
+            this->context.store.cancel();
+        }
+        return;
+    }
+    this->pending = Pending { position.value(), startedAt };
+    this->confirmPending();
+}
+
+void FeedReader::confirmPending()
+{
+    if (this->pending && this->context.replica.position() >= this->pending->at) {
+        this->confirm(this->pending->moment);
+        this->pending.reset();
+    }
+}
+
 bool FeedReader::usable(Duration age) const
 {
     return this->usingStore || age <= this->settings.oldestPeer;
@@ -147,30 +195,43 @@
 {
     const bool wasAway = this->context.freshness.age() > this->settings.outage;
     this->context.freshness.confirm(moment);
+    if (wasAway && this->context.freshness.age() <= this->settings.outage) {
+        this->context.returned();
+    }
+}
+
+void FeedReader::worked()
+{
+    if (this->usingStore) {
+        this->storePause = this->settings.storePause;
+    }
     if (this->failing) {
         this->failing = false;
         journal().info("Reading the feed again, from "
                        + (this->usingStore ? std::string("the store.") : "instance " + this->peerName.value() + "."));
-    }
-    if (wasAway) {
-        this->context.returned();
+        if (this->usingStore) {
+            this->check();
+        }
     }
 }
 
 void FeedReader::failed(const std::error_code &error)
 {
-    const TimePoint until = this->context.clock.now() + this->settings.avoidance;
+    const TimePoint now = this->context.clock.now();
+    Duration pause = this->settings.peerPause;
     if (this->usingStore) {
-        this->storeAvoidedUntil = until;
+        this->storeAvoidedUntil = now + this->storePause;
+        this->storePause = std::min(2 * this->storePause, this->settings.longestStorePause);
     } else {
-        this->peersAvoidedUntil[this->peerName] = until;
+        this->peersAvoidedUntil[this->peerName] = now + this->settings.avoidance;
+        pause = Duration::zero();
     }
     this->failing = true;
     this->context.counters.counter("lycheewall_feed_failures_total", error.message()).add();
     journal().warn("Reading the feed from "
                    + (this->usingStore ? std::string("the store") : "instance " + this->peerName.value())
                    + " failed: " + error.message() + ".");
-    this->again(this->settings.retryPause);
+    this->again(pause);
 }
 
 }
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -36,13 +36,20 @@
 
 struct FeedReaderSettings
 {
-    /// Longest wait of one watch. Sets how old an unchanged feed may be.
-    Duration wait = Milliseconds(800);
+    /// Longest wait of one watch at the store.
+    Duration storeWait = std::chrono::seconds(8);
+    /// Longest wait of one watch at another instance. Sets how old an unchanged feed may be there.
+    Duration peerWait = Milliseconds(400);
+    /// Time between two checks of the store's position. Sets how old an unchanged feed may be here.
+    Duration checkPeriod = Milliseconds(900);
     /// Pause after a read that brought changes, so that changes in quick succession need one call.
     Duration gather = Milliseconds(50);
-    /// Pause after a failure, before the next source is tried.
-    Duration retryPause = Milliseconds(60);
-    /// A source that failed is tried last for this long.
+    /// Pause after a failure of another instance.
+    Duration peerPause = Milliseconds(60);
+    /// Pause after a failure of the store; doubles with each failure up to the longest. Calls are priced.
+    Duration storePause = Milliseconds(100);
+    Duration longestStorePause = Milliseconds(700);
+    /// An instance that failed is not asked again for this long.
     Duration avoidance = Milliseconds(1000);
     /// Knowledge of another instance that is older is not used.
     Duration oldestPeer = Milliseconds(2500);
@@ -52,7 +59,8 @@
 
 /**
  * Keeps the replica up to date: lists once, then watches; from the store or from another instance, whichever is meant
- * and works.
+ * and works. At the store, a watch alone does not prove that nothing has changed: it may hear nothing for a while. A
+ * check of the store's position beside it proves it.
  * Thread safety: none; used on the thread of the request loop.
  */
 class FeedReader
@@ -66,6 +74,8 @@
         FeedReplica &replica;
         FeedFreshness &freshness;
         FeedSource &store;
+        /// Asked for checks while a watch waits.
+        FeedPositionSource &storePosition;
         FeedRoutes &routes;
         /// Called when the feed is current again after it was not.
         std::function<void()> returned;
@@ -88,15 +98,26 @@
         Revision at = 0;
         bool started = false;
     };
+    /// A position of the store that the replica has not reached yet.
+    struct Pending
+    {
+        Revision at = 0;
+        TimePoint moment;
+    };
 
     void step();
-    void chooseSource();
+    bool chooseSource();
+    FeedSource &source();
     void list(TimePoint startedAt);
     void watch(TimePoint startedAt);
     void listed(TimePoint startedAt, const Result<FeedPage> &page);
     void watched(TimePoint startedAt, const Result<FeedBatch> &batch);
+    void check();
+    void checked(TimePoint startedAt, const Result<Revision> &position);
+    void confirmPending();
     bool usable(Duration age) const;
     void confirm(TimePoint moment);
+    void worked();
     void failed(const std::error_code &error);
     void again(Duration pause);
 
@@ -108,9 +129,13 @@
     bool mustList = true;
     Listing listing;
     TimePoint storeAvoidedUntil;
+    Duration storePause {};
     std::map<InstanceId, TimePoint> peersAvoidedUntil;
     bool failing = false;
+    bool checking = false;
+    std::optional<Pending> pending;
     Subscription timer;
+    Subscription checkTimer;
 };
 
 }
--- a/Source/feed/feedsource.h
+++ b/Source/feed/feedsource.h
@@ -23,6 +23,22 @@
 
     /// Waits up to @p wait for changes after @p after.
     virtual void watch(Revision after, Duration wait, std::function<void(Result<FeedBatch>)> done) = 0;
+
+    /// Gives up the request that is under way, if any; its callback gets FeedError::Unreachable.
+    virtual void cancel() = 0;
+};
+
+/**
+ * Tells how far the store's history goes.
+ * Thread safety: none; used on the thread of the request loop. Errors: FeedError.
+ */
+class FeedPositionSource
+{
+public:
+    virtual ~FeedPositionSource() = default;
+
+    /// The position that holds now. Precondition: no other request is under way.
+    virtual void position(std::function<void(Result<Revision>)> done) = 0;
 };
 
 }
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -67,6 +67,11 @@
     this->tellAll();
 }
 
+void Gossip::setSeeds(const std::vector<std::string> &seeds)
+{
+    this->settings.seeds = seeds;
+}
+
 void Gossip::tick()
 {
     this->sweep();
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -68,6 +68,8 @@
     void setState(MemberState state);
     MemberState state() const;
 
+    void setSeeds(const std::vector<std::string> &seeds);
+
     void received(const std::string &bytes);
 
     /// True once the start is so long ago that the others know this instance.
--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -22,6 +22,11 @@
 {
 }
 
+void Forwarder::setSettings(const ForwarderSettings &newSettings)
+{
+    this->settings = newSettings;
+}
+
 void Forwarder::setTable(std::shared_ptr<const RouteTable> table)
 {
     this->current = std::move(table);
--- a/Source/forwarding/forwarder.h
+++ b/Source/forwarding/forwarder.h
@@ -24,6 +24,8 @@
 public:
     Forwarder(const ForwarderSettings &settings, ForwardingContext &context, const FeedFreshness &freshness);
 
+    void setSettings(const ForwarderSettings &settings);
+
     /// Requests that are under way keep the table with which they began.
     void setTable(std::shared_ptr<const RouteTable> table);
 
--- a/Source/forwarding/repeatbudget.cpp
+++ b/Source/forwarding/repeatbudget.cpp
@@ -21,6 +21,11 @@
 {
 }
 
+void RepeatBudget::setLimits(const RepeatLimits &newLimits)
+{
+    this->limits = newLimits;
+}
+
 void RepeatBudget::setFleetSize(std::size_t fleetInstances)
 {
     this->instances = static_cast<double>(fleetInstances);
--- a/Source/forwarding/repeatbudget.h
+++ b/Source/forwarding/repeatbudget.h
@@ -29,6 +29,8 @@
 public:
     RepeatBudget(const RepeatLimits &limits, const Clock &clock);
 
+    void setLimits(const RepeatLimits &limits);
+
     /// Precondition: instances > 0. Count instances that may still be running, also silent ones.
     void setFleetSize(std::size_t instances);
 
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr Duration sweepPeriod = Milliseconds(1000);
+/// The settings file may also change without a signal.
+constexpr Duration reloadPeriod = std::chrono::seconds(5);
+constexpr Duration countersPeriod = std::chrono::seconds(10);
 constexpr Duration endCheckPeriod = Milliseconds(50);
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
@@ -33,7 +36,8 @@
 
 Gateway::Gateway(GatewaySettings gatewaySettings,
                  const GatewayDialects &gatewayDialects,
-                 const StoreFactory &storeFactory)
+                 const StoreFactory &storeFactory,
+                 Reload reloadSettings)
     : settings(std::move(gatewaySettings))
     , dialects(gatewayDialects)
     , timers(io)
@@ -51,13 +55,15 @@
            settings.instance,
            [this](const std::string &address) { return std::make_shared<PeerFeed>(this->io, address); })
     , store(storeFactory(io))
+    , reload(std::move(reloadSettings))
     , reader(settings.feed,
              { clock,
                timers,
                counters,
                replica,
                freshness,
-               *store,
+               *store.feed,
+               *store.position,
                plan,
                [this] { this->live.storeReturned(); },
                [this] {
@@ -136,6 +142,8 @@
     this->gossip->start();
     this->reader.start();
     this->subscriptions.push_back(this->timers.every(sweepPeriod, [this] { this->pool.sweep(); }));
+    this->subscriptions.push_back(this->timers.every(reloadPeriod, [this] { this->reloadSettings(); }));
+    this->subscriptions.push_back(this->timers.every(countersPeriod, [this] { this->logCounters(); }));
     return success();
 }
 
@@ -206,19 +214,46 @@
 void Gateway::awaitSignal()
 {
     boost::system::error_code error;
-    for (const int number : { SIGTERM, SIGINT }) {
+    for (const int number : { SIGTERM, SIGINT, SIGHUP }) {
+        // Adding a signal again is allowed and changes nothing.
         this->signals.add(number, error);
         if (error) {
             journal().warn("Signal " + std::to_string(number) + " cannot be handled: " + error.message() + ".");
         }
     }
-    this->signals.async_wait([this](const boost::system::error_code &waitError, int /*number*/) {
-        if (!waitError) {
+    this->signals.async_wait([this](const boost::system::error_code &waitError, int number) {
+        if (waitError) {
+            return;
+        }
+        if (number != SIGHUP) {
             this->leave();
+            return;
         }
+        this->reloadSettings();
+        this->awaitSignal();
     });
 }
 
+void Gateway::reloadSettings()
+{
+    const auto changed = this->reload();
+    if (!changed) {
+        return;
+    }
+    this->budget.setLimits(changed->repeats);
+    this->forwarder.setSettings(changed->forwarding);
+    this->gossip->setSeeds(changed->seeds);
+    this->settings.leaveServing = changed->leaveServing;
+    this->settings.leaveLimit = changed->leaveLimit;
+    this->settings.addressKeep = changed->addressKeep;
+    journal().info("The settings have changed; bounds and seeds are taken over.");
+}
+
+void Gateway::logCounters()
+{
+    journal().info("Counters: " + this->counters.summary());
+}
+
 void Gateway::leave()
 {
     journal().info("Told to end; leaving.");
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -36,10 +36,18 @@
 class Gateway
 {
 public:
-    /// Makes the source that reads the platform's store on the gateway's loop.
-    using StoreFactory = std::function<std::unique_ptr<FeedSource>(boost::asio::io_context &io)>;
+    /// How the platform's store is read.
+    struct Store
+    {
+        std::unique_ptr<FeedSource> feed;
+        std::unique_ptr<FeedPositionSource> position;
+    };
+    /// Makes the readers of the store on the gateway's loop.
+    using StoreFactory = std::function<Store(boost::asio::io_context &io)>;
+    /// Reads the settings again. Nothing when they have not changed or cannot be read.
+    using Reload = std::function<std::optional<GatewaySettings>()>;
 
-    Gateway(GatewaySettings settings, const GatewayDialects &dialects, const StoreFactory &store);
+    Gateway(GatewaySettings settings, const GatewayDialects &dialects, const StoreFactory &store, Reload reload);
 
     /// Opens the sockets. Errors: those of the sockets.
     Result<void> start();
@@ -55,6 +63,8 @@
     void answerReady(const std::string &target, const SideServer::Respond &respond);
     void answerMetrics(const SideServer::Respond &respond);
     void awaitSignal();
+    void reloadSettings();
+    void logCounters();
     void leave();
     void stopServing();
     void endWhenDone();
@@ -80,7 +90,8 @@
     LiveState live;
     MemberTable members;
     FeedPlan plan;
-    std::unique_ptr<FeedSource> store;
+    Store store;
+    Reload reload;
     FeedReader reader;
     CallerDirectory directory;
     PeerFeedServer feedServer;
--- a/Source/gateway/httpcaller.cpp
+++ b/Source/gateway/httpcaller.cpp
@@ -139,6 +139,14 @@
 {
 }
 
+void HttpCaller::cancel()
+{
+    if (this->connection) {
+        this->connection->stream.close();
+        this->connection.reset();
+    }
+}
+
 void HttpCaller::get(const std::string &target, std::chrono::milliseconds timeout, Done done)
 {
     const bool isNew = !this->connection;
--- a/Source/gateway/httpcaller.h
+++ b/Source/gateway/httpcaller.h
@@ -32,6 +32,9 @@
     /// Precondition: no request is under way. @p done is called once, never from within get().
     void get(const std::string &target, std::chrono::milliseconds timeout, Done done);
 
+    /// Gives up the request that is under way, if any; its callback gets FeedError::Unreachable.
+    void cancel();
+
 private:
     class Request;
 
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -111,6 +111,11 @@
     });
 }
 
+void PeerFeed::cancel()
+{
+    this->caller.cancel();
+}
+
 PeerFeedServer::PeerFeedServer(TimerService &timerService,
                                const FeedReplica &feedReplica,
                                const FeedFreshness &feedFreshness)
--- a/Source/gateway/peerfeed.h
+++ b/Source/gateway/peerfeed.h
@@ -22,6 +22,7 @@
 
     void list(const std::string &afterKey, std::function<void(Result<FeedPage>)> done) override;
     void watch(Revision after, Duration wait, std::function<void(Result<FeedBatch>)> done) override;
+    void cancel() override;
 
 private:
     HttpCaller caller;
