Scheduling: Suspect slow endpoints by probes instead of a fading mean

In a simulation of the load (Tests/forwarding) each daemon forgot a slow endpoint within 3 s and sent it several requests before the first late answer; a busy endpoint counted as slow because its queue was taken for slowness, and pauses of 120 to 250 ms moved a third of the calls to other zones.

Change: the expected time includes the load as known at the start; late answers make an endpoint suspect, single probes with doubling pauses clear it; hedges that cannot arrive before the objective are not sent.

--- a/Source/core/manualclock.cpp
+++ b/Source/core/manualclock.cpp
@@ -1,5 +1,7 @@
 #include "core/manualclock.h"
 
+#include <unordered_map>
+
 namespace Lycheewall
 {
 
@@ -16,15 +18,28 @@
     TimePoint now { std::chrono::seconds(1000) };
     std::uint64_t lastId = 0;
     std::multimap<TimePoint, Timer> timers;
+    std::unordered_map<std::uint64_t, std::multimap<TimePoint, Timer>::iterator> timersById;
+
+    void insert(TimePoint due, Timer timer)
+    {
+        const std::uint64_t timerId = timer.id;
+        this->timersById[timerId] = this->timers.emplace(due, std::move(timer));
+    }
+
+    /// Takes a timer out. The caller destroys it without the lock, as its callback may own further subscriptions.
+    std::multimap<TimePoint, Timer>::node_type extract(std::multimap<TimePoint, Timer>::iterator entry)
+    {
+        this->timersById.erase(entry->second.id);
+        return this->timers.extract(entry);
+    }
 
     void remove(std::uint64_t id)
     {
+        std::multimap<TimePoint, Timer>::node_type removed;
         const std::lock_guard lock(this->mutex);
-        for (auto entry = this->timers.begin(); entry != this->timers.end(); ++entry) {
-            if (entry->second.id == id) {
-                this->timers.erase(entry);
-                return;
-            }
+        const auto entry = this->timersById.find(id);
+        if (entry != this->timersById.end()) {
+            removed = this->extract(entry->second);
         }
     }
 };
@@ -76,7 +91,7 @@
 {
     const std::lock_guard lock(this->state->mutex);
     const std::uint64_t id = ++this->state->lastId;
-    this->state->timers.emplace(this->state->now + delay, Timer { id, period, std::move(callback) });
+    this->state->insert(this->state->now + delay, Timer { id, period, std::move(callback) });
     return std::make_unique<Handle>(this->state, id);
 }
 
@@ -90,12 +105,11 @@
             return false;
         }
         this->state->now = std::max(this->state->now, next->first);
-        Timer timer = std::move(next->second);
         const TimePoint due = next->first;
-        this->state->timers.erase(next);
+        Timer timer = std::move(this->state->extract(next).mapped());
         callback = timer.callback;
         if (timer.period > Duration::zero()) {
-            this->state->timers.emplace(due + timer.period, std::move(timer));
+            this->state->insert(due + timer.period, std::move(timer));
         }
     }
     callback();
--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -10,8 +10,10 @@
 
 /// Extra cost of another availability zone; bytes between zones cost the users money.
 constexpr double otherZoneMs = 15;
-/// An endpoint whose oldest request takes this many times the usual is taken as paused.
-constexpr double stallFactor = 2.5;
+/// Part of the usual time that a busy but not full endpoint is taken to be slower by.
+constexpr double loadShare = 0.1;
+/// Cost of an endpoint that seems paused, beside the time for which it has.
+constexpr double stallMs = 5;
 constexpr double greatestStallMs = 200;
 /// Cost of a certain failure, scaled by the share of recent failures.
 constexpr double failureMs = 200;
@@ -57,22 +59,27 @@
     return best;
 }
 
-bool EndpointChooser::hasFreeSlot(const ServiceEndpoint &endpoint, TimePoint now)
+Duration EndpointChooser::expectedTime(const ServiceEndpoint &endpoint, Duration usual, TimePoint now)
 {
-    return endpoint.stats.inFlight() + endpoint.stats.othersInFlight(now) < endpoint.record.slots;
+    const double cold = now < endpoint.coldUntil ? coldFactor : 1;
+    const double load = endpoint.stats.inFlight() + endpoint.stats.othersInFlight(now);
+    const double slots = std::max(1, endpoint.record.slots);
+    const double queued = std::max(0.0, load + 1 - slots) / slots;
+    return std::chrono::duration_cast<Duration>(usual * (cold * (1 + queued)));
 }
 
 double EndpointChooser::cost(const ServiceEndpoint &endpoint, const ChoiceRequest &request, TimePoint now) const
 {
     const EndpointStats &stats = endpoint.stats;
-    const double cold = now < endpoint.coldUntil ? coldFactor : 1;
-    const double usual = milliseconds(request.expected) * std::max(1.0, stats.slowness(now)) * cold;
+    double total = milliseconds(expectedTime(endpoint, request.expected, now));
+    if (stats.isSuspect(now)) {
+        total *= stats.slowness();
+    }
     const double load = stats.inFlight() + stats.othersInFlight(now);
-    const double queued = std::max(0.0, load + 1 - endpoint.record.slots) / std::max(1, endpoint.record.slots);
-    double total = usual * (1 + queued) + 0.1 * usual * load / std::max(1, endpoint.record.slots);
-    const double oldest = milliseconds(stats.oldestAge(now));
-    if (oldest > stallFactor * usual) {
-        total += std::min(oldest, greatestStallMs);
+    total += loadShare * milliseconds(request.expected) * load / std::max(1, endpoint.record.slots);
+    const double stalled = milliseconds(stats.stalledFor(now));
+    if (stalled > 0) {
+        total += std::min(stalled + stallMs, greatestStallMs);
     }
     total += failureMs * stats.failureRatio(now);
     if (stats.isAvoided(now)) {
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -30,8 +30,8 @@
     /// nullptr when no endpoint of the service takes work. Avoided endpoints are chosen only when nothing else is left.
     EndpointPtr choose(const ChoiceRequest &request, TimePoint now) const;
 
-    /// True when @p endpoint has a free slot as far as this daemon can tell.
-    static bool hasFreeSlot(const ServiceEndpoint &endpoint, TimePoint now);
+    /// Time that a request should take at @p endpoint with the load as known, if the endpoint is not slow.
+    static Duration expectedTime(const ServiceEndpoint &endpoint, Duration usual, TimePoint now);
 
 private:
     double cost(const ServiceEndpoint &endpoint, const ChoiceRequest &request, TimePoint now) const;
--- a/Source/forwarding/endpointstats.cpp
+++ b/Source/forwarding/endpointstats.cpp
@@ -10,11 +10,17 @@
 {
 
 /// Weight of one observation in the moving means.
-constexpr double slownessGain = 0.3;
+constexpr double slownessGain = 0.4;
 constexpr double failureGain = 0.2;
-/// A slow endpoint is tried again as its mean fades, so that its recovery is noticed.
-constexpr double slownessHalfLifeSeconds = 3;
 constexpr double failureHalfLifeSeconds = 2;
+/// An answer later than this many times the expected time is late; one earlier than the second figure is in time.
+constexpr double lateRatio = 3;
+constexpr double inTimeRatio = 1.6;
+/// A request in flight for longer than this many times its expected time is stalled.
+constexpr double stallRatio = 2.5;
+/// Time to the first probe of a suspect endpoint, and the longest time between two.
+constexpr Duration firstProbe = Milliseconds(60);
+constexpr Duration longestProbe = Milliseconds(2000);
 /// A report of load says little once the requests that it counted have ended.
 constexpr double reportLifeSeconds = 0.15;
 /// Failures in a row after which an endpoint is avoided, and for how long at first and at most.
@@ -36,36 +42,36 @@
 
 }
 
-EndpointStats::Token EndpointStats::started(TimePoint now)
+EndpointStats::Token EndpointStats::started(TimePoint now, Duration expected)
 {
-    this->pending.push_back({ this->nextToken, now });
+    this->pending.push_back({ this->nextToken, now, expected });
     return this->nextToken++;
 }
 
-TimePoint EndpointStats::finish(Token token, TimePoint now)
+EndpointStats::Pending EndpointStats::finish(Token token, TimePoint now)
 {
     const auto entry = std::find_if(
         this->pending.begin(), this->pending.end(), [token](const Pending &item) { return item.token == token; });
     if (entry == this->pending.end()) {
-        return now;
+        return { token, now, Duration(1) };
     }
-    const TimePoint start = entry->start;
+    const Pending found = *entry;
     this->pending.erase(entry);
-    return start;
+    return found;
 }
 
-void EndpointStats::answered(Token token, TimePoint now, Duration expected)
+void EndpointStats::answered(Token token, TimePoint now)
 {
-    const TimePoint start = this->finish(token, now);
-    this->noteRatio(seconds(now - start) / seconds(expected), now);
+    const Pending request = this->finish(token, now);
+    this->noteRatio(seconds(now - request.start) / seconds(request.expected), request, now);
     this->noteFailure(0, now);
     this->failuresInRow = 0;
 }
 
 void EndpointStats::refused(Token token, TimePoint now)
 {
-    this->finish(token, now);
-    this->noteRatio(2, now);
+    const Pending request = this->finish(token, now);
+    this->noteRatio(lateRatio + 1, request, now);
 }
 
 void EndpointStats::failed(Token token, TimePoint now)
@@ -80,12 +86,13 @@
     this->avoidUntil = now + std::min(firstAvoidance * (1 << doublings), longestAvoidance);
 }
 
-void EndpointStats::abandoned(Token token, TimePoint now, Duration expected)
+void EndpointStats::abandoned(Token token, TimePoint now)
 {
-    const TimePoint start = this->finish(token, now);
-    // The true latency is longer than the time waited, so only a long wait says something.
-    if (now - start > expected) {
-        this->noteRatio(seconds(now - start) / seconds(expected), now);
+    const Pending request = this->finish(token, now);
+    const double ratio = seconds(now - request.start) / seconds(request.expected);
+    // The true time is longer than the time waited, so only a long wait says something.
+    if (ratio > lateRatio) {
+        this->noteRatio(ratio, request, now);
     }
 }
 
@@ -111,9 +118,14 @@
     return others * (1 - age / reportLifeSeconds);
 }
 
-double EndpointStats::slowness(TimePoint now) const
+double EndpointStats::slowness() const
+{
+    return this->suspicion > 0 ? std::max(1.0, std::exp(this->logSlowness)) : 1;
+}
+
+bool EndpointStats::isSuspect(TimePoint now) const
 {
-    return std::exp(faded(this->logSlowness, now - this->slownessAt, slownessHalfLifeSeconds));
+    return this->suspicion > 0 && (now < this->nextProbe || !this->pending.empty());
 }
 
 double EndpointStats::failureRatio(TimePoint now) const
@@ -121,9 +133,14 @@
     return faded(this->failures, now - this->failuresAt, failureHalfLifeSeconds);
 }
 
-Duration EndpointStats::oldestAge(TimePoint now) const
+Duration EndpointStats::stalledFor(TimePoint now) const
 {
-    return this->pending.empty() ? Duration::zero() : now - this->pending.front().start;
+    if (this->pending.empty()) {
+        return Duration::zero();
+    }
+    const Pending &oldest = this->pending.front();
+    const Duration excess = now - oldest.start - std::chrono::duration_cast<Duration>(oldest.expected * stallRatio);
+    return std::max(excess, Duration::zero());
 }
 
 bool EndpointStats::isAvoided(TimePoint now) const
@@ -131,12 +148,23 @@
     return now < this->avoidUntil;
 }
 
-void EndpointStats::noteRatio(double ratio, TimePoint now)
+void EndpointStats::noteRatio(double ratio, const Pending &request, TimePoint now)
 {
-    const double bounded = std::log(std::clamp(ratio, smallestRatio, greatestRatio));
-    const double current = faded(this->logSlowness, now - this->slownessAt, slownessHalfLifeSeconds);
-    this->logSlowness = current + slownessGain * (bounded - current);
-    this->slownessAt = now;
+    const double logRatio = std::log(std::clamp(ratio, smallestRatio, greatestRatio));
+    this->logSlowness = this->suspicion == 0 ? logRatio
+                                             : this->logSlowness + slownessGain * (logRatio - this->logSlowness);
+    const bool isNews = this->suspicion == 0 || request.start >= this->suspectSince;
+    if (!isNews) {
+        return;
+    }
+    if (ratio > lateRatio) {
+        const int doublings = std::min(this->suspicion, 6);
+        ++this->suspicion;
+        this->suspectSince = now;
+        this->nextProbe = now + std::min(firstProbe * (1 << doublings), longestProbe);
+    } else if (ratio < inTimeRatio) {
+        this->suspicion = 0;
+    }
 }
 
 void EndpointStats::noteFailure(double failure, TimePoint now)
--- a/Source/forwarding/endpointstats.h
+++ b/Source/forwarding/endpointstats.h
@@ -18,6 +18,10 @@
 
 /**
  * What this daemon has observed of one endpoint: requests in flight, slowness, failures and reported load.
+ *
+ * An endpoint that answers much later than expected becomes suspect. One late event says little, because endpoints
+ * pause for a moment, so a suspect endpoint is soon tried again with a single request (probe). Each probe that is late
+ * as well doubles the time to the next one; one in time clears the suspicion.
  * Thread safety: none; used on the thread of the request loop.
  */
 class EndpointStats
@@ -26,10 +30,10 @@
     /// Identifies a request in flight.
     using Token = std::uint64_t;
 
-    Token started(TimePoint now);
+    /// @p expected is the time that the request should take with the load as known. Precondition: expected > 0.
+    Token started(TimePoint now, Duration expected);
 
-    /// The endpoint answered. @p expected is the usual time of such a request; precondition: expected > 0.
-    void answered(Token token, TimePoint now, Duration expected);
+    void answered(Token token, TimePoint now);
 
     /// The endpoint refused the request without running it.
     void refused(Token token, TimePoint now);
@@ -38,7 +42,7 @@
     void failed(Token token, TimePoint now);
 
     /// The request was given up here; its answer will not be seen.
-    void abandoned(Token token, TimePoint now, Duration expected);
+    void abandoned(Token token, TimePoint now);
 
     void reported(const LoadReport &report, TimePoint now);
 
@@ -47,14 +51,17 @@
     /// Requests of other callers by the latest report, fading as the report ages.
     double othersInFlight(TimePoint now) const;
 
-    /// Usual latency relative to what is expected of the service: 1 is normal, above 1 slow.
-    double slowness(TimePoint now) const;
+    /// Usual latency relative to what is expected; 1 unless the endpoint is suspect.
+    double slowness() const;
+
+    /// True while the endpoint is suspect and is not to be probed now.
+    bool isSuspect(TimePoint now) const;
 
     /// Share of recent requests that failed, 0 to 1, fading with time.
     double failureRatio(TimePoint now) const;
 
-    /// Time since the start of the oldest request in flight; zero when there is none.
-    Duration oldestAge(TimePoint now) const;
+    /// How long the oldest request in flight has exceeded a multiple of its expected time; zero if it has not.
+    Duration stalledFor(TimePoint now) const;
 
     /// True while requests should go elsewhere after failures in a row.
     bool isAvoided(TimePoint now) const;
@@ -64,16 +71,20 @@
     {
         Token token;
         TimePoint start;
+        Duration expected;
     };
 
-    TimePoint finish(Token token, TimePoint now);
-    void noteRatio(double ratio, TimePoint now);
+    Pending finish(Token token, TimePoint now);
+    void noteRatio(double ratio, const Pending &request, TimePoint now);
     void noteFailure(double failure, TimePoint now);
 
     std::vector<Pending> pending;
     Token nextToken = 1;
+    int suspicion = 0;
+    /// Requests that started before this moment say nothing new.
+    TimePoint suspectSince;
+    TimePoint nextProbe;
     double logSlowness = 0;
-    TimePoint slownessAt;
     double failures = 0;
     TimePoint failuresAt;
     int failuresInRow = 0;
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -39,7 +39,7 @@
 {
     const std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
     context.budget.noteRequest(service);
-    if (!call->startAttempt()) {
+    if (!call->startAttempt(Purpose::First)) {
         call->last.reason = Refusal::EndpointUnavailable;
         call->finish(call->last);
         return call;
@@ -63,7 +63,7 @@
 {
 }
 
-bool ServiceCall::startAttempt()
+bool ServiceCall::startAttempt(Purpose purpose)
 {
     const TimePoint now = this->context.clock.now();
     if (this->request.deadline - now < leastTime) {
@@ -73,6 +73,9 @@
     if (!endpoint) {
         return false;
     }
+    if (purpose == Purpose::Hedge && !this->helps(*endpoint, now)) {
+        return false;
+    }
     const bool fromBudget = this->sent > 0;
     if (fromBudget && !this->context.budget.take(this->service)) {
         this->context.counters.counter("lycheewall_forwarding_repeats_denied_total").add();
@@ -82,7 +85,7 @@
     attempt->endpoint = endpoint;
     attempt->fromBudget = fromBudget;
     attempt->startedAt = now;
-    attempt->token = endpoint->stats.started(now);
+    attempt->token = endpoint->stats.started(now, EndpointChooser::expectedTime(*endpoint, this->expected, now));
     this->attempts.push_back(attempt);
     this->tried.push_back(endpoint->record.id);
     ++this->sent;
@@ -96,6 +99,15 @@
     return true;
 }
 
+bool ServiceCall::helps(const ServiceEndpoint &endpoint, TimePoint now) const
+{
+    const TimePoint objective = this->request.request->arrivedAt + this->request.route->objective - callerWay;
+    const Duration expectedThere = EndpointChooser::expectedTime(endpoint, this->expected, now);
+    const auto slowed = std::chrono::duration_cast<Duration>(expectedThere * endpoint.stats.slowness());
+    // Once the objective has passed, any earlier answer helps.
+    return now >= objective || now + slowed < objective;
+}
+
 std::size_t ServiceCall::connectionLimit() const
 {
     const ServiceSpec *spec = this->request.table->service(this->service);
@@ -133,7 +145,7 @@
         if (outcome.answer.status >= firstServerError || outcome.answer.stamp.empty()) {
             stats.failed(attempt.token, now);
         } else {
-            stats.answered(attempt.token, now, this->expected);
+            stats.answered(attempt.token, now);
             this->context.latencies.note(this->request.route->name, now - attempt.startedAt);
         }
         return;
@@ -183,7 +195,7 @@
 
 void ServiceCall::retryOrFinish()
 {
-    if (this->sent < this->request.route->maxAttempts && this->startAttempt()) {
+    if (this->sent < this->request.route->maxAttempts && this->startAttempt(Purpose::Retry)) {
         this->context.counters.counter("lycheewall_forwarding_retries_total", refusalCode(this->last.reason)).add();
         return;
     }
@@ -230,7 +242,7 @@
             continue;
         }
         attempt->ended = true;
-        attempt->endpoint->stats.abandoned(attempt->token, now, this->expected);
+        attempt->endpoint->stats.abandoned(attempt->token, now);
         if (attempt->call) {
             attempt->call->release(releaseGrace);
         }
@@ -262,7 +274,7 @@
     if (this->finished || this->sent >= this->request.route->maxAttempts) {
         return;
     }
-    if (this->startAttempt()) {
+    if (this->startAttempt(Purpose::Hedge)) {
         this->context.counters.counter("lycheewall_forwarding_hedges_total").add();
         return;
     }
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -51,7 +51,10 @@
 
     ServiceCall(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done);
 
-    bool startAttempt();
+    enum class Purpose { First, Retry, Hedge };
+
+    bool startAttempt(Purpose purpose);
+    bool helps(const ServiceEndpoint &endpoint, TimePoint now) const;
     std::size_t connectionLimit() const;
     void ended(const AttemptPtr &attempt, const CallOutcome &outcome);
     void noteStats(const Attempt &attempt, const CallOutcome &outcome);
