Feed: Ask a store that was silent with short watches until it answers

The store was silent until 5.6 s; the watch that began on a dead connection at 3.9 s waited 8.7 s for its time-out, and checks do not run while reading fails.

Change: after a failure, the first watch at the store waits 50 ms.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -118,10 +118,17 @@
     this->again(Duration::zero());
 }
 
+Duration FeedReader::watchWait() const
+{
+    if (!this->usingStore) {
+        return this->settings.peerWait;
+    }
+    return this->failing ? this->settings.firstStoreWait : this->settings.storeWait;
+}
+
 void FeedReader::watch(TimePoint startedAt)
 {
-    const Duration wait = this->usingStore ? this->settings.storeWait : this->settings.peerWait;
-    this->source().watch(this->context.replica.position(), wait, [this, startedAt](const Result<FeedBatch> &batch) {
+    this->source().watch(this->context.replica.position(), this->watchWait(), [this, startedAt](const Result<FeedBatch> &batch) {
         this->watched(startedAt, batch);
     });
 }
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -38,6 +38,8 @@
 {
     /// Longest wait of one watch at the store.
     Duration storeWait = std::chrono::seconds(8);
+    /// Wait of the first watch at the store after a failure: an answer shows early that the store is back.
+    Duration firstStoreWait = Milliseconds(50);
     /// Longest wait of one watch at another instance. Sets how old an unchanged feed may be there.
     Duration peerWait = Milliseconds(400);
     /// Time between two checks of the store's position. Sets how old an unchanged feed may be here.
@@ -108,6 +110,7 @@
     void step();
     bool chooseSource();
     FeedSource &source();
+    Duration watchWait() const;
     void list(TimePoint startedAt);
     void watch(TimePoint startedAt);
     void listed(TimePoint startedAt, const Result<FeedPage> &page);
