Fleet: Keep instances of large fleets informed through others

Change: in fleets of more than 13, messages pass on what others have said, with its age, and an instance that was quiet for half the limit is asked for a sign of life. Ruled out: longer silence limits alone (72 to 77 of 80).

--- a/Source/fleet/fleetmessage.cpp
+++ b/Source/fleet/fleetmessage.cpp
@@ -42,6 +42,33 @@
     return list;
 }
 
+Json toJson(const FleetMessage &message)
+{
+    Json json { { "v", wireVersion },          { "i", message.instance.value() },
+                { "n", message.incarnation },  { "s", static_cast<int>(message.state) },
+                { "z", message.zone.value() }, { "c", message.callerAddress },
+                { "p", message.peerAddress },  { "a", message.feedAgeMs } };
+    if (message.readsStore) {
+        json["r"] = true;
+    }
+    if (message.joining) {
+        json["j"] = true;
+    }
+    if (message.asking) {
+        json["q"] = true;
+    }
+    if (!message.use.empty()) {
+        json["u"] = useToJson(message.use);
+    }
+    if (!message.known.empty()) {
+        json["k"] = message.known;
+    }
+    for (const RelayedMessage &relayed : message.relayed) {
+        json["l"].push_back(Json::array({ relayed.ageMs, toJson(relayed.message) }));
+    }
+    return json;
+}
+
 FleetMessage messageOf(const Json &json)
 {
     FleetMessage message;
@@ -54,10 +81,14 @@
     message.feedAgeMs = json.at("a").get<std::int64_t>();
     message.readsStore = json.value("r", false);
     message.joining = json.value("j", false);
+    message.asking = json.value("q", false);
     for (const Json &item : json.value("u", Json::array())) {
         message.use.push_back({ OrganisationId(item.at(0).get<std::string>()), item.at(1).get<std::uint64_t>() });
     }
     message.known = json.value("k", std::vector<std::string>());
+    for (const Json &item : json.value("l", Json::array())) {
+        message.relayed.push_back({ item.at(0).get<std::int64_t>(), messageOf(item.at(1)) });
+    }
     return message;
 }
 
@@ -71,24 +102,8 @@
 
 std::string encodeFleetMessage(const FleetMessage &message)
 {
-    Json json { { "v", wireVersion },          { "i", message.instance.value() },
-                { "n", message.incarnation },  { "s", static_cast<int>(message.state) },
-                { "z", message.zone.value() }, { "c", message.callerAddress },
-                { "p", message.peerAddress },  { "a", message.feedAgeMs } };
-    if (message.readsStore) {
-        json["r"] = true;
-    }
-    if (message.joining) {
-        json["j"] = true;
-    }
-    if (!message.use.empty()) {
-        json["u"] = useToJson(message.use);
-    }
-    if (!message.known.empty()) {
-        json["k"] = message.known;
-    }
     std::string bytes;
-    Json::to_cbor(json, bytes);
+    Json::to_cbor(toJson(message), bytes);
     return bytes;
 }
 
--- a/Source/fleet/fleetmessage.h
+++ b/Source/fleet/fleetmessage.h
@@ -11,6 +11,8 @@
 
 enum class MemberState { Starting, Ready, Leaving };
 
+struct RelayedMessage;
+
 /// What an instance says of itself and, now and then, of the others that it knows.
 struct FleetMessage
 {
@@ -28,9 +30,20 @@
     bool readsStore = false;
     /// Asks for an answer with all known addresses.
     bool joining = false;
+    /// Asks for a sign of life.
+    bool asking = false;
     std::vector<OrganisationUse> use;
     /// Peer addresses of other instances.
     std::vector<std::string> known;
+    /// What other instances have said, in fleets too large for each instance to tell all others.
+    std::vector<RelayedMessage> relayed;
+};
+
+/// A message of another instance and how long ago it was sent, at most.
+struct RelayedMessage
+{
+    std::int64_t ageMs = 0;
+    FleetMessage message;
 };
 
 enum class FleetMessageError { NotCbor = 1, WrongVersion, FieldMissing };
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -10,8 +10,10 @@
 namespace
 {
 
-/// Instances that are told at a time, at most. Smaller fleets are told as a whole.
-constexpr std::size_t mostTargets = 12;
+/// In a larger fleet: instances that are told at a time, and messages of others that are passed on to each. About
+/// 18 KB/s at two messages a second.
+constexpr std::size_t largeFleetTargets = 3;
+constexpr std::size_t relayedMessages = 18;
 /// During this time after the start, messages ask for the addresses of all instances.
 constexpr Duration joinTime = std::chrono::seconds(2);
 /// Seeds and silent instances are tried once in so many messages.
@@ -25,7 +27,7 @@
     return log;
 }
 
-void shuffle(std::vector<std::string> &items, Random &random)
+template<typename Item> void shuffle(std::vector<Item> &items, Random &random)
 {
     for (std::size_t left = items.size(); left > 1; --left) {
         std::swap(items[left - 1], items[random.below(left)]);
@@ -116,9 +118,9 @@
 std::vector<std::string> Gossip::targets()
 {
     std::vector<std::string> addresses = this->context.members.aliveAddresses();
-    if (addresses.size() > mostTargets) {
+    if (addresses.size() > smallFleet) {
         shuffle(addresses, this->context.random);
-        addresses.resize(mostTargets);
+        addresses.resize(largeFleetTargets);
     }
     if (this->ticks % probeEvery == 0 || !this->isSettled()) {
         const auto silent = this->context.members.silentAddresses();
@@ -131,9 +133,32 @@
     return addresses;
 }
 
+std::vector<RelayedMessage> Gossip::someOthers()
+{
+    std::vector<const Member *> others = this->context.members.alive();
+    if (others.size() <= smallFleet) {
+        return {};
+    }
+    // Fresh words spread best, but the freshest few would be the same in each message.
+    std::sort(others.begin(), others.end(), [](const Member *left, const Member *right) {
+        return left->heardAt > right->heardAt;
+    });
+    others.resize(std::min(others.size(), 3 * relayedMessages));
+    shuffle(others, this->context.random);
+    others.resize(std::min(others.size(), relayedMessages));
+    std::vector<RelayedMessage> relayed;
+    for (const Member *member : others) {
+        // Rounded up: the message must not look newer than it is.
+        const Duration age = this->context.clock.now() - member->heardAt;
+        relayed.push_back({ toMilliseconds(age) + 1, member->latest });
+    }
+    return relayed;
+}
+
 void Gossip::tellAll()
 {
     FleetMessage message = this->compose();
+    message.relayed = this->someOthers();
     if (this->ticks % shareEvery == 0) {
         message.known = this->context.members.aliveAddresses();
     }
@@ -143,6 +168,47 @@
     }
     ++this->ticks;
     this->toldAt = this->context.clock.now();
+    this->askQuietOnes();
+}
+
+void Gossip::askQuietOnes()
+{
+    const std::vector<std::string> quiet = this->context.members.quietAddresses();
+    if (quiet.empty()) {
+        return;
+    }
+    FleetMessage question = this->compose();
+    question.asking = true;
+    const std::string bytes = encodeFleetMessage(question);
+    for (const std::string &address : quiet) {
+        this->context.sender.send(address, bytes);
+    }
+}
+
+bool Gossip::take(const FleetMessage &message, Duration age)
+{
+    if (!this->context.members.isNews(message, age)) {
+        return false;
+    }
+    const bool isNew = this->context.members.heard(message, age);
+    this->context.quota.noteUse(message.instance, message.incarnation, message.use, this->isSettled());
+    if (isNew) {
+        journal().info("Instance " + message.instance.value() + " at " + message.peerAddress + " is heard from.");
+        this->context.fleetChanged();
+    }
+    return isNew;
+}
+
+void Gossip::greet(const std::vector<std::string> &addresses)
+{
+    const std::string hello = encodeFleetMessage(this->compose());
+    const auto heard = this->context.members.aliveAddresses();
+    for (const std::string &address : addresses) {
+        const bool isKnown = std::find(heard.begin(), heard.end(), address) != heard.end();
+        if (!isKnown && address != this->settings.peerAddress) {
+            this->context.sender.send(address, hello);
+        }
+    }
 }
 
 void Gossip::received(const std::string &bytes)
@@ -156,27 +222,20 @@
     if (message.instance == this->settings.instance) {
         return;
     }
-    const bool isNew = this->context.members.heard(message);
-    this->context.quota.noteUse(message.instance, message.incarnation, message.use, this->isSettled());
-    if (isNew) {
-        journal().info("Instance " + message.instance.value() + " at " + message.peerAddress + " is heard from.");
-        this->context.fleetChanged();
+    const bool isNew = this->take(message, Duration::zero());
+    for (const RelayedMessage &relayed : message.relayed) {
+        this->take(relayed.message, Milliseconds(relayed.ageMs));
     }
-    if (isNew || message.joining) {
+    if (isNew || message.joining || message.asking) {
         FleetMessage answer = this->compose();
         answer.joining = false;
-        answer.known = this->context.members.aliveAddresses();
+        if (isNew || message.joining) {
+            answer.known = this->context.members.aliveAddresses();
+        }
         this->context.sender.send(message.peerAddress, encodeFleetMessage(answer));
     }
     if (!this->isSettled()) {
-        FleetMessage hello = this->compose();
-        const auto aliveAddresses = this->context.members.aliveAddresses();
-        for (const std::string &address : message.known) {
-            const bool known = std::find(aliveAddresses.begin(), aliveAddresses.end(), address) != aliveAddresses.end();
-            if (!known && address != this->settings.peerAddress) {
-                this->context.sender.send(address, encodeFleetMessage(hello));
-            }
-        }
+        this->greet(message.known);
     }
 }
 
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -36,9 +36,9 @@
 };
 
 /**
- * Keeps the instances of the fleet informed of each other: state, freshness, use of quotas. Each instance tells a
- * bounded number of others at a time, so its cost does not grow with the fleet.
- * Thread safety: none; used on the thread of the request loop.
+ * Keeps the instances of the fleet informed of each other: state, freshness, use of quotas. In a small fleet each tells
+ * all others; in a larger one each tells a few others, and passes on what some more have said, so that its cost does
+ * not grow with the fleet. Thread safety: none; used on the thread of the request loop.
  */
 class Gossip
 {
@@ -81,6 +81,10 @@
     void tellAll();
     std::vector<std::string> targets();
     void sweep();
+    void askQuietOnes();
+    std::vector<RelayedMessage> someOthers();
+    bool take(const FleetMessage &message, Duration age);
+    void greet(const std::vector<std::string> &addresses);
 
     GossipSettings settings;
     Context context;
--- a/Source/fleet/membertable.cpp
+++ b/Source/fleet/membertable.cpp
@@ -7,7 +7,8 @@
 {
 
 /// Several messages may be lost before an instance counts as silent.
-constexpr Duration silentAfter = Milliseconds(1700);
+constexpr Duration silentAfterInSmallFleet = Milliseconds(1700);
+constexpr Duration silentAfterInLargeFleet = Milliseconds(3500);
 /// A silent instance may be cut off and still serve; its share is set aside for this long.
 constexpr Duration forgottenAfter = std::chrono::seconds(20);
 /// An instance that said that it leaves has ended by then.
@@ -21,16 +22,33 @@
 {
 }
 
-bool MemberTable::heard(const FleetMessage &message)
+Duration MemberTable::silentAfter() const
 {
-    if (message.instance == this->self) {
+    return this->members.size() > smallFleet ? silentAfterInLargeFleet : silentAfterInSmallFleet;
+}
+
+bool MemberTable::isNews(const FleetMessage &message, Duration age) const
+{
+    const auto known = this->members.find(message.instance);
+    const TimePoint sentAt = this->clock.now() - age;
+    if (message.instance == this->self || age > this->silentAfter()) {
+        return false;
+    }
+    return known == this->members.end() || age == Duration::zero() || sentAt > known->second.heardAt;
+}
+
+bool MemberTable::heard(const FleetMessage &message, Duration age)
+{
+    if (!this->isNews(message, age)) {
         return false;
     }
     const auto [entry, added] = this->members.try_emplace(message.instance);
     Member &member = entry->second;
     const bool isNew = added || member.silent || member.latest.incarnation != message.incarnation;
     member.latest = message;
-    member.heardAt = this->clock.now();
+    member.latest.relayed.clear();
+    member.latest.known.clear();
+    member.heardAt = this->clock.now() - age;
     member.silent = false;
     return isNew;
 }
@@ -47,7 +65,7 @@
             entry = this->members.erase(entry);
             continue;
         }
-        if (!member.silent && quiet > silentAfter) {
+        if (!member.silent && quiet > this->silentAfter()) {
             member.silent = true;
             fellSilent.push_back(entry->first);
         }
@@ -87,6 +105,18 @@
     return addresses;
 }
 
+std::vector<std::string> MemberTable::quietAddresses() const
+{
+    const TimePoint now = this->clock.now();
+    std::vector<std::string> addresses;
+    for (const Member *member : this->alive()) {
+        if (2 * (now - member->heardAt) > this->silentAfter()) {
+            addresses.push_back(member->latest.peerAddress);
+        }
+    }
+    return addresses;
+}
+
 std::size_t MemberTable::heardCount() const
 {
     return this->alive().size() + 1;
--- a/Source/fleet/membertable.h
+++ b/Source/fleet/membertable.h
@@ -9,6 +9,9 @@
 namespace Lycheewall
 {
 
+/// Up to this number of other instances, each tells all others of itself; beyond it, most hear of it through others.
+constexpr std::size_t smallFleet = 12;
+
 /// An instance as this one knows it.
 struct Member
 {
@@ -27,8 +30,9 @@
 public:
     MemberTable(const Clock &clock, InstanceId self);
 
-    /// Returns true when the instance was unknown, silent, or has a new incarnation.
-    bool heard(const FleetMessage &message);
+    /// Takes a message that was sent @p age ago. Returns true when the instance was unknown, silent, or has a new
+    /// incarnation. Messages older than the last one of the instance are ignored.
+    bool heard(const FleetMessage &message, Duration age = Duration::zero());
 
     /// Marks silent instances and forgets those long gone. Returns the ones that fell silent now.
     std::vector<InstanceId> sweep();
@@ -36,15 +40,23 @@
     /// Instances that are heard from, this one excluded, in the order of their ids.
     std::vector<const Member *> alive() const;
 
-    /// Peer addresses of all instances that are not forgotten, silent ones too.
+    /// True when a message is newer than the last one of its instance.
+    bool isNews(const FleetMessage &message, Duration age) const;
+
+    /// Peer addresses of the instances that are heard from, and of the silent ones.
     std::vector<std::string> aliveAddresses() const;
     std::vector<std::string> silentAddresses() const;
 
+    /// Peer addresses of instances that count as silent soon if nothing is heard of them.
+    std::vector<std::string> quietAddresses() const;
+
     /// Instances heard from, and all that may still be running; this one included.
     std::size_t heardCount() const;
     std::size_t possibleCount() const;
 
 private:
+    Duration silentAfter() const;
+
     const Clock &clock;
     InstanceId self;
     std::map<InstanceId, Member> members;
--- /dev/null
+++ b/Tests/platform/platformtest.cpp
@@ -0,0 +1,265 @@
+#include "callerwire.h"
+#include "endpointwire.h"
+#include "entrydecoder.h"
+#include "platformsettings.h"
+#include "storefeed.h"
+#include "wirenames.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fstream>
+
+namespace Lycheewall::Platform
+{
+
+BOOST_AUTO_TEST_SUITE(PlatformTest)
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+const char *const configuration = R"({"Version":7,
+ "Routes":[
+  {"Name":"all","Host":"h.example","Prefix":"/a/","Kind":"idempotent","TimeoutMs":500,"TargetLatencyMs":50,
+   "Priority":2,"FanoutServices":["s1","s2"],"MaxAttempts":2,"TopK":5,"MinShardRatio":0.75,"Public":false},
+  {"Name":"split","Host":"h.example","Prefix":"/b/","Kind":"non_idempotent","TimeoutMs":4000,"TargetLatencyMs":400,
+   "Backends":[{"Service":"s1","Weight":1},{"Service":"s2","Weight":3}],"MaxAttempts":3,"Public":true}],
+ "Services":[{"Name":"s1","HealthCheckPath":"/health","MaxConnections":26,"WarmupS":3.0,"WarmupPerS":2.5},
+  {"Name":"s2","MaxConnections":26}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Priority":1,"RatePerS":81,"Burst":80}]})";
+
+const char *const server = R"({"Service":"s1","Address":"10.0.0.9:8080","Zone":"z","Version":"v1","Slots":2,
+ "State":"ready","WarmupLeftMs":1500,"Sequence":4,"born":1700000000123})";
+
+FeedChange decode(const std::string &key, const std::string &value, bool deleted = false)
+{
+    return EntryDecoder().decode({ key, value, 1, deleted });
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+HttpRequestMessage clientRequest()
+{
+    HttpRequestMessage message(http::verb::get, "/a/x?q=1", 11);
+    message.set(http::field::host, "H.example:80");
+    message.set(Names::Header::attemptId, "id-1");
+    message.set(Names::Header::deadlineMs, "500");
+    message.set(http::field::authorization, "Token k1");
+    message.set(Names::Header::tenant, "forged");
+    message.set(Names::Header::targetInstance, "forged");
+    message.set("X-Kept", "kept");
+    message.set(http::field::connection, "keep-alive, X-Hop");
+    message.set("X-Hop", "hop");
+    return message;
+}
+
+bool holds(const HeaderList &headers, const std::string &name)
+{
+    for (const auto &[field, value] : headers) {
+        if (boost::beast::iequals(field, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+}
+
+// Guards against fields of the configuration that are read as something else.
+BOOST_AUTO_TEST_CASE(readsTheConfiguration)
+{
+    const FeedChange change = decode("op/config", configuration);
+    BOOST_REQUIRE(std::holds_alternative<RouteTableChange>(change));
+    const RouteTable &table = *std::get<RouteTableChange>(change).table;
+    BOOST_TEST(table.version() == 7U);
+    BOOST_TEST((table.limits().idleTimeout == std::chrono::seconds(15)));
+    const Route *all = table.match("h.example", "/a/x");
+    BOOST_REQUIRE(all != nullptr);
+    BOOST_TEST(all->shards.size() == 2U);
+    BOOST_TEST(all->topRecords == 5U);
+    BOOST_TEST(all->minShardRatio == 0.75);
+    BOOST_TEST((all->objective == Milliseconds(50)));
+    BOOST_TEST((all->timeout == Milliseconds(500)));
+    BOOST_TEST((all->repeatability == Repeatability::Idempotent));
+    const Route *split = table.match("h.example", "/b/");
+    BOOST_TEST((split->repeatability == Repeatability::RunsOnce));
+    BOOST_TEST(split->open);
+    BOOST_TEST(split->maxAttempts == 3);
+    BOOST_TEST(split->services.at(1).weight == 3);
+    BOOST_TEST(table.service(ServiceId("s1"))->warmupPerSecond == 2.5);
+    BOOST_TEST((table.organisationOfKey("k2")->id == OrganisationId("t")));
+    BOOST_TEST(table.organisationOfKey("k3") == nullptr);
+}
+
+// Guards against a configuration that is not whole and comes into force.
+BOOST_AUTO_TEST_CASE(refusesBadConfigurations)
+{
+    for (const std::string &bad : { std::string("no json"),
+                                    std::string("[]"),
+                                    replaced(configuration, "\"Version\":7", "\"Version\":\"7\""),
+                                    replaced(configuration, "[\"s1\",\"s2\"]", "[\"s9\"]") }) {
+        BOOST_TEST(std::holds_alternative<IgnoredChange>(decode("op/config", bad)));
+    }
+    BOOST_TEST(std::holds_alternative<IgnoredChange>(decode("op/config", "", true)));
+}
+
+// Guards against requests to servers that other writers have entered.
+BOOST_AUTO_TEST_CASE(readsServersAndIgnoresOtherEntries)
+{
+    const FeedChange change = decode("servers/i-1", server);
+    BOOST_REQUIRE(std::holds_alternative<EndpointChange>(change));
+    const EndpointRecord &record = std::get<EndpointChange>(change).record;
+    BOOST_TEST((record.id == EndpointId("i-1")));
+    BOOST_TEST((record.warmupLeft == Milliseconds(1500)));
+    BOOST_TEST(record.bornMs == 1700000000123);
+    BOOST_TEST(!record.draining);
+    const FeedChange draining = decode("servers/i-1", replaced(server, "\"ready\"", "\"draining\""));
+    BOOST_TEST(std::get<EndpointChange>(draining).record.draining);
+    BOOST_TEST(std::holds_alternative<EndpointRemoval>(decode("servers/i-1", "", true)));
+    for (const std::string &bad : { replaced(server, "\"ready\"", "\"asleep\""),
+                                    replaced(server, "\"Slots\":2", "\"Slots\":\"2\""),
+                                    replaced(server, "\"Zone\":\"z\",", ""),
+                                    std::string("\xff\xfe") }) {
+        BOOST_TEST(std::holds_alternative<IgnoredChange>(decode("servers/i-2", bad)));
+    }
+    BOOST_TEST(std::holds_alternative<ZoneEvacuation>(decode("op/evacuate/z", "{}")));
+    BOOST_TEST(std::holds_alternative<ZoneReturn>(decode("op/evacuate/z", "", true)));
+    BOOST_TEST(std::holds_alternative<IgnoredChange>(decode("something/else", "{}")));
+}
+
+// Guards against a key, a forged organisation or a hop-by-hop field that reaches a server.
+BOOST_AUTO_TEST_CASE(forwardsOnlyWhatServersMaySee)
+{
+    const TimePoint now(std::chrono::seconds(9));
+    const auto request = CallerWire().decode(clientRequest(), now);
+    BOOST_REQUIRE(request);
+    BOOST_TEST(request.value()->host == "h.example");
+    BOOST_TEST(request.value()->key.value() == "k1");
+    BOOST_TEST((request.value()->deadline == now + Milliseconds(500)));
+    EndpointCall call;
+    call.request = request.value();
+    call.organisation = OrganisationId("t");
+    call.deadline = now + Milliseconds(450);
+    call.endpoint = std::make_shared<ServiceEndpoint>();
+    call.endpoint->record.id = EndpointId("i-1");
+    const HttpRequestMessage sent = EndpointWire().encode(call, now + Milliseconds(50));
+    BOOST_TEST(sent.target() == "/a/x?q=1");
+    BOOST_TEST(sent[Names::Header::attemptId] == "id-1");
+    BOOST_TEST(sent[Names::Header::deadlineMs] == "400");
+    BOOST_TEST(sent[Names::Header::tenant] == "t");
+    BOOST_TEST(sent[Names::Header::targetInstance] == "i-1");
+    BOOST_TEST(sent["X-Kept"] == "kept");
+    BOOST_TEST(sent.count(Names::Header::tenant) == 1U);
+    BOOST_TEST(sent.count(http::field::authorization) == 0U);
+    BOOST_TEST(sent.count("X-Hop") == 0U);
+}
+
+// Guards against answers of servers that are read wrongly: "not run" is stated by two signs only.
+BOOST_AUTO_TEST_CASE(readsServerAnswers)
+{
+    HttpResponseMessage message(http::status::ok, 11);
+    message.set(Names::Header::attemptId, "id-1");
+    message.set(Names::Header::serverStamp, "s.1");
+    message.set(Names::Header::serverLoad, "3,1,8");
+    message.set(http::field::keep_alive, "timeout=5");
+    message.body() = "body";
+    const EndpointResponseInfo info = EndpointWire().inspect(message);
+    BOOST_TEST(info.attemptId.value() == "id-1");
+    BOOST_TEST(info.load->waiting == 1);
+    BOOST_TEST(!info.notRun);
+    const EndpointAnswer answer = EndpointWire().decode(std::move(message));
+    BOOST_TEST(answer.stamp == "s.1");
+    BOOST_TEST(holds(answer.headers, Names::Header::serverStamp));
+    BOOST_TEST(!holds(answer.headers, "Keep-Alive"));
+    HttpResponseMessage shed(http::status::service_unavailable, 11);
+    BOOST_TEST(!EndpointWire().inspect(shed).notRun);
+    shed.set(Names::Header::notExecuted, "1");
+    BOOST_TEST(EndpointWire().inspect(shed).notRun);
+    const HttpResponseMessage other(http::status::misdirected_request, 11);
+    BOOST_TEST(EndpointWire().inspect(other).notRun);
+}
+
+// Guards against a status that promises "not run" for a request that may have run, and the reverse.
+BOOST_AUTO_TEST_CASE(statusTellsWhetherTheRequestRan)
+{
+    const auto status = [](Refusal refusal, bool notRun) {
+        ForwardReply reply;
+        reply.refusal = refusal;
+        reply.notRun = notRun;
+        reply.retryAfter = Milliseconds(250);
+        return CallerWire().encode(reply, nullptr);
+    };
+    BOOST_TEST(status(Refusal::OutcomeUnknown, false).result_int() == 502U);
+    BOOST_TEST(status(Refusal::DeadlineExceeded, false).result_int() == 504U);
+    BOOST_TEST(status(Refusal::EndpointShed, true).result_int() == 503U);
+    BOOST_TEST(status(Refusal::NotReady, true).result_int() == 503U);
+    BOOST_TEST(status(Refusal::RateExceeded, true).result_int() == 429U);
+    BOOST_TEST(status(Refusal::RateExceeded, true)[Names::Header::retryAfter] == "0.250");
+    BOOST_TEST(status(Refusal::KeyUnknown, true).result_int() == 401U);
+    BOOST_TEST(status(Refusal::UnknownRoute, true).result_int() == 404U);
+}
+
+// Guards against a merged answer whose coverage is not stated.
+BOOST_AUTO_TEST_CASE(mergedAnswerStatesItsCoverage)
+{
+    ForwardReply reply;
+    reply.merged = MergedAnswer { { "s.1", "s.2" }, 3, "records" };
+    const HttpResponseMessage message = CallerWire().encode(reply, nullptr);
+    BOOST_TEST(message[Names::Header::partStamps] == "s.1, s.2");
+    BOOST_TEST(message[Names::Header::missingParts] == "3");
+    BOOST_TEST(message.body() == "records");
+}
+
+// Guards against entries of the store that are lost or cut on decoding.
+BOOST_AUTO_TEST_CASE(readsTheStore)
+{
+    const auto page = decodeRange(R"({"items":[{"Key":"k","Value":"bm9kZS0x","Revision":4,"Created":2,"Lease":0},
+        {"Key":"l","Value":"YQ==","Revision":5}],"HasMore":true,"At":9})");
+    BOOST_REQUIRE(page);
+    BOOST_TEST(page.value().items.at(0).value == "node-1");
+    BOOST_TEST(page.value().items.at(1).value == "a");
+    BOOST_TEST(page.value().more);
+    BOOST_TEST(page.value().at == 9U);
+    const auto batch = decodeWatch(R"({"events":[{"Key":"k","Revision":10,"Deleted":true}],"At":11})");
+    BOOST_REQUIRE(batch);
+    BOOST_TEST(batch.value().events.at(0).deleted);
+    BOOST_TEST((decodeRange("{}").error() == FeedError::BadAnswer));
+    BOOST_TEST((decodeWatch("cut").error() == FeedError::BadAnswer));
+}
+
+// Guards against settings that are read wrongly, and against a bad change that takes the place of good settings.
+BOOST_AUTO_TEST_CASE(readsSettingsAndKeepsTheLastGoodOnes)
+{
+    const std::string path = "/tmp/lycheewall-platformtest-" + std::to_string(::getpid()) + ".yaml";
+    const auto write = [&path](const std::string &text) {
+        std::ofstream(path) << text;
+    };
+    const std::string text = "NodeName: n1\nIp: 10.1.0.17\nZone: z\nListenAddresses: {Front: '10.1.0.17:1', Ready: "
+                             "'10.1.0.17:2', directory: '10.1.0.17:3'}\nInternalPortRange: [7740, 7755]\nSeedNodes: "
+                             "['10.2.0.28:8360']\nBounds: {RevocationMs: 5000, BudgetSlack: 56, GracePeriodS: "
+                             "6}\nplatform: {Address: '10.200.1.7:8361'}\n";
+    write(text);
+    PlatformSettingsFile file(path);
+    const auto settings = file.read();
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings.value().gateway.peerAddress == "10.1.0.17:7740");
+    BOOST_TEST(settings.value().gateway.seeds.at(0) == "10.2.0.28:7740");
+    BOOST_TEST(settings.value().gateway.repeats.slack == 56);
+    BOOST_TEST((settings.value().gateway.forwarding.keyFreshness < std::chrono::seconds(5)));
+    BOOST_TEST(!file.changed());
+    write(text + "New: field\n");
+    BOOST_TEST(file.changed().has_value());
+    write("NodeName: n1\n");
+    BOOST_TEST(!file.changed());
+    std::remove(path.c_str());
+    BOOST_TEST(!file.read());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
