--- /dev/null
+++ b/Source/core/latencyhistogram.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace Lycheewall
+{
+
+/**
+ * Counts durations in fixed buckets.
+ * Thread safety: any thread, lock-free.
+ */
+class LatencyHistogram
+{
+public:
+    void note(Duration duration);
+
+    /// The histogram as @p name in the usual text exposition format, bounds in milliseconds.
+    std::string exposition(const std::string &name) const;
+
+private:
+    static constexpr std::array<int, 12> boundsMs { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000 };
+
+    std::array<std::atomic<std::uint64_t>, boundsMs.size() + 1> counts {};
+    std::atomic<std::uint64_t> sumMicroseconds { 0 };
+};
+
+}
--- a/Source/core/log.h
+++ b/Source/core/log.h
@@ -25,8 +25,11 @@
     /// The logger of a part, made on first use; it lives until the process ends.
     static Log &part(const std::string &name);
 
-    /// Directs all loggers to standard error through log4cxx. Defined in the runtime library only.
-    static void configure(LogLevel level);
+    enum class Output { StandardError, StandardOutput };
+
+    /// Directs all loggers to @p output through log4cxx. Lines to standard output are written by a thread of their own
+    /// and dropped when it falls behind. Defined in the runtime library only.
+    static void configure(LogLevel level, Output output = Output::StandardError);
 
     /// Drops messages below @p level from now on.
     static void setLevel(LogLevel level);
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -185,6 +185,7 @@
         return;
     }
     this->exchange.reset();
+    this->context.durations.note(this->context.clock.now() - this->request->arrivedAt);
     this->write(this->context.dialect.encode(reply, this->request.get()), this->keepAlive);
 }
 
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/counters.h"
+#include "core/latencyhistogram.h"
 #include "forwarding/forwarder.h"
 #include "gateway/dialect.h"
 
@@ -20,6 +21,8 @@
     Counters &counters;
     Forwarder &forwarder;
     const CallerDialect &dialect;
+    /// Time from a whole request to its final answer.
+    LatencyHistogram &durations;
     /// True while the instance leaves: each answer closes its connection.
     bool leaving = false;
     /// Requests that were read and are not yet answered.
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -72,7 +72,7 @@
                } })
     , directory(members)
     , feedServer(timers, replica, freshness)
-    , frontContext { clock, counters, forwarder, dialects.callers }
+    , frontContext { clock, counters, forwarder, dialects.callers, durations }
     , signals(io)
 {
     this->replica.setListener([this](const FeedEvent &event) { this->live.apply(event); });
@@ -208,7 +208,9 @@
 
 void Gateway::answerMetrics(const SideServer::Respond &respond)
 {
-    respond({ statusOk, "text/plain; version=0.0.4", this->counters.exposition() });
+    respond({ statusOk,
+              "text/plain; version=0.0.4",
+              this->counters.exposition() + this->durations.exposition("lycheewall_front_duration_ms") });
 }
 
 void Gateway::awaitSignal()
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -75,6 +75,7 @@
     BootTimeClock clock;
     AsioTimerService timers;
     Counters counters;
+    LatencyHistogram durations;
     Random random;
     EndpointSet endpoints;
     EndpointChooser chooser;
--- a/Source/runtime/logoutput.cpp
+++ b/Source/runtime/logoutput.cpp
@@ -1,5 +1,6 @@
 #include "core/log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
@@ -10,6 +11,9 @@
 namespace
 {
 
+/// Lines that wait for a slow reader of the output.
+constexpr int queuedLines = 1024;
+
 log4cxx::LevelPtr outputLevel(LogLevel level)
 {
     switch (level) {
@@ -32,13 +36,23 @@
 
 }
 
-void Log::configure(LogLevel level)
+void Log::configure(LogLevel level, Output output)
 {
+    const bool isAsync = output == Output::StandardOutput;
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c: %m%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto target = isAsync ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr();
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, target);
     const auto root = log4cxx::LogManager::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    if (isAsync) {
+        const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+        queue->setBufferSize(queuedLines);
+        queue->setBlocking(false);
+        queue->addAppender(console);
+        root->addAppender(queue);
+    } else {
+        root->addAppender(console);
+    }
     root->setLevel(log4cxx::Level::getAll());
     Log::setLevel(level);
     Log::setSink(&writeLine);
