Forwarding: Let an instance near the endpoints collect far parts

Change: shards without a sound endpoint in the zone are asked for together at an instance of a zone that has most of them, by one datagram; it answers with the stamps and the merged records. A silent instance is replaced by direct calls from the budget at half of the objective; another version of the routes refuses; the end of the wait cancels the work.

The test of a late answer beside direct parts failed first: without budget the parts were given up at once.

--- /dev/null
+++ b/Source/fleet/datagramkind.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace Lycheewall::DatagramKind
+{
+
+/// First byte of datagrams that are no fleet message; those begin with a CBOR map.
+const std::string relayQuestion = "Q";
+const std::string relayAnswer = "A";
+/// Followed by the CBOR form of the reply address and the id of the question.
+const std::string relayCancel = "C";
+
+}
--- /dev/null
+++ b/Source/fleet/relayclient.cpp
@@ -0,0 +1,147 @@
+#include "fleet/relayclient.h"
+
+#include "fleet/datagramkind.h"
+#include "forwarding/relaymessage.h"
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+/// Fewer parts than this are asked for directly.
+constexpr std::size_t leastParts = 2;
+/// Larger questions would be split on the way and lost more often.
+constexpr std::size_t largestQuestion = 1200;
+/// An instance that did not answer in time is not asked for this long.
+constexpr Duration avoidance = std::chrono::seconds(1);
+
+}
+
+/// Forgets the callback when the exchange has ended, and tells the other instance if it still works on the question.
+class RelayClient::Wait : public RelayWait
+{
+public:
+    Wait(RelayClient &relayClient, std::uint64_t questionId, std::string peerAddress)
+        : client(relayClient)
+        , id(questionId)
+        , address(std::move(peerAddress))
+    {
+    }
+    ~Wait() override
+    {
+        if (this->client.waiting.erase(this->id) > 0) {
+            const RelayCancel cancel { this->client.replyAddress, this->id };
+            this->client.context.sender.send(this->address, DatagramKind::relayCancel + encodeRelayCancel(cancel));
+        }
+    }
+
+private:
+    RelayClient &client;
+    std::uint64_t id;
+    std::string address;
+};
+
+RelayClient::RelayClient(const Context &relayContext, std::string ownAddress, ZoneId ownZone)
+    : context(relayContext)
+    , replyAddress(std::move(ownAddress))
+    , zone(std::move(ownZone))
+    , nextId(relayContext.random.bits())
+{
+}
+
+std::optional<RelayTarget> RelayClient::choose(const std::vector<ServiceId> &services)
+{
+    std::map<ZoneId, std::vector<ServiceId>> byZone;
+    for (const ServiceId &service : services) {
+        for (const ZoneId &endpointZone : this->context.endpoints.zonesOf(service)) {
+            byZone[endpointZone].push_back(service);
+        }
+    }
+    byZone.erase(this->zone);
+    std::optional<RelayTarget> best;
+    for (const auto &[endpointZone, covered] : byZone) {
+        const bool isBetter = covered.size() >= leastParts && (!best || covered.size() > best->services.size());
+        const Member *member = isBetter ? this->instanceIn(endpointZone) : nullptr;
+        if (member != nullptr) {
+            best = RelayTarget { member->latest.instance, covered };
+        }
+    }
+    return best;
+}
+
+const Member *RelayClient::instanceIn(const ZoneId &wanted) const
+{
+    const TimePoint now = this->context.clock.now();
+    std::vector<const Member *> usable;
+    for (const Member *member : this->context.members.alive()) {
+        const auto avoided = this->avoidedUntil.find(member->latest.instance);
+        const bool isAvoided = avoided != this->avoidedUntil.end() && now < avoided->second;
+        if (member->latest.zone == wanted && member->latest.state == MemberState::Ready && !isAvoided) {
+            usable.push_back(member);
+        }
+    }
+    return usable.empty() ? nullptr : usable[this->context.random.below(usable.size())];
+}
+
+std::unique_ptr<RelayWait>
+RelayClient::ask(const RelayTarget &target, const AdmittedRequest &admitted, Answered answered)
+{
+    const CallerRequest &request = *admitted.request;
+    const TimePoint now = this->context.clock.now();
+    RelayQuestion question;
+    question.id = this->nextId++;
+    question.replyAddress = this->replyAddress;
+    question.tableVersion = admitted.table->version();
+    question.route = admitted.route->name;
+    question.services = target.services;
+    question.organisation = admitted.organisation;
+    question.attemptId = request.attemptId;
+    question.method = request.method;
+    question.host = request.host;
+    question.target = request.target;
+    question.headers = request.headers;
+    question.body = request.body;
+    question.elapsedMs = toMilliseconds(now - request.arrivedAt);
+    question.leftMs = toMilliseconds(admitted.deadline - now);
+    const std::string bytes = encodeRelayQuestion(question);
+    if (bytes.size() > largestQuestion) {
+        return nullptr;
+    }
+    for (const Member *member : this->context.members.alive()) {
+        if (member->latest.instance == target.instance) {
+            this->waiting[question.id] = std::move(answered);
+            this->context.counters.counter("lycheewall_relay_questions_total").add();
+            this->context.sender.send(member->latest.peerAddress, DatagramKind::relayQuestion + bytes);
+            return std::make_unique<Wait>(*this, question.id, member->latest.peerAddress);
+        }
+    }
+    return nullptr;
+}
+
+void RelayClient::noteSilence(const InstanceId &instance)
+{
+    this->context.counters.counter("lycheewall_relay_silences_total").add();
+    this->avoidedUntil[instance] = this->context.clock.now() + avoidance;
+}
+
+void RelayClient::received(const std::string &bytes)
+{
+    const auto decoded = decodeRelayAnswer(bytes);
+    if (!decoded) {
+        this->context.counters.counter("lycheewall_fleet_bad_messages_total", decoded.error().message()).add();
+        return;
+    }
+    const auto entry = this->waiting.find(decoded.value().first);
+    if (entry == this->waiting.end()) {
+        return;
+    }
+    // The callback may end the wait, and with it the entry.
+    const Answered callback = entry->second;
+    if (decoded.value().second.isLast) {
+        this->waiting.erase(entry);
+    }
+    callback(decoded.value().second);
+}
+
+}
--- /dev/null
+++ b/Source/fleet/relayclient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/counters.h"
+#include "core/random.h"
+#include "fleet/gossip.h"
+#include "forwarding/forwardingcontext.h"
+#include "forwarding/partrelay.h"
+
+#include <map>
+
+namespace Lycheewall
+{
+
+/**
+ * Asks other instances to collect parts, by datagrams. A lost datagram looks like an instance that does not answer.
+ * Thread safety: none; used on the thread of the request loop.
+ */
+class RelayClient : public PartRelay
+{
+public:
+    struct Context
+    {
+        const Clock &clock;
+        Counters &counters;
+        Random &random;
+        DatagramSender &sender;
+        const MemberTable &members;
+        const EndpointSet &endpoints;
+    };
+
+    /// @p replyAddress is this instance's peer address.
+    RelayClient(const Context &context, std::string replyAddress, ZoneId ownZone);
+
+    std::optional<RelayTarget> choose(const std::vector<ServiceId> &services) override;
+    std::unique_ptr<RelayWait>
+    ask(const RelayTarget &target, const AdmittedRequest &request, Answered answered) override;
+    void noteSilence(const InstanceId &instance) override;
+
+    /// Takes an answer that arrived; @p bytes without the kind of the datagram.
+    void received(const std::string &bytes);
+
+private:
+    class Wait;
+
+    const Member *instanceIn(const ZoneId &zone) const;
+
+    Context context;
+    std::string replyAddress;
+    ZoneId zone;
+    std::uint64_t nextId;
+    std::map<std::uint64_t, Answered> waiting;
+    std::map<InstanceId, TimePoint> avoidedUntil;
+};
+
+}
--- /dev/null
+++ b/Source/fleet/relayserver.cpp
@@ -0,0 +1,213 @@
+#include "fleet/relayserver.h"
+
+#include "fleet/datagramkind.h"
+#include "forwarding/servicecall.h"
+#include "forwarding/topmerge.h"
+
+#include <algorithm>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+/// The last answer leaves this much before the asking instance gives up a part.
+constexpr Duration wayBack = Milliseconds(11);
+
+const Route *routeNamed(const RouteTable &table, const std::string &name)
+{
+    for (const Route &route : table.routes()) {
+        if (route.name == name) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+CallerRequestPtr requestOf(const RelayQuestion &question, TimePoint now)
+{
+    const auto request = std::make_shared<CallerRequest>();
+    request->attemptId = question.attemptId;
+    request->method = question.method;
+    request->host = question.host;
+    request->target = question.target;
+    request->headers = question.headers;
+    request->body = question.body;
+    request->arrivedAt = now - Milliseconds(question.elapsedMs);
+    request->deadline = now + Milliseconds(question.leftMs);
+    return request;
+}
+
+}
+
+/// The parts of one question.
+class RelayServer::Collection : public std::enable_shared_from_this<Collection>
+{
+public:
+    Collection(ForwardingContext &forwardingContext, DatagramSender &datagrams, const RelayQuestion &relayQuestion)
+        : context(forwardingContext)
+        , sender(datagrams)
+        , question(relayQuestion)
+    {
+    }
+
+    void start(const AdmittedRequest &request)
+    {
+        const auto self = this->shared_from_this();
+        this->admitted = request;
+        this->open = this->question.services.size();
+        for (const ServiceId &service : this->question.services) {
+            this->calls.push_back(
+                ServiceCall::start(this->context, request, service, [self, service](const ServiceResult &result) {
+                    self->partEnded(service, result);
+                }));
+        }
+        if (this->open == 0) {
+            return;
+        }
+        const TimePoint now = this->context.clock.now();
+        const TimePoint objective = request.request->arrivedAt + request.route->objective;
+        const TimePoint early = request.request->arrivedAt + request.route->objective / 2 - wayBack;
+        this->earlyTimer
+            = this->context.timers.after(std::max(early - now, Duration::zero()), [self] { self->send(false); });
+        const TimePoint end = std::max(objective - wayBack, now);
+        this->endTimer = this->context.timers.after(end - now, [self] { self->sendAvailable(); });
+        this->deadlineTimer = this->context.timers.after(request.deadline - now, [self] { self->abandon(); });
+    }
+
+    void abandon()
+    {
+        const auto self = this->shared_from_this();
+        for (const auto &call : this->calls) {
+            call->abandon();
+        }
+        this->end();
+    }
+
+private:
+    void partEnded(const ServiceId &service, const ServiceResult &result)
+    {
+        --this->open;
+        if (result.success) {
+            this->parts.push_back({ service, result.answer->stamp });
+            this->bodies.push_back(result.answer->body);
+        }
+        if (this->open == 0) {
+            this->send(true);
+            this->end();
+        }
+    }
+
+    void send(bool isLast)
+    {
+        RelayAnswer answer;
+        answer.parts = std::move(this->parts);
+        const std::vector<std::string_view> views(this->bodies.begin(), this->bodies.end());
+        answer.records = mergeTopRecords(views, this->admitted.route->topRecords);
+        answer.isLast = isLast;
+        this->parts.clear();
+        this->bodies.clear();
+        this->sender.send(this->question.replyAddress,
+                          DatagramKind::relayAnswer + encodeRelayAnswer(this->question.id, answer));
+    }
+
+    /// Work on missing parts goes on: a query may wait for its coverage beyond the objective.
+    void sendAvailable()
+    {
+        if (!this->parts.empty()) {
+            this->send(false);
+        }
+    }
+
+    void end()
+    {
+        this->earlyTimer.reset();
+        this->endTimer.reset();
+        this->deadlineTimer.reset();
+        this->calls.clear();
+    }
+
+    ForwardingContext &context;
+    DatagramSender &sender;
+    RelayQuestion question;
+    AdmittedRequest admitted;
+    std::vector<std::shared_ptr<ServiceCall>> calls;
+    std::size_t open = 0;
+    std::vector<RelayAnswer::Part> parts;
+    std::vector<std::string> bodies;
+    Subscription earlyTimer;
+    Subscription endTimer;
+    Subscription deadlineTimer;
+};
+
+RelayServer::RelayServer(ForwardingContext &forwardingContext,
+                         const Forwarder &tableOwner,
+                         DatagramSender &datagramSender)
+    : context(forwardingContext)
+    , forwarder(tableOwner)
+    , sender(datagramSender)
+{
+}
+
+void RelayServer::refuse(const RelayQuestion &question)
+{
+    RelayAnswer refusal;
+    refusal.isLast = true;
+    refusal.isRefused = true;
+    this->context.counters.counter("lycheewall_relay_refusals_total").add();
+    this->sender.send(question.replyAddress, DatagramKind::relayAnswer + encodeRelayAnswer(question.id, refusal));
+}
+
+void RelayServer::cancelled(const std::string &bytes)
+{
+    const auto decoded = decodeRelayCancel(bytes);
+    if (!decoded) {
+        this->context.counters.counter("lycheewall_fleet_bad_messages_total", decoded.error().message()).add();
+        return;
+    }
+    const auto entry = this->collections.find({ decoded.value().replyAddress, decoded.value().id });
+    if (entry == this->collections.end()) {
+        return;
+    }
+    if (const auto collection = entry->second.lock()) {
+        collection->abandon();
+    }
+    this->collections.erase(entry);
+}
+
+void RelayServer::received(const std::string &bytes)
+{
+    const auto decoded = decodeRelayQuestion(bytes);
+    if (!decoded) {
+        this->context.counters.counter("lycheewall_fleet_bad_messages_total", decoded.error().message()).add();
+        return;
+    }
+    const RelayQuestion &question = decoded.value();
+    const auto &table = this->forwarder.table();
+    const bool sameTable = table && table->version() == question.tableVersion;
+    const Route *route = sameTable ? routeNamed(*table, question.route) : nullptr;
+    if (route == nullptr || question.leftMs <= 0) {
+        this->refuse(question);
+        return;
+    }
+    AdmittedRequest admitted;
+    admitted.request = requestOf(question, this->context.clock.now());
+    admitted.table = table;
+    admitted.route = route;
+    admitted.organisation = question.organisation;
+    admitted.deadline = admitted.request->deadline;
+    this->forgetEnded();
+    const auto collection = std::make_shared<Collection>(this->context, this->sender, question);
+    this->collections[{ question.replyAddress, question.id }] = collection;
+    collection->start(admitted);
+}
+
+void RelayServer::forgetEnded()
+{
+    for (auto entry = this->collections.begin(); entry != this->collections.end();) {
+        entry = entry->second.expired() ? this->collections.erase(entry) : std::next(entry);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/fleet/relayserver.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "fleet/gossip.h"
+#include "forwarding/forwarder.h"
+#include "forwarding/relaymessage.h"
+
+#include <map>
+
+namespace Lycheewall
+{
+
+/**
+ * Collects parts for other instances: asks the shards as for an own request and answers with the merged parts. When
+ * some are still missing at half of the objective, a first answer is sent with the others, so that the asking instance
+ * knows that this one works on the rest.
+ * Thread safety: none; used on the thread of the request loop.
+ */
+class RelayServer
+{
+public:
+    RelayServer(ForwardingContext &context, const Forwarder &forwarder, DatagramSender &sender);
+
+    /// Takes a question that arrived; @p bytes without the kind of the datagram.
+    void received(const std::string &bytes);
+
+    /// Takes word that nobody waits for an answer any more; @p bytes without the kind of the datagram.
+    void cancelled(const std::string &bytes);
+
+private:
+    class Collection;
+
+    void refuse(const RelayQuestion &question);
+    void forgetEnded();
+
+    ForwardingContext &context;
+    const Forwarder &forwarder;
+    DatagramSender &sender;
+    /// By reply address and id of the question.
+    std::map<std::pair<std::string, std::uint64_t>, std::weak_ptr<Collection>> collections;
+};
+
+}
--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -75,6 +75,17 @@
     return best;
 }
 
+bool EndpointChooser::hasNearEndpoint(const ServiceId &service, TimePoint now) const
+{
+    for (const EndpointPtr &endpoint : this->endpoints.ofService(service)) {
+        const bool isSound = !endpoint->stats.isSuspect(now) && !endpoint->stats.isAvoided(now);
+        if (endpoint->record.zone == this->zone && this->endpoints.takesWork(*endpoint) && isSound) {
+            return true;
+        }
+    }
+    return false;
+}
+
 Duration EndpointChooser::expectedTime(const ServiceEndpoint &endpoint, Duration usual, TimePoint now)
 {
     const double cold = now < endpoint.coldUntil ? coldFactor : 1;
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -36,6 +36,9 @@
     /// endpoint takes work.
     std::optional<Duration> estimate(const ServiceId &service, Duration usual, TimePoint now) const;
 
+    /// True when the service has an endpoint in this zone that takes work and is neither suspect nor avoided.
+    bool hasNearEndpoint(const ServiceId &service, TimePoint now) const;
+
     /// Time that a request should take at @p endpoint with the load as known, if the endpoint is not slow.
     static Duration expectedTime(const ServiceEndpoint &endpoint, Duration usual, TimePoint now);
 
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -16,6 +16,10 @@
 /// An answer at the objective leaves this much earlier, for the way between the caller and this instance, both ways.
 constexpr Duration callerWay = Milliseconds(8);
 constexpr Duration deadlineMargin = Milliseconds(5);
+/// Pause between tries to ask directly for parts that a silent instance was to collect, and the multiple of the
+/// objective after which such parts are given up.
+constexpr Duration silentPause = Milliseconds(10);
+constexpr int silentObjectives = 2;
 constexpr double typicalShare = 0.5;
 /// Without measurements, the usual time of a request is taken as this part of the objective.
 constexpr int objectiveParts = 8;
@@ -27,7 +31,7 @@
 std::shared_ptr<Exchange> FanoutExchange::start(ForwardingContext &context, const AdmittedRequest &request, Done done)
 {
     const std::shared_ptr<FanoutExchange> exchange(new FanoutExchange(context, request, std::move(done)));
-    exchange->startCalls();
+    exchange->startParts();
     if (!exchange->finished) {
         exchange->armTimers();
     }
@@ -38,7 +42,9 @@
     : context(exchangeContext)
     , request(std::move(admitted))
     , done(std::move(callback))
+    , calls(this->request.route->shards.size())
     , parts(this->request.route->shards.size())
+    , states(this->request.route->shards.size(), PartState::Open)
 {
 }
 
@@ -47,8 +53,7 @@
     const Route &route = *this->request.route;
     const TimePoint now = this->context.clock.now();
     const Duration left = this->request.request->arrivedAt + route.objective - callerWay - now;
-    const Duration usual
-        = this->context.latencies.quantile(route.name, typicalShare, route.objective / objectiveParts);
+    const Duration usual = this->context.latencies.quantile(route.name, typicalShare, route.objective / objectiveParts);
     std::multimap<Duration, std::size_t, std::greater<>> late;
     for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
         const auto time = this->context.chooser.estimate(route.shards[shard], usual, now);
@@ -65,29 +70,148 @@
     return hopeless;
 }
 
-void FanoutExchange::startCalls()
+void FanoutExchange::startParts()
 {
-    const std::vector<ServiceId> &shards = this->request.route->shards;
     const std::set<std::size_t> hopeless = this->hopelessShards();
-    this->calls.resize(shards.size());
-    for (std::size_t shard = 0; shard < shards.size() && !this->finished; ++shard) {
+    const std::set<std::size_t> others = this->startRelay(hopeless);
+    for (std::size_t shard = 0; shard < this->states.size() && !this->finished; ++shard) {
         if (hopeless.count(shard) > 0) {
             this->context.counters.counter("lycheewall_forwarding_parts_not_asked_total").add();
             ServiceResult result;
             result.reason = Refusal::QueueFull;
             this->partEnded(shard, result);
+        } else if (others.count(shard) == 0) {
+            this->startCall(shard, false);
+        }
+    }
+}
+
+void FanoutExchange::startCall(std::size_t shard, bool isRepeat)
+{
+    const ServiceId &service = this->request.route->shards[shard];
+    const auto done = [self = this->shared_from_this(), shard](const ServiceResult &result) {
+        self->partEnded(shard, result);
+    };
+    auto call = isRepeat ? ServiceCall::startRepeat(this->context, this->request, service, done)
+                         : ServiceCall::start(this->context, this->request, service, done);
+    if (this->finished) {
+        call->abandon();
+        return;
+    }
+    this->calls[shard] = std::move(call);
+}
+
+std::set<std::size_t> FanoutExchange::startRelay(const std::set<std::size_t> &hopeless)
+{
+    if (this->context.relay == nullptr) {
+        return {};
+    }
+    const std::vector<ServiceId> &shards = this->request.route->shards;
+    const TimePoint now = this->context.clock.now();
+    std::vector<ServiceId> far;
+    for (std::size_t shard = 0; shard < shards.size(); ++shard) {
+        if (hopeless.count(shard) == 0 && !this->context.chooser.hasNearEndpoint(shards[shard], now)) {
+            far.push_back(shards[shard]);
+        }
+    }
+    const auto target = this->context.relay->choose(far);
+    if (!target) {
+        return {};
+    }
+    this->relayWait
+        = this->context.relay->ask(*target, this->request, [weak = this->weak_from_this()](const RelayAnswer &answer) {
+              if (const auto self = weak.lock()) {
+                  self->relayAnswered(answer);
+              }
+          });
+    if (!this->relayWait) {
+        return {};
+    }
+    this->relayInstance = target->instance;
+    for (const ServiceId &service : target->services) {
+        this->relayed.insert(this->shardOf(service));
+    }
+    const Duration silence = this->request.route->objective / 2;
+    this->relayTimer = this->context.timers.after(silence, [self = this->shared_from_this()] { self->relaySilent(); });
+    return this->relayed;
+}
+
+std::size_t FanoutExchange::shardOf(const ServiceId &service) const
+{
+    const std::vector<ServiceId> &shards = this->request.route->shards;
+    return static_cast<std::size_t>(std::find(shards.begin(), shards.end(), service) - shards.begin());
+}
+
+void FanoutExchange::relayAnswered(const RelayAnswer &answer)
+{
+    if (this->finished) {
+        return;
+    }
+    this->relayTimer.reset();
+    this->relayEnded = answer.isLast;
+    this->mayHaveRun = this->mayHaveRun || !answer.isRefused;
+    // The records of these parts came merged, so they replace what was asked for directly meanwhile.
+    bool isFirst = true;
+    for (const RelayAnswer::Part &part : answer.parts) {
+        const std::size_t shard = this->shardOf(part.service);
+        if (this->relayed.count(shard) == 0) {
             continue;
         }
-        auto call = ServiceCall::start(
-            this->context, this->request, shards[shard], [self = this->shared_from_this(), shard](const auto &result) {
-                self->partEnded(shard, result);
-            });
+        this->parts[shard] = EndpointAnswer();
+        this->parts[shard].stamp = part.stamp;
+        if (isFirst) {
+            this->parts[shard].body = answer.records;
+            isFirst = false;
+        }
+        this->setState(shard, PartState::Answered);
+    }
+    const std::set<std::size_t> mine = this->relayed;
+    for (const std::size_t shard : mine) {
+        const bool isMissing = answer.isLast && this->awaitsRelay(shard);
+        if (isMissing && answer.isRefused) {
+            this->startCall(shard, false);
+        } else if (isMissing) {
+            this->setState(shard, PartState::Failed);
+        }
         if (this->finished) {
-            call->abandon();
             return;
         }
-        this->calls[shard] = std::move(call);
     }
+    this->replyIfDone();
+}
+
+bool FanoutExchange::awaitsRelay(std::size_t shard) const
+{
+    const bool isRunning = this->calls[shard] && !this->calls[shard]->isFinished();
+    return this->states[shard] == PartState::Open && !isRunning;
+}
+
+void FanoutExchange::relaySilent()
+{
+    if (this->finished) {
+        return;
+    }
+    this->context.relay->noteSilence(this->relayInstance);
+    this->mayHaveRun = true;
+    this->askForSilentParts();
+}
+
+void FanoutExchange::askForSilentParts()
+{
+    const TimePoint giveUp = this->request.request->arrivedAt + silentObjectives * this->request.route->objective;
+    this->relayEnded = this->context.clock.now() >= giveUp;
+    const std::set<std::size_t> mine = this->relayed;
+    for (const std::size_t shard : mine) {
+        if (!this->finished && this->awaitsRelay(shard)) {
+            this->startCall(shard, true);
+        }
+    }
+    if (this->finished || this->relayEnded) {
+        return;
+    }
+    // Without budget the parts stay open; budget may come, or the other instance may answer after all.
+    this->relayTimer
+        = this->context.timers.after(silentPause, [self = this->shared_from_this()] { self->askForSilentParts(); });
 }
 
 void FanoutExchange::armTimers()
@@ -102,19 +226,38 @@
         = this->context.timers.after(std::max(deadline - now, Duration::zero()), [self] { self->deadlineReached(); });
 }
 
+void FanoutExchange::setState(std::size_t shard, PartState state)
+{
+    if (this->states[shard] == PartState::Answered || this->states[shard] == state) {
+        return;
+    }
+    if (this->states[shard] == PartState::Failed) {
+        --this->failed;
+    }
+    this->states[shard] = state;
+    ++(state == PartState::Answered ? this->answered : this->failed);
+}
+
 void FanoutExchange::partEnded(std::size_t shard, const ServiceResult &result)
 {
-    if (this->finished) {
+    if (this->finished || this->states[shard] == PartState::Answered) {
         return;
     }
     this->mayHaveRun = this->mayHaveRun || result.mayHaveRun;
     if (result.success) {
-        this->parts[shard] = result.answer;
-        ++this->answered;
+        this->parts[shard] = *result.answer;
+        this->setState(shard, PartState::Answered);
+    } else if (this->relayed.count(shard) > 0 && !this->relayEnded) {
+        return;
     } else {
-        ++this->failed;
+        this->setState(shard, PartState::Failed);
         this->reason = result.reason;
     }
+    this->replyIfDone();
+}
+
+void FanoutExchange::replyIfDone()
+{
     if (!this->canCoverEnough()) {
         this->replyRefusal();
         return;
@@ -167,10 +310,10 @@
 {
     MergedAnswer merged;
     std::vector<std::string_view> bodies;
-    for (const auto &part : this->parts) {
-        if (part) {
-            merged.stamps.push_back(part->stamp);
-            bodies.push_back(part->body);
+    for (std::size_t shard = 0; shard < this->parts.size(); ++shard) {
+        if (this->states[shard] == PartState::Answered) {
+            merged.stamps.push_back(this->parts[shard].stamp);
+            bodies.push_back(this->parts[shard].body);
         }
     }
     merged.missingParts = this->parts.size() - merged.stamps.size();
@@ -199,13 +342,21 @@
 
 std::string FanoutExchange::describeMissing() const
 {
-    std::string text = "route=" + this->request.route->name + " version=" + std::to_string(this->request.table->version())
-        + " parts=" + std::to_string(this->answered) + '/' + std::to_string(this->parts.size()) + " missing=";
+    std::string text = "route=" + this->request.route->name
+        + " version=" + std::to_string(this->request.table->version()) + " parts=" + std::to_string(this->answered)
+        + '/' + std::to_string(this->parts.size()) + " missing=";
     for (std::size_t shard = 0; shard < this->calls.size(); ++shard) {
-        if (!this->parts[shard]) {
-            text += (this->calls[shard] ? this->calls[shard]->describe()
-                                        : this->request.route->shards[shard].value() + ":not-asked")
-                + ';';
+        if (this->states[shard] == PartState::Answered) {
+            continue;
+        }
+        const ServiceId &service = this->request.route->shards[shard];
+        if (this->relayed.count(shard) > 0) {
+            text += service.value() + ":relayed-to-" + this->relayInstance.value() + ';';
+        }
+        if (this->calls[shard]) {
+            text += this->calls[shard]->describe() + ';';
+        } else if (this->relayed.count(shard) == 0) {
+            text += service.value() + ":not-asked;";
         }
     }
     return text;
@@ -225,6 +376,8 @@
 {
     this->finished = true;
     this->done = nullptr;
+    this->relayWait.reset();
+    this->relayTimer.reset();
     this->objectiveTimer.reset();
     this->deadlineTimer.reset();
     for (const auto &call : this->calls) {
@@ -232,7 +385,6 @@
             call->abandon();
         }
     }
-    this->calls.clear();
 }
 
 }
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -27,10 +27,21 @@
 private:
     FanoutExchange(ForwardingContext &context, AdmittedRequest request, Done done);
 
-    void startCalls();
+    enum class PartState { Open, Answered, Failed };
+
+    void startParts();
+    void startCall(std::size_t shard, bool isRepeat);
+    std::set<std::size_t> startRelay(const std::set<std::size_t> &hopeless);
+    void relayAnswered(const RelayAnswer &answer);
+    void relaySilent();
+    void askForSilentParts();
+    bool awaitsRelay(std::size_t shard) const;
+    std::size_t shardOf(const ServiceId &service) const;
     std::set<std::size_t> hopelessShards() const;
     void armTimers();
     void partEnded(std::size_t shard, const ServiceResult &result);
+    void setState(std::size_t shard, PartState state);
+    void replyIfDone();
     void objectiveReached();
     void deadlineReached();
     bool coversEnough() const;
@@ -45,7 +56,9 @@
     Done done;
     /// One for each shard; null for a shard that is left out from the start.
     std::vector<std::shared_ptr<ServiceCall>> calls;
-    std::vector<std::optional<EndpointAnswer>> parts;
+    /// Stamp and records of each shard that has answered. Of parts that came merged, the first one holds all records.
+    std::vector<EndpointAnswer> parts;
+    std::vector<PartState> states;
     std::size_t answered = 0;
     std::size_t failed = 0;
     /// True when some endpoint may have run its part.
@@ -53,6 +66,12 @@
     Refusal reason = Refusal::None;
     bool late = false;
     bool finished = false;
+    InstanceId relayInstance;
+    std::set<std::size_t> relayed;
+    /// No answer of the other instance is expected any more.
+    bool relayEnded = false;
+    std::unique_ptr<RelayWait> relayWait;
+    Subscription relayTimer;
     Subscription objectiveTimer;
     Subscription deadlineTimer;
 };
--- a/Source/forwarding/forwardingcontext.h
+++ b/Source/forwarding/forwardingcontext.h
@@ -7,6 +7,7 @@
 #include "forwarding/latencymodel.h"
 #include "forwarding/messages.h"
 #include "forwarding/organisationquota.h"
+#include "forwarding/partrelay.h"
 #include "forwarding/repeatbudget.h"
 #include "forwarding/requestjournal.h"
 
@@ -27,6 +28,8 @@
     BackendSplit &split;
     OrganisationQuota &quota;
     RequestJournal &journal;
+    /// Null where no other instance can be asked.
+    PartRelay *relay = nullptr;
     /// Instances that share the endpoints' connections.
     std::size_t fleetSize = 1;
 };
--- /dev/null
+++ b/Source/forwarding/relaymessage.cpp
@@ -0,0 +1,175 @@
+#include "forwarding/relaymessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+class RelayMessageCategory : public std::error_category
+{
+public:
+    const char *name() const noexcept override
+    {
+        return "relay message";
+    }
+    std::string message(int value) const override
+    {
+        return static_cast<RelayMessageError>(value) == RelayMessageError::NotCbor ? "not-cbor" : "field-missing";
+    }
+};
+
+Json binary(const std::string &text)
+{
+    return Json::binary({ text.begin(), text.end() });
+}
+
+std::string textOf(const Json &json)
+{
+    const auto &bytes = json.get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+Json servicesToJson(const std::vector<ServiceId> &services)
+{
+    Json list = Json::array();
+    for (const ServiceId &service : services) {
+        list.push_back(service.value());
+    }
+    return list;
+}
+
+RelayQuestion questionOf(const Json &json)
+{
+    RelayQuestion question;
+    question.id = json.at("i").get<std::uint64_t>();
+    question.replyAddress = json.at("r").get<std::string>();
+    question.tableVersion = json.at("v").get<std::uint64_t>();
+    question.route = json.at("n").get<std::string>();
+    for (const Json &service : json.at("s")) {
+        question.services.emplace_back(service.get<std::string>());
+    }
+    question.organisation = OrganisationId(json.at("o").get<std::string>());
+    question.attemptId = json.at("a").get<std::string>();
+    question.method = json.at("m").get<std::string>();
+    question.host = json.at("h").get<std::string>();
+    question.target = textOf(json.at("t"));
+    for (const Json &field : json.at("f")) {
+        question.headers.emplace_back(textOf(field.at(0)), textOf(field.at(1)));
+    }
+    question.body = textOf(json.at("b"));
+    question.elapsedMs = json.at("e").get<std::int64_t>();
+    question.leftMs = json.at("l").get<std::int64_t>();
+    return question;
+}
+
+RelayAnswer answerOf(const Json &json)
+{
+    RelayAnswer answer;
+    for (const Json &part : json.at("p")) {
+        answer.parts.push_back({ ServiceId(part.at(0).get<std::string>()), textOf(part.at(1)) });
+    }
+    answer.records = textOf(json.at("b"));
+    answer.isLast = json.at("e").get<bool>();
+    answer.isRefused = json.at("x").get<bool>();
+    return answer;
+}
+
+}
+
+std::error_code make_error_code(RelayMessageError error)
+{
+    static const RelayMessageCategory category;
+    return { static_cast<int>(error), category };
+}
+
+std::string encodeRelayQuestion(const RelayQuestion &question)
+{
+    Json headers = Json::array();
+    for (const auto &[name, value] : question.headers) {
+        headers.push_back(Json::array({ binary(name), binary(value) }));
+    }
+    const Json json { { "i", question.id },
+                      { "r", question.replyAddress },
+                      { "v", question.tableVersion },
+                      { "n", question.route },
+                      { "s", servicesToJson(question.services) },
+                      { "o", question.organisation.value() },
+                      { "a", question.attemptId },
+                      { "m", question.method },
+                      { "h", question.host },
+                      { "t", binary(question.target) },
+                      { "f", headers },
+                      { "b", binary(question.body) },
+                      { "e", question.elapsedMs },
+                      { "l", question.leftMs } };
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+Result<RelayQuestion> decodeRelayQuestion(const std::string &bytes)
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded()) {
+        return make_error_code(RelayMessageError::NotCbor);
+    }
+    try {
+        return questionOf(json);
+    } catch (const Json::exception &) {
+        return make_error_code(RelayMessageError::FieldMissing);
+    }
+}
+
+std::string encodeRelayCancel(const RelayCancel &cancel)
+{
+    std::string bytes;
+    Json::to_cbor(Json::array({ cancel.replyAddress, cancel.id }), bytes);
+    return bytes;
+}
+
+Result<RelayCancel> decodeRelayCancel(const std::string &bytes)
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded()) {
+        return make_error_code(RelayMessageError::NotCbor);
+    }
+    try {
+        return RelayCancel { json.at(0).get<std::string>(), json.at(1).get<std::uint64_t>() };
+    } catch (const Json::exception &) {
+        return make_error_code(RelayMessageError::FieldMissing);
+    }
+}
+
+std::string encodeRelayAnswer(std::uint64_t id, const RelayAnswer &answer)
+{
+    Json parts = Json::array();
+    for (const RelayAnswer::Part &part : answer.parts) {
+        parts.push_back(Json::array({ part.service.value(), binary(part.stamp) }));
+    }
+    const Json json {
+        { "i", id }, { "p", parts }, { "b", binary(answer.records) }, { "e", answer.isLast }, { "x", answer.isRefused }
+    };
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+Result<std::pair<std::uint64_t, RelayAnswer>> decodeRelayAnswer(const std::string &bytes)
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded()) {
+        return make_error_code(RelayMessageError::NotCbor);
+    }
+    try {
+        return std::make_pair(json.at("i").get<std::uint64_t>(), answerOf(json));
+    } catch (const Json::exception &) {
+        return make_error_code(RelayMessageError::FieldMissing);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/forwarding/relaymessage.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/result.h"
+#include "forwarding/partrelay.h"
+
+namespace Lycheewall
+{
+
+/// A question to collect parts, as it crosses the wire. The caller's key never does.
+struct RelayQuestion
+{
+    /// Chosen by the asking instance; answers carry it.
+    std::uint64_t id = 0;
+    /// Where answers go.
+    std::string replyAddress;
+    std::uint64_t tableVersion = 0;
+    std::string route;
+    std::vector<ServiceId> services;
+    OrganisationId organisation;
+    std::string attemptId;
+    std::string method;
+    std::string host;
+    std::string target;
+    HeaderList headers;
+    std::string body;
+    /// Time since the request arrived, and until its deadline.
+    std::int64_t elapsedMs = 0;
+    std::int64_t leftMs = 0;
+};
+
+enum class RelayMessageError { NotCbor = 1, FieldMissing };
+std::error_code make_error_code(RelayMessageError error);
+
+std::string encodeRelayQuestion(const RelayQuestion &question);
+/// Errors: RelayMessageError.
+Result<RelayQuestion> decodeRelayQuestion(const std::string &bytes);
+
+/// Names a question whose answer nobody waits for any more.
+struct RelayCancel
+{
+    std::string replyAddress;
+    std::uint64_t id = 0;
+};
+std::string encodeRelayCancel(const RelayCancel &cancel);
+/// Errors: RelayMessageError.
+Result<RelayCancel> decodeRelayCancel(const std::string &bytes);
+
+std::string encodeRelayAnswer(std::uint64_t id, const RelayAnswer &answer);
+/// The id of the question and the answer. Errors: RelayMessageError.
+Result<std::pair<std::uint64_t, RelayAnswer>> decodeRelayAnswer(const std::string &bytes);
+
+}
+
+namespace std
+{
+template<> struct is_error_code_enum<Lycheewall::RelayMessageError> : true_type
+{
+};
+}
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -54,15 +54,32 @@
 {
     const std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
     context.budget.noteRequest(service);
-    if (!call->startAttempt(Purpose::First)) {
-        call->last.reason = Refusal::EndpointUnavailable;
-        call->finish(call->last);
-        return call;
+    call->begin();
+    return call;
+}
+
+std::shared_ptr<ServiceCall> ServiceCall::startRepeat(ForwardingContext &context,
+                                                      const AdmittedRequest &request,
+                                                      const ServiceId &service,
+                                                      Done done)
+{
+    const std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
+    call->isRepeat = true;
+    call->begin();
+    return call;
+}
+
+void ServiceCall::begin()
+{
+    if (!this->startAttempt(Purpose::First)) {
+        this->last.reason = Refusal::EndpointUnavailable;
+        this->finish(this->last);
+        return;
     }
-    if (request.route->repeatability == Repeatability::Idempotent && request.route->maxAttempts > 1) {
-        call->armHedge(call->hedgeDelay());
+    const Route &route = *this->request.route;
+    if (route.repeatability == Repeatability::Idempotent && route.maxAttempts > 1) {
+        this->armHedge(this->hedgeDelay());
     }
-    return call;
 }
 
 ServiceCall::ServiceCall(ForwardingContext &callContext,
@@ -91,7 +108,7 @@
     if (purpose == Purpose::Hedge && !this->helps(*endpoint, now)) {
         return false;
     }
-    const bool fromBudget = this->sent > 0;
+    const bool fromBudget = this->sent > 0 || this->isRepeat;
     if (fromBudget && !this->context.budget.take(this->service)) {
         this->context.counters.counter("lycheewall_forwarding_repeats_denied_total").add();
         return false;
@@ -250,6 +267,11 @@
     this->releaseAll();
 }
 
+bool ServiceCall::isFinished() const
+{
+    return this->finished;
+}
+
 std::string ServiceCall::describe() const
 {
     const TimePoint now = this->context.clock.now();
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -34,9 +34,17 @@
     static std::shared_ptr<ServiceCall>
     start(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done);
 
+    /// As start(), for a request that another instance may have sent to the service already: also the first attempt
+    /// needs budget.
+    static std::shared_ptr<ServiceCall>
+    startRepeat(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done);
+
     /// Gives up: @p done is not called any more, endpoints at work are released.
     void abandon();
 
+    /// True once the result was given or the call was abandoned.
+    bool isFinished() const;
+
     /// The attempts so far, for a log line: endpoint, time since its start in ms, and state of each.
     std::string describe() const;
 
@@ -57,6 +65,7 @@
 
     enum class Purpose { First, Retry, Hedge };
 
+    void begin();
     bool startAttempt(Purpose purpose);
     bool helps(const ServiceEndpoint &endpoint, TimePoint now) const;
     std::size_t connectionLimit() const;
@@ -78,6 +87,7 @@
     Duration expected;
     std::vector<AttemptPtr> attempts;
     std::vector<EndpointId> tried;
+    bool isRepeat = false;
     int sent = 0;
     bool finished = false;
     ServiceResult last;
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "core/log.h"
+#include "fleet/datagramkind.h"
 
 #include <csignal>
 #include <random>
@@ -47,7 +48,8 @@
     , budget(settings.repeats, clock)
     , quota(clock)
     , requestJournal(clock)
-    , forwarding { clock, timers, counters, endpoints, chooser, pool, budget, latencies, split, quota, requestJournal, 1 }
+    , forwarding { clock,     timers, counters, endpoints,      chooser, pool, budget,
+                   latencies, split,  quota,    requestJournal, nullptr, 1 }
     , freshness(clock)
     , forwarder(settings.forwarding, forwarding, freshness)
     , live({ clock, timers, counters, dialects.feed, endpoints, forwarder, quota })
@@ -83,7 +85,7 @@
     auto socket = DatagramSocket::create(this->io,
                                          this->settings.peerAddress,
                                          this->counters,
-                                         [this](const std::string &bytes) { this->gossip->received(bytes); });
+                                         [this](const std::string &bytes) { this->takeDatagram(bytes); });
     if (!socket) {
         return socket.error();
     }
@@ -107,6 +109,13 @@
                                                               [this] {
                                                                   return this->reader.usesStore();
                                                               } });
+    this->relayClient = std::make_unique<RelayClient>(
+        RelayClient::Context {
+            this->clock, this->counters, this->random, *this->datagrams, this->members, this->endpoints },
+        this->settings.peerAddress,
+        this->settings.zone);
+    this->relayServer = std::make_unique<RelayServer>(this->forwarding, this->forwarder, *this->datagrams);
+    this->forwarding.relay = this->relayClient.get();
     const auto serveSide = [this](const std::string &address, SideServer::Handler handler) -> Result<void> {
         if (address.empty()) {
             return success();
@@ -156,6 +165,20 @@
     journal().info("Instance " + this->settings.instance.value() + " ends.");
 }
 
+void Gateway::takeDatagram(const std::string &bytes)
+{
+    const std::string kind = bytes.substr(0, 1);
+    if (kind == DatagramKind::relayQuestion) {
+        this->relayServer->received(bytes.substr(1));
+    } else if (kind == DatagramKind::relayAnswer) {
+        this->relayClient->received(bytes.substr(1));
+    } else if (kind == DatagramKind::relayCancel) {
+        this->relayServer->cancelled(bytes.substr(1));
+    } else {
+        this->gossip->received(bytes);
+    }
+}
+
 void Gateway::fleetChanged()
 {
     const std::size_t all = this->members.possibleCount();
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -5,6 +5,8 @@
 #include "feed/livestate.h"
 #include "fleet/callerdirectory.h"
 #include "fleet/gossip.h"
+#include "fleet/relayclient.h"
+#include "fleet/relayserver.h"
 #include "gateway/datagramsocket.h"
 #include "gateway/endpointpool.h"
 #include "gateway/frontserver.h"
@@ -56,6 +58,7 @@
     void run();
 
 private:
+    void takeDatagram(const std::string &bytes);
     void becomeReady();
     void fleetChanged();
     void feedAdvanced();
@@ -100,6 +103,8 @@
     FrontContext frontContext;
     std::unique_ptr<DatagramSocket> datagrams;
     std::unique_ptr<Gossip> gossip;
+    std::unique_ptr<RelayClient> relayClient;
+    std::unique_ptr<RelayServer> relayServer;
     std::unique_ptr<FrontServer> front;
     std::vector<std::unique_ptr<SideServer>> sideServers;
     boost::asio::signal_set signals;
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -138,8 +138,8 @@
     BackendSplit split;
     OrganisationQuota quota { clock };
     RequestJournal journal { clock };
-    ForwardingContext context { clock,  clock,     counters, endpoints, chooser, caller,
-                                budget, latencies, split,    quota,     journal, 1 };
+    ForwardingContext context { clock,     clock, counters, endpoints, chooser, caller, budget,
+                                latencies, split, quota,    journal,   nullptr, 1 };
     RouteTableContent content;
     Route route;
     std::shared_ptr<Exchange> exchange;
--- /dev/null
+++ b/Tests/forwarding/relayedpartstest.cpp
@@ -0,0 +1,161 @@
+#include "forwarding/fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+const std::string low = "aaaaaaaaaaaaaaaa";
+const std::string middle = "mmmmmmmmmmmmmmmm";
+const std::string high = "zzzzzzzzzzzzzzzz";
+
+/// Keeps questions; the test answers them.
+class FakeRelay : public PartRelay
+{
+public:
+    std::optional<RelayTarget> choose(const std::vector<ServiceId> &services) override
+    {
+        this->offered = services;
+        if (services.size() < 2) {
+            return std::nullopt;
+        }
+        return RelayTarget { InstanceId("far"), services };
+    }
+    std::unique_ptr<RelayWait>
+    ask(const RelayTarget & /*target*/, const AdmittedRequest & /*request*/, Answered callback) override
+    {
+        this->answered = std::move(callback);
+        return std::make_unique<RelayWait>();
+    }
+    void noteSilence(const InstanceId & /*instance*/) override
+    {
+        ++this->silences;
+    }
+
+    std::vector<ServiceId> offered;
+    Answered answered;
+    int silences = 0;
+};
+
+struct RelayFixture : public ForwardingFixture
+{
+    RelayFixture()
+    {
+        this->context.relay = &this->relay;
+        this->routeToShards(1);
+        for (const char *service : { "far1", "far2" }) {
+            EndpointRecord record;
+            record.id = EndpointId(std::string(service) + "a");
+            record.service = ServiceId(service);
+            record.zone = ZoneId("there");
+            this->endpoints.put(record, this->clock.now());
+            ServiceSpec spec;
+            spec.id = ServiceId(service);
+            spec.maxConnections = 10;
+            this->content.services.push_back(spec);
+            this->route.shards.emplace_back(service);
+        }
+    }
+
+    void answerNearParts()
+    {
+        this->call(0).finish(CallResult::Answered, 200, low);
+        this->call(1).finish(CallResult::Answered, 200, low);
+    }
+
+    static RelayAnswer answerOf(std::vector<RelayAnswer::Part> parts, const std::string &records, bool isLast)
+    {
+        RelayAnswer answer;
+        answer.parts = std::move(parts);
+        answer.records = records;
+        answer.isLast = isLast;
+        return answer;
+    }
+
+    FakeRelay relay;
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(RelayedPartsTest, RelayFixture)
+
+// Guards against parts that cross the zones one by one, and against near parts that take the long way.
+BOOST_AUTO_TEST_CASE(onlyFarPartsAreRelayed)
+{
+    this->start();
+    BOOST_TEST(this->caller.calls.size() == 2U);
+    BOOST_TEST((this->relay.offered == std::vector<ServiceId> { ServiceId("far1"), ServiceId("far2") }));
+    this->relay.answered(answerOf({ { ServiceId("far1"), "s1" }, { ServiceId("far2"), "s2" } }, high + middle, true));
+    this->answerNearParts();
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies[0].merged->stamps.size() == 4U);
+    BOOST_TEST((this->replies[0].merged->body == high + middle + low));
+}
+
+// Guards against a query that waits for a dead instance, and against second sends beyond the budget for it.
+BOOST_AUTO_TEST_CASE(silentRelayIsReplacedWithinTheBudget)
+{
+    this->start();
+    this->answerNearParts();
+    this->clock.advance(Milliseconds(49));
+    BOOST_TEST(this->caller.calls.size() == 2U);
+    for (int sent = 0; sent < 100; ++sent) {
+        this->budget.noteRequest(ServiceId("far1"));
+    }
+    this->clock.advance(Milliseconds(2));
+    BOOST_TEST(this->relay.silences == 1);
+    BOOST_REQUIRE(this->caller.calls.size() == 3U);
+    BOOST_TEST((this->call(2).call.endpoint->record.service == ServiceId("far1")));
+}
+
+// Guards against records that count twice because a part came directly and through the other instance.
+BOOST_AUTO_TEST_CASE(lateRelayAnswerReplacesDirectParts)
+{
+    this->earnBudget();
+    for (int sent = 0; sent < 100; ++sent) {
+        this->budget.noteRequest(ServiceId("far1"));
+    }
+    this->start();
+    this->clock.advance(Milliseconds(51));
+    this->answerNearParts();
+    this->call(2).finish(CallResult::Answered, 200, high);
+    BOOST_TEST(this->replies.empty());
+    this->relay.answered(answerOf({ { ServiceId("far1"), "s1" }, { ServiceId("far2"), "s2" } }, high + middle, true));
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies[0].merged->stamps.size() == 4U);
+    BOOST_TEST((this->replies[0].merged->body == high + middle + low));
+}
+
+// Guards against parts of another version, and against lost parts when the other instance cannot help.
+BOOST_AUTO_TEST_CASE(refusedQuestionIsAskedDirectly)
+{
+    this->start();
+    RelayAnswer refusal;
+    refusal.isLast = true;
+    refusal.isRefused = true;
+    this->relay.answered(refusal);
+    BOOST_TEST(this->caller.calls.size() == 4U);
+    BOOST_TEST(this->relay.silences == 0);
+}
+
+// Guards against waiting for parts that will not come, and for a relay that has said that it is at work.
+BOOST_AUTO_TEST_CASE(partsThatWillNotComeAreMissing)
+{
+    this->route.minShardRatio = 0.5;
+    this->start();
+    this->relay.answered(answerOf({ { ServiceId("far1"), "s1" } }, high, false));
+    this->clock.advance(Milliseconds(60));
+    BOOST_TEST(this->relay.silences == 0);
+    this->answerNearParts();
+    BOOST_TEST(this->replies.empty());
+    this->relay.answered(answerOf({}, "", true));
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies[0].merged->missingParts == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -223,8 +223,8 @@
         , budget(fleet.plan.repeats, fleet.clock)
         , quota(fleet.clock)
         , journal(fleet.clock)
-        , context { fleet.clock, fleet.clock, counters,  endpoints, chooser, caller,
-                    budget,      latencies,   split, quota, journal, fleet.plan.instances }
+        , context { fleet.clock, fleet.clock, counters, endpoints,           chooser, caller, budget, latencies, split,
+                    quota,       journal,     nullptr,  fleet.plan.instances }
     {
         this->budget.setFleetSize(fleet.plan.instances);
         for (const auto &server : fleet.servers) {
@@ -336,11 +336,12 @@
     for (const auto &[service, times] : this->sends) {
         for (std::size_t begin = 0; begin < times.repeatAt.size(); ++begin) {
             const double from = times.repeatAt[begin];
-            const auto inWindow = [from, window](double at) { return at >= from && at < from + window; };
+            const auto inWindow = [from, window](double at) {
+                return at >= from && at < from + window;
+            };
             const auto repeats = std::count_if(times.repeatAt.begin(), times.repeatAt.end(), inWindow);
             const auto firsts = std::count_if(times.firstAt.begin(), times.firstAt.end(), inWindow);
-            const double allowed
-                = this->plan.repeats.ratio * static_cast<double>(firsts) + this->plan.repeats.slack;
+            const double allowed = this->plan.repeats.ratio * static_cast<double>(firsts) + this->plan.repeats.slack;
             worst = std::max(worst, static_cast<double>(repeats) / allowed);
         }
     }
