Forwarding: Share the attempts of relayed parts between both instances

Change: the collecting instance makes all attempts but the last, answers when a second attempt is due, and the asking instance makes that one, in another zone, from its own budget.

--- a/Source/fleet/relayclient.cpp
+++ b/Source/fleet/relayclient.cpp
@@ -64,7 +64,7 @@
         const bool isBetter = covered.size() >= leastParts && (!best || covered.size() > best->services.size());
         const Member *member = isBetter ? this->instanceIn(endpointZone) : nullptr;
         if (member != nullptr) {
-            best = RelayTarget { member->latest.instance, covered };
+            best = RelayTarget { member->latest.instance, endpointZone, covered };
         }
     }
     return best;
--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -1,6 +1,7 @@
 #include "fleet/relayserver.h"
 
 #include "fleet/datagramkind.h"
+#include "forwarding/forwardingtimes.h"
 #include "forwarding/servicecall.h"
 #include "forwarding/topmerge.h"
 
@@ -12,8 +13,8 @@
 namespace
 {
 
-/// The last answer leaves this much before the asking instance gives up a part.
-constexpr Duration wayBack = Milliseconds(11);
+/// The last answer leaves so early that the asking instance still has it at its objective.
+constexpr Duration wayBack = callerWay + zoneWay;
 
 const Route *routeNamed(const RouteTable &table, const std::string &name)
 {
@@ -68,9 +69,8 @@
         }
         const TimePoint now = this->context.clock.now();
         const TimePoint objective = request.request->arrivedAt + request.route->objective;
-        const TimePoint early = request.request->arrivedAt + request.route->objective / 2 - wayBack;
-        this->earlyTimer
-            = this->context.timers.after(std::max(early - now, Duration::zero()), [self] { self->send(false); });
+        const Duration early = ServiceCall::hedgeDelay(this->context, request);
+        this->earlyTimer = this->context.timers.after(early, [self] { self->send(false); });
         const TimePoint end = std::max(objective - wayBack, now);
         this->endTimer = this->context.timers.after(end - now, [self] { self->sendAvailable(); });
         this->deadlineTimer = this->context.timers.after(request.deadline - now, [self] { self->abandon(); });
@@ -197,6 +197,8 @@
     admitted.route = route;
     admitted.organisation = question.organisation;
     admitted.deadline = admitted.request->deadline;
+    // The asking instance makes the last attempt if a part does not come in time.
+    admitted.attempts = std::max(1, route->maxAttempts - 1);
     this->forgetEnded();
     const auto collection = std::make_shared<Collection>(this->context, this->sender, question);
     this->collections[{ question.replyAddress, question.id }] = collection;
--- a/Source/fleet/relayserver.h
+++ b/Source/fleet/relayserver.h
@@ -11,9 +11,9 @@
 
 /**
  * Collects parts for other instances: asks the shards as for an own request and answers with the merged parts. When
- * some are still missing at half of the objective, a first answer is sent with the others, so that the asking instance
- * knows that this one works on the rest.
- * Thread safety: none; used on the thread of the request loop.
+ * some are still missing when a second attempt is due, a first answer is sent with the others; the asking instance
+ * makes the second attempts, so that both together keep to the attempts that the route allows. Thread safety: none;
+ * used on the thread of the request loop.
  */
 class RelayServer
 {
--- a/Source/forwarding/endpointstats.cpp
+++ b/Source/forwarding/endpointstats.cpp
@@ -149,8 +149,8 @@
 void EndpointStats::noteRatio(double ratio, const Pending &request, TimePoint now)
 {
     const double logRatio = std::log(std::clamp(ratio, smallestRatio, greatestRatio));
-    this->logSlowness = this->suspicion == 0 ? logRatio
-                                             : this->logSlowness + slownessGain * (logRatio - this->logSlowness);
+    this->logSlowness
+        = this->suspicion == 0 ? logRatio : this->logSlowness + slownessGain * (logRatio - this->logSlowness);
     const bool isNews = this->suspicion == 0 || request.start >= this->suspectSince;
     if (!isNews) {
         return;
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/fanoutexchange.h"
 
+#include "forwarding/forwardingtimes.h"
 #include "forwarding/singleexchange.h"
 #include "forwarding/topmerge.h"
 
@@ -13,16 +14,10 @@
 namespace
 {
 
-/// An answer at the objective leaves this much earlier, for the way between the caller and this instance, both ways.
-constexpr Duration callerWay = Milliseconds(8);
-constexpr Duration deadlineMargin = Milliseconds(5);
-/// Pause between tries to ask directly for parts that a silent instance was to collect, and the multiple of the
+/// Pause between tries to ask directly for parts that another instance was to collect, and the multiple of the
 /// objective after which such parts are given up.
-constexpr Duration silentPause = Milliseconds(10);
-constexpr int silentObjectives = 2;
-constexpr double typicalShare = 0.5;
-/// Without measurements, the usual time of a request is taken as this part of the objective.
-constexpr int objectiveParts = 8;
+constexpr Duration relayPause = Milliseconds(10);
+constexpr int relayObjectives = 2;
 /// Guards the comparison of shares against rounding.
 constexpr double ratioTolerance = 1e-9;
 
@@ -92,7 +87,7 @@
     const auto done = [self = this->shared_from_this(), shard](const ServiceResult &result) {
         self->partEnded(shard, result);
     };
-    auto call = isRepeat ? ServiceCall::startRepeat(this->context, this->request, service, done)
+    auto call = isRepeat ? ServiceCall::startRepeat(this->context, this->request, service, this->relayZone, done)
                          : ServiceCall::start(this->context, this->request, service, done);
     if (this->finished) {
         call->abandon();
@@ -103,7 +98,8 @@
 
 std::set<std::size_t> FanoutExchange::startRelay(const std::set<std::size_t> &hopeless)
 {
-    if (this->context.relay == nullptr) {
+    // The other instance and this one share the attempts that the route allows.
+    if (this->context.relay == nullptr || this->request.route->maxAttempts < 2) {
         return {};
     }
     const std::vector<ServiceId> &shards = this->request.route->shards;
@@ -128,10 +124,13 @@
         return {};
     }
     this->relayInstance = target->instance;
+    this->relayZone = target->zone;
     for (const ServiceId &service : target->services) {
         this->relayed.insert(this->shardOf(service));
+        this->context.budget.noteRequest(service);
     }
-    const Duration silence = this->request.route->objective / 2;
+    // The other instance answers at the latest when a second attempt is due.
+    const Duration silence = ServiceCall::hedgeDelay(this->context, this->request) + 3 * zoneWay;
     this->relayTimer = this->context.timers.after(silence, [self = this->shared_from_this()] { self->relaySilent(); });
     return this->relayed;
 }
@@ -165,25 +164,28 @@
         }
         this->setState(shard, PartState::Answered);
     }
-    const std::set<std::size_t> mine = this->relayed;
+    if (answer.isRefused) {
+        this->askDirectly();
+    } else {
+        this->askForMissingParts();
+    }
+}
+
+void FanoutExchange::askDirectly()
+{
+    const std::set<std::size_t> mine = std::move(this->relayed);
+    this->relayed.clear();
     for (const std::size_t shard : mine) {
-        const bool isMissing = answer.isLast && this->awaitsRelay(shard);
-        if (isMissing && answer.isRefused) {
+        if (!this->finished && this->states[shard] == PartState::Open) {
             this->startCall(shard, false);
-        } else if (isMissing) {
-            this->setState(shard, PartState::Failed);
-        }
-        if (this->finished) {
-            return;
         }
     }
-    this->replyIfDone();
 }
 
-bool FanoutExchange::awaitsRelay(std::size_t shard) const
+bool FanoutExchange::mayAskDirectly(std::size_t shard) const
 {
-    const bool isRunning = this->calls[shard] && !this->calls[shard]->isFinished();
-    return this->states[shard] == PartState::Open && !isRunning;
+    const bool wasAsked = this->calls[shard] && (!this->calls[shard]->isFinished() || this->calls[shard]->hasSent());
+    return this->states[shard] == PartState::Open && !wasAsked;
 }
 
 void FanoutExchange::relaySilent()
@@ -193,25 +195,30 @@
     }
     this->context.relay->noteSilence(this->relayInstance);
     this->mayHaveRun = true;
-    this->askForSilentParts();
+    this->askForMissingParts();
 }
 
-void FanoutExchange::askForSilentParts()
+void FanoutExchange::askForMissingParts()
 {
-    const TimePoint giveUp = this->request.request->arrivedAt + silentObjectives * this->request.route->objective;
-    this->relayEnded = this->context.clock.now() >= giveUp;
+    const TimePoint giveUp = this->request.request->arrivedAt + relayObjectives * this->request.route->objective;
+    this->relayEnded = this->relayEnded || this->context.clock.now() >= giveUp;
+    bool someOpen = false;
     const std::set<std::size_t> mine = this->relayed;
     for (const std::size_t shard : mine) {
-        if (!this->finished && this->awaitsRelay(shard)) {
+        if (!this->finished && this->mayAskDirectly(shard)) {
             this->startCall(shard, true);
         }
+        someOpen = someOpen || this->states[shard] == PartState::Open;
     }
-    if (this->finished || this->relayEnded) {
+    if (this->finished) {
         return;
     }
-    // Without budget the parts stay open; budget may come, or the other instance may answer after all.
-    this->relayTimer
-        = this->context.timers.after(silentPause, [self = this->shared_from_this()] { self->askForSilentParts(); });
+    if (someOpen && !this->relayEnded) {
+        // Without budget the parts stay open; budget may come, or the other instance may answer.
+        this->relayTimer
+            = this->context.timers.after(relayPause, [self = this->shared_from_this()] { self->askForMissingParts(); });
+    }
+    this->replyIfDone();
 }
 
 void FanoutExchange::armTimers()
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -34,8 +34,9 @@
     std::set<std::size_t> startRelay(const std::set<std::size_t> &hopeless);
     void relayAnswered(const RelayAnswer &answer);
     void relaySilent();
-    void askForSilentParts();
-    bool awaitsRelay(std::size_t shard) const;
+    void askForMissingParts();
+    void askDirectly();
+    bool mayAskDirectly(std::size_t shard) const;
     std::size_t shardOf(const ServiceId &service) const;
     std::set<std::size_t> hopelessShards() const;
     void armTimers();
@@ -67,6 +68,7 @@
     bool late = false;
     bool finished = false;
     InstanceId relayInstance;
+    ZoneId relayZone;
     std::set<std::size_t> relayed;
     /// No answer of the other instance is expected any more.
     bool relayEnded = false;
--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -57,7 +57,8 @@
             *request,
             std::string(refusalCode(refusal)),
             "version=" + (this->current ? std::to_string(this->current->version()) : std::string("none"))
-                + " feed-age-ms=" + (age == Duration::max() ? std::string("none") : std::to_string(toMilliseconds(age))));
+                + " feed-age-ms="
+                + (age == Duration::max() ? std::string("none") : std::to_string(toMilliseconds(age))));
         done(admitted.error());
         return nullptr;
     }
--- a/Source/forwarding/forwardingcontext.h
+++ b/Source/forwarding/forwardingcontext.h
@@ -44,6 +44,14 @@
     OrganisationId organisation;
     /// The earlier of the caller's deadline and the route's timeout.
     TimePoint deadline;
+    /// Endpoints of one service that may be asked, when another instance may ask further ones; otherwise as many as the
+    /// route allows.
+    std::optional<int> attempts;
+
+    int mostAttempts() const
+    {
+        return this->attempts.value_or(this->route->maxAttempts);
+    }
 };
 
 }
--- a/Source/forwarding/partrelay.h
+++ b/Source/forwarding/partrelay.h
@@ -31,6 +31,7 @@
 struct RelayTarget
 {
     InstanceId instance;
+    ZoneId zone;
     std::vector<ServiceId> services;
 };
 
--- a/Source/forwarding/requestjournal.cpp
+++ b/Source/forwarding/requestjournal.cpp
@@ -33,8 +33,8 @@
         ++this->leftOut;
         return;
     }
-    Log::part("request").info("request=" + request.attemptId + " outcome=" + outcome + " ms="
-                              + std::to_string(toMilliseconds(now - request.arrivedAt)) + ' ' + detail);
+    Log::part("request").info("request=" + request.attemptId + " outcome=" + outcome
+                              + " ms=" + std::to_string(toMilliseconds(now - request.arrivedAt)) + ' ' + detail);
 }
 
 }
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/servicecall.h"
 
+#include "forwarding/forwardingtimes.h"
 #include <algorithm>
 
 namespace Lycheewall
@@ -14,13 +15,8 @@
 constexpr double earliestHedgeShare = 0.9;
 /// Share of answers that a hedge leaves time for, before the objective.
 constexpr double hedgeAnswerShare = 0.95;
-constexpr double typicalShare = 0.5;
 /// Pause before another try to hedge when no endpoint or budget was free.
 constexpr Duration hedgePause = Milliseconds(8);
-/// Time for the way between the caller and this instance, both ways.
-constexpr Duration callerWay = Milliseconds(7);
-/// Without measurements, the usual time of a request is taken as this part of the objective.
-constexpr int objectiveParts = 8;
 /// Nothing is sent when less time is left.
 constexpr Duration leastTime = Milliseconds(2);
 constexpr int firstSuccess = 200;
@@ -53,32 +49,42 @@
 ServiceCall::start(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done)
 {
     const std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
-    context.budget.noteRequest(service);
-    call->begin();
+    if (!request.attempts) {
+        // Otherwise the instance that makes the second attempts counts the request.
+        context.budget.noteRequest(service);
+    }
+    call->begin(Purpose::First);
     return call;
 }
 
 std::shared_ptr<ServiceCall> ServiceCall::startRepeat(ForwardingContext &context,
                                                       const AdmittedRequest &request,
                                                       const ServiceId &service,
+                                                      const ZoneId &otherZone,
                                                       Done done)
 {
     const std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
     call->isRepeat = true;
-    call->begin();
+    call->request.attempts = 1;
+    for (const EndpointPtr &endpoint : context.endpoints.ofService(service)) {
+        if (endpoint->record.zone == otherZone) {
+            call->tried.push_back(endpoint->record.id);
+        }
+    }
+    call->begin(Purpose::Hedge);
     return call;
 }
 
-void ServiceCall::begin()
+void ServiceCall::begin(Purpose purpose)
 {
-    if (!this->startAttempt(Purpose::First)) {
+    if (!this->startAttempt(purpose)) {
         this->last.reason = Refusal::EndpointUnavailable;
         this->finish(this->last);
         return;
     }
-    const Route &route = *this->request.route;
-    if (route.repeatability == Repeatability::Idempotent && route.maxAttempts > 1) {
-        this->armHedge(this->hedgeDelay());
+    const bool isIdempotent = this->request.route->repeatability == Repeatability::Idempotent;
+    if (isIdempotent && this->request.mostAttempts() > 1) {
+        this->armHedge(hedgeDelay(this->context, this->request));
     }
 }
 
@@ -135,7 +141,8 @@
 {
     const TimePoint objective = this->request.request->arrivedAt + this->request.route->objective - callerWay;
     const Duration expectedThere = EndpointChooser::expectedTime(endpoint, this->expected, now);
-    const auto slowed = std::chrono::duration_cast<Duration>(expectedThere * endpoint.stats.slowness());
+    const double slowness = endpoint.stats.isSuspect(now) ? endpoint.stats.slowness() : 1;
+    const auto slowed = std::chrono::duration_cast<Duration>(expectedThere * slowness);
     // Once the objective has passed, any earlier answer helps.
     return now >= objective || now + slowed < objective;
 }
@@ -228,7 +235,7 @@
 
 void ServiceCall::retryOrFinish()
 {
-    if (this->sent < this->request.route->maxAttempts && this->startAttempt(Purpose::Retry)) {
+    if (this->sent < this->request.mostAttempts() && this->startAttempt(Purpose::Retry)) {
         this->context.counters.counter("lycheewall_forwarding_retries_total", refusalCode(this->last.reason)).add();
         return;
     }
@@ -272,6 +279,11 @@
     return this->finished;
 }
 
+bool ServiceCall::hasSent() const
+{
+    return this->sent > 0;
+}
+
 std::string ServiceCall::describe() const
 {
     const TimePoint now = this->context.clock.now();
@@ -298,13 +310,13 @@
     }
 }
 
-Duration ServiceCall::hedgeDelay() const
+Duration ServiceCall::hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request)
 {
-    const Route &route = *this->request.route;
+    const Route &route = *request.route;
     const Duration fallback = route.objective / objectiveParts;
-    const Duration earliest = this->context.latencies.quantile(route.name, earliestHedgeShare, 2 * fallback);
-    const Duration answerTime = this->context.latencies.quantile(route.name, hedgeAnswerShare, 2 * fallback);
-    const Duration passed = this->context.clock.now() - this->request.request->arrivedAt;
+    const Duration earliest = context.latencies.quantile(route.name, earliestHedgeShare, 2 * fallback);
+    const Duration answerTime = context.latencies.quantile(route.name, hedgeAnswerShare, 2 * fallback);
+    const Duration passed = context.clock.now() - request.request->arrivedAt;
     const Duration latest = route.objective - callerWay - passed - 2 * answerTime;
     return std::max(earliest, latest);
 }
@@ -320,7 +332,7 @@
 
 void ServiceCall::hedge()
 {
-    if (this->finished || this->sent >= this->request.route->maxAttempts) {
+    if (this->finished || this->sent >= this->request.mostAttempts()) {
         return;
     }
     if (this->startAttempt(Purpose::Hedge)) {
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -34,10 +34,16 @@
     static std::shared_ptr<ServiceCall>
     start(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done);
 
-    /// As start(), for a request that another instance may have sent to the service already: also the first attempt
-    /// needs budget.
-    static std::shared_ptr<ServiceCall>
-    startRepeat(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done);
+    /// As start(), for a request that an instance in @p otherZone may have sent to an endpoint there already: makes a
+    /// single attempt, in another zone, if it can help and the budget allows it.
+    static std::shared_ptr<ServiceCall> startRepeat(ForwardingContext &context,
+                                                    const AdmittedRequest &request,
+                                                    const ServiceId &service,
+                                                    const ZoneId &otherZone,
+                                                    Done done);
+
+    /// Time after which a second attempt is due for a request that starts now.
+    static Duration hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request);
 
     /// Gives up: @p done is not called any more, endpoints at work are released.
     void abandon();
@@ -45,6 +51,9 @@
     /// True once the result was given or the call was abandoned.
     bool isFinished() const;
 
+    /// True if a request has, or may have, reached an endpoint.
+    bool hasSent() const;
+
     /// The attempts so far, for a log line: endpoint, time since its start in ms, and state of each.
     std::string describe() const;
 
@@ -60,12 +69,11 @@
         CallResult result = CallResult::Answered;
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
+    enum class Purpose { First, Retry, Hedge };
 
     ServiceCall(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done);
 
-    enum class Purpose { First, Retry, Hedge };
-
-    void begin();
+    void begin(Purpose purpose);
     bool startAttempt(Purpose purpose);
     bool helps(const ServiceEndpoint &endpoint, TimePoint now) const;
     std::size_t connectionLimit() const;
@@ -78,7 +86,6 @@
     bool anyInFlight() const;
     void armHedge(Duration delay);
     void hedge();
-    Duration hedgeDelay() const;
 
     ForwardingContext &context;
     AdmittedRequest request;
--- a/Source/forwarding/singleexchange.cpp
+++ b/Source/forwarding/singleexchange.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/singleexchange.h"
 
+#include "forwarding/forwardingtimes.h"
 #include <algorithm>
 
 namespace Lycheewall
@@ -10,8 +11,6 @@
 
 /// Time after which another endpoint may have room or a lost one may be back.
 constexpr Duration retryPause = Milliseconds(100);
-/// The final answer leaves this much before the deadline, so that it arrives in time.
-constexpr Duration deadlineMargin = Milliseconds(5);
 
 }
 
--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -134,6 +134,16 @@
     BOOST_TEST(this->answers[0].parts.size() == 1U);
 }
 
+// Guards against more endpoints of a shard than the route allows: the asking instance makes the last attempt.
+BOOST_AUTO_TEST_CASE(leavesTheLastAttemptToTheAskingInstance)
+{
+    this->earnBudget();
+    const auto wait = this->ask();
+    this->server.received(this->sender.last());
+    this->clock.advance(Milliseconds(200));
+    BOOST_TEST(this->caller.calls.size() == 2U);
+}
+
 // Guards against endpoints that are kept busy beyond the deadline of the request.
 BOOST_AUTO_TEST_CASE(givesUpAtTheDeadline)
 {
--- a/Tests/forwarding/relayedpartstest.cpp
+++ b/Tests/forwarding/relayedpartstest.cpp
@@ -22,7 +22,7 @@
         if (services.size() < 2) {
             return std::nullopt;
         }
-        return RelayTarget { InstanceId("far"), services };
+        return RelayTarget { InstanceId("far"), ZoneId("elsewhere"), services };
     }
     std::unique_ptr<RelayWait>
     ask(const RelayTarget & /*target*/, const AdmittedRequest & /*request*/, Answered callback) override
@@ -100,17 +100,47 @@
 {
     this->start();
     this->answerNearParts();
-    this->clock.advance(Milliseconds(49));
+    this->clock.advance(Milliseconds(30));
     BOOST_TEST(this->caller.calls.size() == 2U);
     for (int sent = 0; sent < 100; ++sent) {
         this->budget.noteRequest(ServiceId("far1"));
     }
-    this->clock.advance(Milliseconds(2));
+    this->clock.advance(Milliseconds(30));
     BOOST_TEST(this->relay.silences == 1);
     BOOST_REQUIRE(this->caller.calls.size() == 3U);
     BOOST_TEST((this->call(2).call.endpoint->record.service == ServiceId("far1")));
 }
 
+// Guards against more endpoints of a shard than the route allows: the other instance may have asked all but one of
+// them.
+BOOST_AUTO_TEST_CASE(asksOnlyOneEndpointBesideTheRelay)
+{
+    EndpointRecord second;
+    second.id = EndpointId("far1b");
+    second.service = ServiceId("far1");
+    second.zone = ZoneId("there");
+    this->endpoints.put(second, this->clock.now());
+    for (int sent = 0; sent < 100; ++sent) {
+        this->budget.noteRequest(ServiceId("far1"));
+    }
+    this->start();
+    this->answerNearParts();
+    this->clock.advance(Milliseconds(60));
+    BOOST_REQUIRE(this->caller.calls.size() == 3U);
+    this->call(2).finish(CallResult::Lost);
+    this->clock.advance(Milliseconds(80));
+    BOOST_TEST(this->caller.calls.size() == 3U);
+}
+
+// Guards against second attempts that are missing for relayed parts: the asking instance earns their budget.
+BOOST_AUTO_TEST_CASE(askingInstanceEarnsTheBudget)
+{
+    for (int sent = 0; sent < 8; ++sent) {
+        this->start();
+    }
+    BOOST_TEST(this->budget.take(ServiceId("far1")));
+}
+
 // Guards against records that count twice because a part came directly and through the other instance.
 BOOST_AUTO_TEST_CASE(lateRelayAnswerReplacesDirectParts)
 {
@@ -119,7 +149,7 @@
         this->budget.noteRequest(ServiceId("far1"));
     }
     this->start();
-    this->clock.advance(Milliseconds(51));
+    this->clock.advance(Milliseconds(60));
     this->answerNearParts();
     this->call(2).finish(CallResult::Answered, 200, high);
     BOOST_TEST(this->replies.empty());
