--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -128,9 +128,9 @@
 
 void FeedReader::watch(TimePoint startedAt)
 {
-    this->source().watch(this->context.replica.position(), this->watchWait(), [this, startedAt](const Result<FeedBatch> &batch) {
-        this->watched(startedAt, batch);
-    });
+    this->source().watch(this->context.replica.position(),
+                         this->watchWait(),
+                         [this, startedAt](const Result<FeedBatch> &batch) { this->watched(startedAt, batch); });
 }
 
 void FeedReader::watched(TimePoint startedAt, const Result<FeedBatch> &batch)
--- a/Source/gateway/frontserver.cpp
+++ b/Source/gateway/frontserver.cpp
@@ -86,6 +86,11 @@
     }
 }
 
+std::uint16_t FrontServer::port() const
+{
+    return this->acceptor.local_endpoint().port();
+}
+
 void FrontServer::stopAccepting()
 {
     boost::system::error_code ignored;
--- a/Source/gateway/frontserver.h
+++ b/Source/gateway/frontserver.h
@@ -23,6 +23,8 @@
 
     void stopAccepting();
 
+    std::uint16_t port() const;
+
 private:
     FrontServer(boost::asio::io_context &io, FrontContext &context);
     void accept();
--- a/Source/gateway/sideserver.cpp
+++ b/Source/gateway/sideserver.cpp
@@ -102,6 +102,11 @@
 {
 }
 
+std::uint16_t SideServer::port() const
+{
+    return this->acceptor.local_endpoint().port();
+}
+
 void SideServer::accept()
 {
     this->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
--- a/Source/gateway/sideserver.h
+++ b/Source/gateway/sideserver.h
@@ -34,6 +34,8 @@
     static Result<std::unique_ptr<SideServer>>
     create(boost::asio::io_context &io, const std::string &address, Handler handler);
 
+    std::uint16_t port() const;
+
 private:
     class Connection;
 
--- a/Tests/feed/feedreadertest.cpp
+++ b/Tests/feed/feedreadertest.cpp
@@ -160,7 +160,8 @@
                           store,
                           routes,
                           [this] { ++this->returns; },
-                          [] {} } };
+                          [] {
+                          } } };
 };
 
 }
--- a/Tests/forwarding/simulatedfleet.h
+++ b/Tests/forwarding/simulatedfleet.h
@@ -57,7 +57,8 @@
     std::size_t withMissingParts = 0;
     /// Mean of the squared share of the shards, 0 for late and refused requests.
     double credit = 0;
-    /// Sends beyond the first for each request and shard, relative to the allowed ones; at the worst service and window.
+    /// Sends beyond the first for each request and shard, relative to the allowed ones; at the worst service and
+    /// window.
     double worstBudgetUse = 0;
     std::size_t sends = 0;
     std::size_t otherZoneSends = 0;
