--- a/Source/core/manualclock.cpp
+++ b/Source/core/manualclock.cpp
@@ -100,16 +100,17 @@
     std::function<void()> callback;
     {
         const std::lock_guard lock(this->state->mutex);
-        const auto next = this->state->timers.begin();
-        if (next == this->state->timers.end() || next->first > limit) {
+        const auto first = this->state->timers.begin();
+        if (first == this->state->timers.end() || first->first > limit) {
             return false;
         }
-        this->state->now = std::max(this->state->now, next->first);
-        const TimePoint due = next->first;
-        Timer timer = std::move(this->state->extract(next).mapped());
+        this->state->now = std::max(this->state->now, first->first);
+        const TimePoint due = first->first;
+        Timer timer = std::move(this->state->extract(first).mapped());
         callback = timer.callback;
         if (timer.period > Duration::zero()) {
-            this->state->insert(due + timer.period, std::move(timer));
+            const TimePoint next = due + timer.period;
+            this->state->insert(next, std::move(timer));
         }
     }
     callback();
--- a/Source/forwarding/routetable.h
+++ b/Source/forwarding/routetable.h
@@ -83,8 +83,8 @@
 /// What a caller may send.
 struct CallerLimits
 {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 1024 * 1024;
+    std::size_t headerBytes = std::size_t { 16 } * 1024;
+    std::size_t bodyBytes = std::size_t { 1024 } * 1024;
     Duration headerTimeout = std::chrono::seconds(10);
     Duration idleTimeout = std::chrono::seconds(60);
 };
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -48,7 +48,7 @@
 std::shared_ptr<ServiceCall>
 ServiceCall::start(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, Done done)
 {
-    const std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
+    std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
     if (!request.attempts) {
         // Otherwise the instance that makes the second attempts counts the request.
         context.budget.noteRequest(service);
@@ -63,7 +63,7 @@
                                                       const ZoneId &otherZone,
                                                       Done done)
 {
-    const std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
+    std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
     call->isRepeat = true;
     call->request.attempts = 1;
     for (const EndpointPtr &endpoint : context.endpoints.ofService(service)) {
--- a/Source/gateway/endpointpool.cpp
+++ b/Source/gateway/endpointpool.cpp
@@ -95,7 +95,7 @@
 {
     const TimePoint now = this->clock.now();
     while (!host.idle.empty()) {
-        const ConnectionPtr connection = host.idle.back();
+        ConnectionPtr connection = host.idle.back();
         if (runsOnce && connection->idleTime(now) > freshIdle) {
             return nullptr;
         }
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -90,6 +90,27 @@
         return socket.error();
     }
     this->datagrams = std::move(socket.value());
+    this->joinFleet();
+    const auto side = this->startSideServers();
+    if (!side) {
+        return side.error();
+    }
+    auto callers = FrontServer::create(this->io, this->settings.callerAddress, this->frontContext);
+    if (!callers) {
+        return callers.error();
+    }
+    this->front = std::move(callers.value());
+    this->awaitSignal();
+    this->gossip->start();
+    this->reader.start();
+    this->subscriptions.push_back(this->timers.every(sweepPeriod, [this] { this->pool.sweep(); }));
+    this->subscriptions.push_back(this->timers.every(reloadPeriod, [this] { this->reloadSettings(); }));
+    this->subscriptions.push_back(this->timers.every(countersPeriod, [this] { this->logCounters(); }));
+    return success();
+}
+
+void Gateway::joinFleet()
+{
     GossipSettings gossipSettings;
     gossipSettings.instance = this->settings.instance;
     gossipSettings.zone = this->settings.zone;
@@ -116,7 +137,11 @@
         this->settings.zone);
     this->relayServer = std::make_unique<RelayServer>(this->forwarding, this->forwarder, *this->datagrams);
     this->forwarding.relay = this->relayClient.get();
-    const auto serveSide = [this](const std::string &address, SideServer::Handler handler) -> Result<void> {
+}
+
+Result<void> Gateway::startSideServers()
+{
+    const auto serve = [this](const std::string &address, SideServer::Handler handler) -> Result<void> {
         if (address.empty()) {
             return success();
         }
@@ -127,33 +152,21 @@
         this->sideServers.push_back(std::move(server.value()));
         return success();
     };
-    const auto peers = serveSide(this->settings.peerAddress, [this](const std::string &target, auto respond) {
+    const auto peers = serve(this->settings.peerAddress, [this](const std::string &target, auto respond) {
         this->feedServer.handle(target, std::move(respond));
     });
     const auto directoryServer
-        = serveSide(this->settings.directoryAddress,
-                    [this](const std::string &target, auto respond) { this->answerDirectory(target, respond); });
-    const auto ready = serveSide(this->settings.readyAddress, [this](const std::string &target, auto respond) {
-        this->answerReady(target, respond);
-    });
-    const auto metrics = serveSide(this->settings.metricsAddress,
-                                   [this](const std::string &, auto respond) { this->answerMetrics(respond); });
+        = serve(this->settings.directoryAddress,
+                [this](const std::string &target, auto respond) { this->answerDirectory(target, respond); });
+    const auto ready = serve(this->settings.readyAddress,
+                             [this](const std::string &target, auto respond) { this->answerReady(target, respond); });
+    const auto metrics = serve(this->settings.metricsAddress,
+                               [this](const std::string &, auto respond) { this->answerMetrics(respond); });
     for (const auto &result : { peers, directoryServer, ready, metrics }) {
         if (!result) {
             return result.error();
         }
     }
-    auto callers = FrontServer::create(this->io, this->settings.callerAddress, this->frontContext);
-    if (!callers) {
-        return callers.error();
-    }
-    this->front = std::move(callers.value());
-    this->awaitSignal();
-    this->gossip->start();
-    this->reader.start();
-    this->subscriptions.push_back(this->timers.every(sweepPeriod, [this] { this->pool.sweep(); }));
-    this->subscriptions.push_back(this->timers.every(reloadPeriod, [this] { this->reloadSettings(); }));
-    this->subscriptions.push_back(this->timers.every(countersPeriod, [this] { this->logCounters(); }));
     return success();
 }
 
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -58,6 +58,8 @@
     void run();
 
 private:
+    void joinFleet();
+    Result<void> startSideServers();
     void takeDatagram(const std::string &bytes);
     void becomeReady();
     void fleetChanged();
