Forwarding: Give up parts at once when neither instance can get them

A relayed part whose direct attempt was lost stayed open until the deadline after the collecting instance had ended.

Change: such a part counts as failed; relayed requests earn the budget once the collecting instance has taken them; until 2.1 s after its start an instance assumes a fleet of at least 8. Names and comments that needed explaining are replaced.

The test of the lost attempt failed first.

--- a/Source/fleet/fleetmessage.h
+++ b/Source/fleet/fleetmessage.h
@@ -30,7 +30,7 @@
     bool readsStore = false;
     /// Asks for an answer with all known addresses.
     bool joining = false;
-    /// Asks for a sign of life.
+    /// Asks for an answer.
     bool asking = false;
     std::vector<OrganisationUse> use;
     /// Peer addresses of other instances.
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -139,7 +139,8 @@
     if (others.size() <= smallFleet) {
         return {};
     }
-    // Fresh words spread best, but the freshest few would be the same in each message.
+    // Recent messages are the most useful ones. Random ones of them are taken, so that the receivers get different
+    // ones.
     std::sort(others.begin(), others.end(), [](const Member *left, const Member *right) {
         return left->heardAt > right->heardAt;
     });
@@ -199,7 +200,7 @@
     return isNew;
 }
 
-void Gossip::greet(const std::vector<std::string> &addresses)
+void Gossip::contactUnknown(const std::vector<std::string> &addresses)
 {
     const std::string hello = encodeFleetMessage(this->compose());
     const auto heard = this->context.members.aliveAddresses();
@@ -235,7 +236,7 @@
         this->context.sender.send(message.peerAddress, encodeFleetMessage(answer));
     }
     if (!this->isSettled()) {
-        this->greet(message.known);
+        this->contactUnknown(message.known);
     }
 }
 
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -84,7 +84,7 @@
     void askQuietOnes();
     std::vector<RelayedMessage> someOthers();
     bool take(const FleetMessage &message, Duration age);
-    void greet(const std::vector<std::string> &addresses);
+    void contactUnknown(const std::vector<std::string> &addresses);
 
     GossipSettings settings;
     Context context;
--- a/Source/fleet/relayserver.h
+++ b/Source/fleet/relayserver.h
@@ -23,7 +23,7 @@
     /// Takes a question that arrived; @p bytes without the kind of the datagram.
     void received(const std::string &bytes);
 
-    /// Takes word that nobody waits for an answer any more; @p bytes without the kind of the datagram.
+    /// Takes the cancellation of a question; @p bytes without the kind of the datagram.
     void cancelled(const std::string &bytes);
 
 private:
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -43,7 +43,7 @@
 {
 }
 
-std::set<std::size_t> FanoutExchange::hopelessShards() const
+std::set<std::size_t> FanoutExchange::overloadedShards() const
 {
     const Route &route = *this->request.route;
     const TimePoint now = this->context.clock.now();
@@ -58,24 +58,24 @@
     }
     const auto all = static_cast<double>(route.shards.size());
     auto spare = static_cast<std::size_t>((1 - route.minShardRatio) * all + ratioTolerance);
-    std::set<std::size_t> hopeless;
+    std::set<std::size_t> overloaded;
     for (auto entry = late.begin(); entry != late.end() && spare > 0; ++entry, --spare) {
-        hopeless.insert(entry->second);
+        overloaded.insert(entry->second);
     }
-    return hopeless;
+    return overloaded;
 }
 
 void FanoutExchange::startParts()
 {
-    const std::set<std::size_t> hopeless = this->hopelessShards();
-    const std::set<std::size_t> others = this->startRelay(hopeless);
+    const std::set<std::size_t> overloaded = this->overloadedShards();
+    const std::set<std::size_t> collected = this->startRelay(overloaded);
     for (std::size_t shard = 0; shard < this->states.size() && !this->finished; ++shard) {
-        if (hopeless.count(shard) > 0) {
+        if (overloaded.count(shard) > 0) {
             this->context.counters.counter("lycheewall_forwarding_parts_not_asked_total").add();
             ServiceResult result;
             result.reason = Refusal::QueueFull;
             this->partEnded(shard, result);
-        } else if (others.count(shard) == 0) {
+        } else if (collected.count(shard) == 0) {
             this->startCall(shard, false);
         }
     }
@@ -96,7 +96,7 @@
     this->calls[shard] = std::move(call);
 }
 
-std::set<std::size_t> FanoutExchange::startRelay(const std::set<std::size_t> &hopeless)
+std::set<std::size_t> FanoutExchange::startRelay(const std::set<std::size_t> &overloaded)
 {
     // The other instance and this one share the attempts that the route allows.
     if (this->context.relay == nullptr || this->request.route->maxAttempts < 2) {
@@ -106,7 +106,7 @@
     const TimePoint now = this->context.clock.now();
     std::vector<ServiceId> far;
     for (std::size_t shard = 0; shard < shards.size(); ++shard) {
-        if (hopeless.count(shard) == 0 && !this->context.chooser.hasNearEndpoint(shards[shard], now)) {
+        if (overloaded.count(shard) == 0 && !this->context.chooser.hasNearEndpoint(shards[shard], now)) {
             far.push_back(shards[shard]);
         }
     }
@@ -127,7 +127,6 @@
     this->relayZone = target->zone;
     for (const ServiceId &service : target->services) {
         this->relayed.insert(this->shardOf(service));
-        this->context.budget.noteRequest(service);
     }
     // The other instance answers at the latest when a second attempt is due.
     const Duration silence = ServiceCall::hedgeDelay(this->context, this->request) + 3 * zoneWay;
@@ -167,10 +166,22 @@
     if (answer.isRefused) {
         this->askDirectly();
     } else {
+        this->countRelayed();
         this->askForMissingParts();
     }
 }
 
+void FanoutExchange::countRelayed()
+{
+    if (this->relayedCounted) {
+        return;
+    }
+    this->relayedCounted = true;
+    for (const std::size_t shard : this->relayed) {
+        this->context.budget.noteRequest(this->request.route->shards[shard]);
+    }
+}
+
 void FanoutExchange::askDirectly()
 {
     const std::set<std::size_t> mine = std::move(this->relayed);
@@ -195,6 +206,7 @@
     }
     this->context.relay->noteSilence(this->relayInstance);
     this->mayHaveRun = true;
+    this->countRelayed();
     this->askForMissingParts();
 }
 
@@ -208,6 +220,10 @@
         if (!this->finished && this->mayAskDirectly(shard)) {
             this->startCall(shard, true);
         }
+        const bool isRunning = this->calls[shard] && !this->calls[shard]->isFinished();
+        if (!this->finished && this->relayEnded && !isRunning) {
+            this->setState(shard, PartState::Failed);
+        }
         someOpen = someOpen || this->states[shard] == PartState::Open;
     }
     if (this->finished) {
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -31,14 +31,16 @@
 
     void startParts();
     void startCall(std::size_t shard, bool isRepeat);
-    std::set<std::size_t> startRelay(const std::set<std::size_t> &hopeless);
+    std::set<std::size_t> startRelay(const std::set<std::size_t> &overloaded);
     void relayAnswered(const RelayAnswer &answer);
     void relaySilent();
     void askForMissingParts();
+    /// Earns the budget of second sends for the relayed parts, once; the collecting instance earns none for them.
+    void countRelayed();
     void askDirectly();
     bool mayAskDirectly(std::size_t shard) const;
     std::size_t shardOf(const ServiceId &service) const;
-    std::set<std::size_t> hopelessShards() const;
+    std::set<std::size_t> overloadedShards() const;
     void armTimers();
     void partEnded(std::size_t shard, const ServiceResult &result);
     void setState(std::size_t shard, PartState state);
@@ -72,6 +74,7 @@
     std::set<std::size_t> relayed;
     /// No answer of the other instance is expected any more.
     bool relayEnded = false;
+    bool relayedCounted = false;
     std::unique_ptr<RelayWait> relayWait;
     Subscription relayTimer;
     Subscription objectiveTimer;
--- a/Source/forwarding/organisationquota.h
+++ b/Source/forwarding/organisationquota.h
@@ -22,7 +22,7 @@
  * Rate and burst of each organisation over the whole fleet. Each instance keeps the fleet's bucket as far as it knows:
  * it takes what it admits itself and what the others say that they have admitted. What was admitted before the others
  * heard of it makes the bucket negative and is paid back, so the excess is bounded by one exchange interval. The share
- * of instances that fell silent is set aside, and an instance that hears nobody keeps to its own share.
+ * of instances that fell silent is set aside, and an instance that hears from no other keeps to its own share.
  * Thread safety: none; used on the thread of the request loop.
  */
 class OrganisationQuota
@@ -39,7 +39,7 @@
     /// Admits one request; otherwise the time after which another try can be admitted.
     std::optional<Duration> refusal(const OrganisationId &organisation);
 
-    /// Takes what @p instance says of its use. A new incarnation counts from 0, or from its first word when
+    /// Takes what @p instance says of its use. A new incarnation counts from 0, or from its first message when
     /// @p settled is false: then this instance has just started and its bucket holds nothing of before.
     void noteUse(const InstanceId &instance,
                  std::uint64_t incarnation,
--- a/Source/forwarding/relaymessage.h
+++ b/Source/forwarding/relaymessage.h
@@ -35,7 +35,7 @@
 /// Errors: RelayMessageError.
 Result<RelayQuestion> decodeRelayQuestion(const std::string &bytes);
 
-/// Names a question whose answer nobody waits for any more.
+/// Cancels a question.
 struct RelayCancel
 {
     std::string replyAddress;
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/// How long an endpoint may finish work that nobody waits for; a new connection would cost it more.
+/// How long an endpoint may finish work that is not needed any more; a new connection would cost it more.
 constexpr Duration releaseGrace = Milliseconds(40);
 /// A hedge is sent at the earliest when this share of the answers has usually arrived.
 constexpr double earliestHedgeShare = 0.9;
--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -140,7 +140,7 @@
     }
     this->buffer.commit(size);
     if (this->state == State::Idle) {
-        // Bytes that nobody asked for belong to no request.
+        // Bytes without a request belong to no answer.
         this->close();
         this->owner.closedIdle(this->shared_from_this());
         return;
--- a/Source/gateway/endpointpool.cpp
+++ b/Source/gateway/endpointpool.cpp
@@ -15,7 +15,7 @@
 /// An endpoint that does not accept a connection within this time counts as unreachable for the request.
 constexpr Duration connectTimeout = Milliseconds(250);
 /// A request that must not run twice is not sent on a connection that was idle for longer: the endpoint may be closing
-/// it at this moment, and then nobody knows whether the request ran.
+/// it at this moment, and then it is unknown whether the request ran.
 constexpr Duration freshIdle = Milliseconds(500);
 
 }
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "fleet/datagramkind.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
@@ -16,6 +17,10 @@
 /// The settings file may also change without a signal.
 constexpr Duration reloadPeriod = std::chrono::seconds(5);
 constexpr Duration countersPeriod = std::chrono::seconds(10);
+/// Instances that are assumed to share connections and budget until the others had time to answer. A new instance that
+/// knows no other would take whole connection caps and be reset by endpoints.
+constexpr std::size_t assumedFleet = 8;
+constexpr Duration settlingTime = Milliseconds(2100);
 constexpr Duration endCheckPeriod = Milliseconds(50);
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
@@ -102,6 +107,8 @@
     this->front = std::move(callers.value());
     this->awaitSignal();
     this->gossip->start();
+    this->fleetChanged();
+    this->subscriptions.push_back(this->timers.after(settlingTime, [this] { this->fleetChanged(); }));
     this->reader.start();
     this->subscriptions.push_back(this->timers.every(sweepPeriod, [this] { this->pool.sweep(); }));
     this->subscriptions.push_back(this->timers.every(reloadPeriod, [this] { this->reloadSettings(); }));
@@ -195,8 +202,9 @@
 void Gateway::fleetChanged()
 {
     const std::size_t all = this->members.possibleCount();
-    this->forwarding.fleetSize = all;
-    this->budget.setFleetSize(all);
+    const std::size_t sharing = this->gossip->isSettled() ? all : std::max(all, assumedFleet);
+    this->forwarding.fleetSize = sharing;
+    this->budget.setFleetSize(sharing);
     this->quota.setFleet(this->members.heardCount(), all);
 }
 
--- a/Tests/forwarding/relayedpartstest.cpp
+++ b/Tests/forwarding/relayedpartstest.cpp
@@ -132,11 +132,29 @@
     BOOST_TEST(this->caller.calls.size() == 3U);
 }
 
+// Guards against a query that waits for its deadline although neither instance can get the missing part any more.
+BOOST_AUTO_TEST_CASE(givesUpWhenNothingCanComeAnyMore)
+{
+    for (int sent = 0; sent < 100; ++sent) {
+        this->budget.noteRequest(ServiceId("far1"));
+    }
+    this->start();
+    this->answerNearParts();
+    this->clock.advance(Milliseconds(60));
+    BOOST_REQUIRE(this->caller.calls.size() == 3U);
+    this->call(2).finish(CallResult::Lost);
+    BOOST_TEST(this->replies.empty());
+    this->relay.answered(answerOf({ { ServiceId("far2"), "s2" } }, middle, true));
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST((this->replies[0].refusal == Refusal::OutcomeUnknown));
+}
+
 // Guards against second attempts that are missing for relayed parts: the asking instance earns their budget.
 BOOST_AUTO_TEST_CASE(askingInstanceEarnsTheBudget)
 {
     for (int sent = 0; sent < 8; ++sent) {
         this->start();
+        this->relay.answered(answerOf({ { ServiceId("far1"), "s1" }, { ServiceId("far2"), "s2" } }, high, true));
     }
     BOOST_TEST(this->budget.take(ServiceId("far1")));
 }
