Tests: End open requests in the fixtures

Fake calls kept their callbacks after an answer or a release, and with them the request; the endpoint pool drops them. The fixtures now do the same and end what is open.

Ruled out: a leak of the product: with the fakes mended, both test programs and the load tests are clean under the leak checker.

--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -43,6 +43,11 @@
         this->members.heard(message);
     }
 
+    ~RelayPair()
+    {
+        this->endAll();
+    }
+
     std::unique_ptr<RelayWait> ask()
     {
         AdmittedRequest admitted;
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -15,6 +15,7 @@
         void release(Duration /*grace*/) override
         {
             this->released = true;
+            this->done = nullptr;
         }
         void finish(CallResult result, int status = 200, const std::string &body = {})
         {
@@ -23,7 +24,11 @@
             outcome.answer.status = status;
             outcome.answer.body = body;
             outcome.answer.stamp = "stamp-" + this->call.endpoint->record.id.value();
-            this->done(outcome);
+            const auto callback = std::move(this->done);
+            this->done = nullptr;
+            if (callback) {
+                callback(outcome);
+            }
         }
 
         EndpointCall call;
@@ -71,6 +76,17 @@
         this->route.topRecords = 3;
     }
 
+    ~ForwardingFixture()
+    {
+        this->endAll();
+    }
+
+    /// Ends what is under way, as open requests hold themselves. Fixtures whose own members take part call it first.
+    void endAll()
+    {
+        this->clock.advance(std::chrono::seconds(20));
+    }
+
     void routeToService()
     {
         this->route.services = { { ServiceId("s1"), 1 } };
--- a/Tests/forwarding/relayedpartstest.cpp
+++ b/Tests/forwarding/relayedpartstest.cpp
@@ -60,6 +60,11 @@
         }
     }
 
+    ~RelayFixture()
+    {
+        this->endAll();
+    }
+
     void answerNearParts()
     {
         this->call(0).finish(CallResult::Answered, 200, low);
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -54,6 +54,11 @@
         this->socket.non_blocking(true);
     }
 
+    ~Fixture()
+    {
+        this->endAll();
+    }
+
     void send(const std::string &bytes)
     {
         boost::asio::write(this->socket, boost::asio::buffer(bytes));
