Core: Convert durations to and from numbers in one place

Cause: read of the whole change.

Change: fractionalSeconds, fractionalMilliseconds, fromSeconds and fromMilliseconds in core/clock.h, used by the new code, the token bucket, the operators' interface and the tests. Behaviour is the same.

Measured: tests of core, admission, forwarding and platform pass.

--- a/Source/admission/tokenbucket.cpp
+++ b/Source/admission/tokenbucket.cpp
@@ -6,16 +6,6 @@
 namespace Lycheewall
 {
 
-namespace
-{
-
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-}
-
 TokenBucket::TokenBucket(RateLimit newLimit, TimePoint now)
     : updated(now)
 {
@@ -27,16 +17,16 @@
     if (limit.rate <= 0) {
         return longestValidity;
     }
-    const double longest = seconds(longestValidity);
+    const double longest = fractionalSeconds(longestValidity);
     const double allowed = std::min(longest, limit.burst / (2 * limit.rate));
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(allowed));
+    return fromSeconds(allowed);
 }
 
 void TokenBucket::applyLimit(const RateLimit &newLimit)
 {
     this->limit = newLimit;
     this->batchValidity = validityOf(newLimit);
-    const double usedLate = std::max(0.0, newLimit.rate) * seconds(this->batchValidity);
+    const double usedLate = std::max(0.0, newLimit.rate) * fractionalSeconds(this->batchValidity);
     this->capacity = newLimit.burst - usedLate;
     this->cost = 1;
     if (this->capacity < 1 && newLimit.burst >= 1) {
@@ -60,7 +50,7 @@
 void TokenBucket::refill(TimePoint now)
 {
     if (now > this->updated) {
-        const double grown = this->level + std::max(0.0, this->limit.rate) * seconds(now - this->updated);
+        const double grown = this->level + std::max(0.0, this->limit.rate) * fractionalSeconds(now - this->updated);
         this->level = std::min(this->capacity, grown);
         this->updated = now;
     }
--- a/Source/core/clock.h
+++ b/Source/core/clock.h
@@ -25,6 +25,28 @@
     return std::chrono::duration_cast<Milliseconds>(duration).count();
 }
 
+inline double fractionalMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+inline double fractionalSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Rounded towards zero to whole nanoseconds.
+inline Duration fromMilliseconds(double milliseconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+/// Rounded towards zero to whole nanoseconds.
+inline Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /**
  * Source of the current time.
  * Thread safety: now() may be called from any thread.
--- a/Source/core/latencyhistogram.cpp
+++ b/Source/core/latencyhistogram.cpp
@@ -8,7 +8,7 @@
 
 void LatencyHistogram::note(Duration duration)
 {
-    const auto milliseconds = std::chrono::duration<double, std::milli>(duration).count();
+    const auto milliseconds = fractionalMilliseconds(duration);
     const auto bucket = std::lower_bound(boundsMs.begin(), boundsMs.end(), milliseconds) - boundsMs.begin();
     this->counts.at(static_cast<std::size_t>(bucket)).fetch_add(1, std::memory_order_relaxed);
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -23,11 +23,6 @@
 /// Breaks ties between equal endpoints.
 constexpr double jitterMs = 0.5;
 
-double milliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 bool contains(const std::vector<EndpointId> &ids, const EndpointId &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -98,13 +93,13 @@
 double EndpointChooser::cost(const ServiceEndpoint &endpoint, const ChoiceRequest &request, TimePoint now) const
 {
     const EndpointStats &stats = endpoint.stats;
-    double total = milliseconds(expectedTime(endpoint, request.expected, now));
+    double total = fractionalMilliseconds(expectedTime(endpoint, request.expected, now));
     if (stats.isSuspect(now)) {
         total *= stats.slowness();
     }
     const double load = stats.inFlight() + stats.othersInFlight(now);
-    total += loadShare * milliseconds(request.expected) * load / std::max(1, endpoint.record.slots);
-    const double stalled = milliseconds(stats.stalledFor(now));
+    total += loadShare * fractionalMilliseconds(request.expected) * load / std::max(1, endpoint.record.slots);
+    const double stalled = fractionalMilliseconds(stats.stalledFor(now));
     if (stalled > 0) {
         total += std::min(stalled + stallMs, greatestStallMs);
     }
--- a/Source/forwarding/endpointstats.cpp
+++ b/Source/forwarding/endpointstats.cpp
@@ -30,14 +30,9 @@
 constexpr double smallestRatio = 0.25;
 constexpr double greatestRatio = 30;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 double faded(double value, Duration age, double halfLifeSeconds)
 {
-    return value * std::exp2(-seconds(age) / halfLifeSeconds);
+    return value * std::exp2(-fractionalSeconds(age) / halfLifeSeconds);
 }
 
 }
@@ -63,7 +58,7 @@
 void EndpointStats::answered(Token token, TimePoint now)
 {
     const Pending request = this->finish(token, now);
-    this->noteRatio(seconds(now - request.start) / seconds(request.expected), request, now);
+    this->noteRatio(fractionalSeconds(now - request.start) / fractionalSeconds(request.expected), request, now);
     this->noteFailure(0, now);
     this->failuresInRow = 0;
 }
@@ -89,7 +84,7 @@
 void EndpointStats::abandoned(Token token, TimePoint now)
 {
     const Pending request = this->finish(token, now);
-    const double ratio = seconds(now - request.start) / seconds(request.expected);
+    const double ratio = fractionalSeconds(now - request.start) / fractionalSeconds(request.expected);
     // The true time is longer than the time waited, so only a long wait says something.
     if (ratio > lateRatio) {
         this->noteRatio(ratio, request, now);
@@ -111,7 +106,7 @@
 double EndpointStats::othersInFlight(TimePoint now) const
 {
     const int others = std::max(0, this->report.running + this->report.waiting - this->ownAtReport);
-    const double age = seconds(now - this->reportAt);
+    const double age = fractionalSeconds(now - this->reportAt);
     const double life = reportLifeSeconds * this->slowness();
     return age >= life ? 0 : others * (1 - age / life);
 }
--- a/Source/forwarding/latencymodel.cpp
+++ b/Source/forwarding/latencymodel.cpp
@@ -20,7 +20,7 @@
 
 std::size_t LatencyModel::bucketOf(Duration latency)
 {
-    const double milliseconds = std::chrono::duration<double, std::milli>(latency).count();
+    const double milliseconds = fractionalMilliseconds(latency);
     if (milliseconds <= smallestBoundMs) {
         return 0;
     }
@@ -30,8 +30,7 @@
 
 Duration LatencyModel::upperBound(std::size_t bucket)
 {
-    const double milliseconds = smallestBoundMs * std::pow(bucketGrowth, static_cast<double>(bucket));
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+    return fromMilliseconds(smallestBoundMs * std::pow(bucketGrowth, static_cast<double>(bucket)));
 }
 
 void LatencyModel::note(const std::string &route, Duration latency)
--- a/Source/forwarding/organisationquota.cpp
+++ b/Source/forwarding/organisationquota.cpp
@@ -57,7 +57,7 @@
 void OrganisationQuota::refill(Bucket &bucket) const
 {
     const TimePoint now = this->clock.now();
-    const double passed = std::chrono::duration<double>(now - bucket.at).count();
+    const double passed = fractionalSeconds(now - bucket.at);
     bucket.level = std::min(bucket.burst, bucket.level + passed * bucket.rate * this->shareInUse());
     bucket.level = std::max(bucket.level, -mostDebtSeconds * bucket.rate);
     bucket.at = now;
@@ -80,7 +80,7 @@
         return std::nullopt;
     }
     const double wait = (1 - bucket.level) / (bucket.rate * this->shareInUse());
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+    return fromSeconds(wait);
 }
 
 void OrganisationQuota::noteUse(const InstanceId &instance,
--- a/Source/forwarding/repeatbudget.cpp
+++ b/Source/forwarding/repeatbudget.cpp
@@ -44,8 +44,8 @@
     if (added) {
         account.at = now;
     }
-    const double passed = std::chrono::duration<double>(now - account.at).count();
-    const double window = std::chrono::duration<double>(this->limits.window).count();
+    const double passed = fractionalSeconds(now - account.at);
+    const double window = fractionalSeconds(this->limits.window);
     account.tokens += passed / window * refillShare * this->limits.slack / this->instances;
     account.tokens = std::min(account.tokens, this->capacity());
     account.at = now;
--- a/Source/http/operatorinterface.cpp
+++ b/Source/http/operatorinterface.cpp
@@ -26,11 +26,6 @@
     }
 }
 
-double toFractionalMs(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 json partJson(const PartTrace &part)
 {
     return { { "group", part.group.value() },
@@ -41,8 +36,8 @@
              { "endpoint", part.endpoint.value() },
              { "hedges", part.hedges },
              { "retries", part.retries },
-             { "queued-ms", toFractionalMs(part.queued) },
-             { "service-ms", toFractionalMs(part.service) },
+             { "queued-ms", fractionalMilliseconds(part.queued) },
+             { "service-ms", fractionalMilliseconds(part.service) },
              { "queue-length", part.queueLength } };
 }
 
@@ -106,7 +101,7 @@
         { "shards-asked", trace->coverage.shardsAsked() },
         { "shards-answered", trace->coverage.shardsAnswered() },
         { "restarts", trace->restarts },
-        { "total-ms", toFractionalMs(trace->total) },
+        { "total-ms", fractionalMilliseconds(trace->total) },
         { "parts", parts }
     }.dump();
     return response;
--- a/Tests/forwarding/budgettest.cpp
+++ b/Tests/forwarding/budgettest.cpp
@@ -47,8 +47,8 @@
     std::vector<double> repeats;
     const ServiceId service("s");
     while (clock.now() - start < std::chrono::seconds(40)) {
-        clock.advance(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(engine))));
-        const double second = std::chrono::duration<double>(clock.now() - start).count();
+        clock.advance(fromSeconds(gap(engine)));
+        const double second = fractionalSeconds(clock.now() - start);
         RepeatBudget &budget = *budgets[engine() % instances];
         budget.noteRequest(service);
         firsts.push_back(second);
--- a/Tests/forwarding/quotatest.cpp
+++ b/Tests/forwarding/quotatest.cpp
@@ -148,7 +148,7 @@
 
     double second(TimePoint start) const
     {
-        return std::chrono::duration<double>(this->clock.now() - start).count();
+        return fractionalSeconds(this->clock.now() - start);
     }
 
     static double worst(const std::vector<double> &admittedAt)
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -9,11 +9,6 @@
 namespace
 {
 
-Duration fromMs(double milliseconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
-}
-
 constexpr double sameZoneDelayMs = 0.1;
 const ServiceId shardId(std::size_t shard)
 {
@@ -135,7 +130,7 @@
         const SimulationPlan &plan = this->fleet->plan;
         const double slow = plan.slowness ? plan.slowness(this->shard, this->index, this->fleet->second()) : 1;
         const double time = this->withPauses(job->work * slow);
-        job->timer = this->fleet->clock.after(fromMs(time), [this, job] { this->finish(job); });
+        job->timer = this->fleet->clock.after(fromMilliseconds(time), [this, job] { this->finish(job); });
     }
 
     double withPauses(double workMs) const
@@ -166,7 +161,7 @@
     void send(const std::shared_ptr<Job> &job, const CallOutcome &outcome)
     {
         const LoadReport report { this->running, static_cast<int>(this->queue.size()), this->fleet->plan.slots };
-        job->timer = this->fleet->clock.after(fromMs(job->delayMs), [this, job, outcome, report] {
+        job->timer = this->fleet->clock.after(fromMilliseconds(job->delayMs), [this, job, outcome, report] {
             if (outcome.result != CallResult::Lost) {
                 job->endpoint->stats.reported(report, this->fleet->clock.now());
             }
@@ -204,7 +199,7 @@
         job->endpoint = call.endpoint;
         job->work = this->fleet.workMs();
         job->delayMs = server->zone == this->zone ? sameZoneDelayMs : this->fleet.plan.zoneDelayMs;
-        job->timer = this->fleet.clock.after(fromMs(job->delayMs), [server, job] { server->arrive(job); });
+        job->timer = this->fleet.clock.after(fromMilliseconds(job->delayMs), [server, job] { server->arrive(job); });
         return job;
     }
 
@@ -310,7 +305,7 @@
 
 double SimulatedFleet::second() const
 {
-    return std::chrono::duration<double>(this->clock.now() - this->start).count();
+    return fractionalSeconds(this->clock.now() - this->start);
 }
 
 double SimulatedFleet::workMs()
@@ -331,7 +326,7 @@
 
 double SimulatedFleet::worstBudgetUse() const
 {
-    const double window = std::chrono::duration<double>(this->plan.repeats.window).count();
+    const double window = fractionalSeconds(this->plan.repeats.window);
     double worst = 0;
     for (const auto &[service, times] : this->sends) {
         for (std::size_t begin = 0; begin < times.repeatAt.size(); ++begin) {
@@ -355,7 +350,8 @@
     double at = 0;
     while ((at += gap(this->engine)) < this->plan.seconds) {
         const std::size_t instance = choose(this->engine);
-        this->arrivals.push_back(this->clock.after(fromMs(at * 1000), [this, instance] { this->arrive(instance); }));
+        this->arrivals.push_back(
+            this->clock.after(fromMilliseconds(at * 1000), [this, instance] { this->arrive(instance); }));
     }
 }
 
@@ -387,7 +383,7 @@
         ++this->result.refused;
         return;
     }
-    const Duration taken = this->clock.now() - arrivedAt + fromMs(2 * this->plan.callerDelayMs);
+    const Duration taken = this->clock.now() - arrivedAt + fromMilliseconds(2 * this->plan.callerDelayMs);
     if (reply.merged->missingParts > 0) {
         ++this->result.withMissingParts;
     }
@@ -403,7 +399,7 @@
 SimulationResult SimulatedFleet::run()
 {
     this->scheduleArrivals();
-    this->clock.advance(fromMs(this->plan.seconds * 1000) + 2 * this->plan.timeout);
+    this->clock.advance(fromMilliseconds(this->plan.seconds * 1000) + 2 * this->plan.timeout);
     this->result.credit = this->result.requests == 0 ? 0 : this->creditSum / static_cast<double>(this->result.requests);
     this->result.worstBudgetUse = this->worstBudgetUse();
     return this->result;
