Runtime: Open listening sockets in one place

Cause: read of the whole change. The new servers repeated how the HTTP server opens, binds and listens, and one took the function from the other.

Change: listenOn in Source/runtime, used by all three; each keeps the length of its queue of new connections. Behaviour is the same.

--- a/Source/gateway/frontserver.cpp
+++ b/Source/gateway/frontserver.cpp
@@ -1,7 +1,7 @@
 #include "gateway/frontserver.h"
 
 #include "core/log.h"
-#include "runtime/socketaddress.h"
+#include "runtime/listener.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,34 +18,11 @@
 
 }
 
-Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address)
-{
-    const auto endpoint = parseAddress(address);
-    if (!endpoint) {
-        return endpoint.error();
-    }
-    boost::system::error_code error;
-    acceptor.open(endpoint.value().protocol(), error);
-    if (!error) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(endpoint.value(), error);
-    }
-    if (!error) {
-        acceptor.listen(backlog, error);
-    }
-    if (error) {
-        return std::error_code(error);
-    }
-    return success();
-}
-
 Result<std::unique_ptr<FrontServer>>
 FrontServer::create(asio::io_context &io, const std::string &address, FrontContext &context)
 {
     std::unique_ptr<FrontServer> server(new FrontServer(io, context));
-    const auto listening = listenOn(server->acceptor, address);
+    const auto listening = listenOn(server->acceptor, address, backlog);
     if (!listening) {
         return listening.error();
     }
--- a/Source/gateway/frontserver.h
+++ b/Source/gateway/frontserver.h
@@ -34,7 +34,4 @@
     std::unordered_map<FrontConnection *, std::shared_ptr<FrontConnection>> connections;
 };
 
-/// Opens, binds and listens.
-Result<void> listenOn(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address);
-
 }
--- a/Source/gateway/sideserver.cpp
+++ b/Source/gateway/sideserver.cpp
@@ -1,7 +1,7 @@
 #include "gateway/sideserver.h"
 
 #include "core/log.h"
-#include "gateway/frontserver.h"
+#include "runtime/listener.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -20,6 +20,8 @@
 
 constexpr auto idleTimeout = std::chrono::seconds(30);
 constexpr auto writeTimeout = std::chrono::seconds(5);
+/// New connections that wait to be accepted; a full queue costs callers seconds.
+constexpr int backlog = 1024;
 constexpr std::uint32_t headerLimit = 16 * 1024;
 
 }
@@ -88,7 +90,7 @@
 SideServer::create(asio::io_context &io, const std::string &address, Handler handler)
 {
     std::unique_ptr<SideServer> server(new SideServer(io, std::move(handler)));
-    const auto listening = listenOn(server->acceptor, address);
+    const auto listening = listenOn(server->acceptor, address, backlog);
     if (!listening) {
         return listening.error();
     }
--- a/Source/http/httpserver.cpp
+++ b/Source/http/httpserver.cpp
@@ -1,7 +1,7 @@
 #include "http/httpserver.h"
 
 #include "runtime/await.h"
-#include "runtime/socketaddress.h"
+#include "runtime/listener.h"
 
 #include <atomic>
 #include <boost/asio/post.hpp>
@@ -265,27 +265,10 @@
                                                        HttpHandler &handler,
                                                        Counters &counters)
 {
-    const auto endpoint = parseAddress(address);
-    if (!endpoint) {
-        return endpoint.error();
-    }
     auto state = std::make_shared<State>(std::move(workers), limits, handler, counters);
-    boost::system::error_code error;
-    const tcp::endpoint &local = endpoint.value();
-    if (!error) {
-        state->acceptor.open(local.protocol(), error);
-    }
-    if (!error) {
-        state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        state->acceptor.bind(local, error);
-    }
-    if (!error) {
-        state->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return std::error_code(error);
+    const auto listening = listenOn(state->acceptor, address, asio::socket_base::max_listen_connections);
+    if (!listening) {
+        return listening.error();
     }
     state->port = state->acceptor.local_endpoint().port();
     state->workers.front()->spawn([state] { state->acceptLoop(); });
