--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -61,10 +61,7 @@
         if (!this->endpoints.takesWork(*endpoint) || endpoint->stats.isAvoided(now)) {
             continue;
         }
-        Duration time = expectedTime(*endpoint, usual, now);
-        if (endpoint->stats.isSuspect(now)) {
-            time = std::chrono::duration_cast<Duration>(time * endpoint->stats.slowness());
-        }
+        const Duration time = likelyTime(*endpoint, usual, now);
         best = best ? std::min(*best, time) : time;
     }
     return best;
@@ -90,13 +87,16 @@
     return std::chrono::duration_cast<Duration>(usual * (cold * (1 + queued)));
 }
 
+Duration EndpointChooser::likelyTime(const ServiceEndpoint &endpoint, Duration usual, TimePoint now)
+{
+    const double slowness = endpoint.stats.isSuspect(now) ? endpoint.stats.slowness() : 1;
+    return std::chrono::duration_cast<Duration>(expectedTime(endpoint, usual, now) * slowness);
+}
+
 double EndpointChooser::cost(const ServiceEndpoint &endpoint, const ChoiceRequest &request, TimePoint now) const
 {
     const EndpointStats &stats = endpoint.stats;
-    double total = fractionalMilliseconds(expectedTime(endpoint, request.expected, now));
-    if (stats.isSuspect(now)) {
-        total *= stats.slowness();
-    }
+    double total = fractionalMilliseconds(likelyTime(endpoint, request.expected, now));
     const double load = stats.inFlight() + stats.othersInFlight(now);
     total += loadShare * fractionalMilliseconds(request.expected) * load / std::max(1, endpoint.record.slots);
     const double stalled = fractionalMilliseconds(stats.stalledFor(now));
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -42,6 +42,9 @@
     /// Time that a request should take at @p endpoint with the load as known, if the endpoint is not slow.
     static Duration expectedTime(const ServiceEndpoint &endpoint, Duration usual, TimePoint now);
 
+    /// As expectedTime(), with the slowness of a suspect endpoint.
+    static Duration likelyTime(const ServiceEndpoint &endpoint, Duration usual, TimePoint now);
+
 private:
     double cost(const ServiceEndpoint &endpoint, const ChoiceRequest &request, TimePoint now) const;
 
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -1,7 +1,7 @@
 #include "forwarding/fanoutexchange.h"
 
 #include "forwarding/forwardingtimes.h"
-#include "forwarding/singleexchange.h"
+#include "forwarding/refusalreply.h"
 #include "forwarding/topmerge.h"
 
 #include <algorithm>
@@ -48,7 +48,7 @@
     const Route &route = *this->request.route;
     const TimePoint now = this->context.clock.now();
     const Duration left = this->request.request->arrivedAt + route.objective - callerWay - now;
-    const Duration usual = this->context.latencies.quantile(route.name, typicalShare, route.objective / objectiveParts);
+    const Duration usual = ServiceCall::usualTime(this->context, route);
     std::multimap<Duration, std::size_t, std::greater<>> late;
     for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
         const auto time = this->context.chooser.estimate(route.shards[shard], usual, now);
@@ -68,14 +68,14 @@
 void FanoutExchange::startParts()
 {
     const std::set<std::size_t> overloaded = this->overloadedShards();
-    const std::set<std::size_t> collected = this->startRelay(overloaded);
+    this->startRelay(overloaded);
     for (std::size_t shard = 0; shard < this->states.size() && !this->finished; ++shard) {
         if (overloaded.count(shard) > 0) {
             this->context.counters.counter("lycheewall_forwarding_parts_not_asked_total").add();
             ServiceResult result;
             result.reason = Refusal::QueueFull;
             this->partEnded(shard, result);
-        } else if (collected.count(shard) == 0) {
+        } else if (this->relayed.count(shard) == 0) {
             this->startCall(shard, false);
         }
     }
@@ -96,11 +96,11 @@
     this->calls[shard] = std::move(call);
 }
 
-std::set<std::size_t> FanoutExchange::startRelay(const std::set<std::size_t> &overloaded)
+void FanoutExchange::startRelay(const std::set<std::size_t> &overloaded)
 {
     // The other instance and this one share the attempts that the route allows.
     if (this->context.relay == nullptr || this->request.route->maxAttempts < 2) {
-        return {};
+        return;
     }
     const std::vector<ServiceId> &shards = this->request.route->shards;
     const TimePoint now = this->context.clock.now();
@@ -112,7 +112,7 @@
     }
     const auto target = this->context.relay->choose(far);
     if (!target) {
-        return {};
+        return;
     }
     this->relayWait
         = this->context.relay->ask(*target, this->request, [weak = this->weak_from_this()](const RelayAnswer &answer) {
@@ -121,7 +121,7 @@
               }
           });
     if (!this->relayWait) {
-        return {};
+        return;
     }
     this->relayInstance = target->instance;
     this->relayZone = target->zone;
@@ -131,7 +131,6 @@
     // The other instance answers at the latest when a second attempt is due.
     const Duration silence = ServiceCall::hedgeDelay(this->context, this->request) + 3 * zoneWay;
     this->relayTimer = this->context.timers.after(silence, [self = this->shared_from_this()] { self->relaySilent(); });
-    return this->relayed;
 }
 
 std::size_t FanoutExchange::shardOf(const ServiceId &service) const
@@ -193,10 +192,15 @@
     }
 }
 
+bool FanoutExchange::isRunning(std::size_t shard) const
+{
+    return this->calls[shard] && !this->calls[shard]->isFinished();
+}
+
 bool FanoutExchange::mayAskDirectly(std::size_t shard) const
 {
-    const bool wasAsked = this->calls[shard] && (!this->calls[shard]->isFinished() || this->calls[shard]->hasSent());
-    return this->states[shard] == PartState::Open && !wasAsked;
+    const bool wasAsked = this->calls[shard] && this->calls[shard]->hasSent();
+    return this->states[shard] == PartState::Open && !this->isRunning(shard) && !wasAsked;
 }
 
 void FanoutExchange::relaySilent()
@@ -215,20 +219,18 @@
     const TimePoint giveUp = this->request.request->arrivedAt + relayObjectives * this->request.route->objective;
     this->relayEnded = this->relayEnded || this->context.clock.now() >= giveUp;
     bool someOpen = false;
-    const std::set<std::size_t> mine = this->relayed;
-    for (const std::size_t shard : mine) {
-        if (!this->finished && this->mayAskDirectly(shard)) {
+    for (const std::size_t shard : this->relayed) {
+        if (this->mayAskDirectly(shard)) {
             this->startCall(shard, true);
         }
-        const bool isRunning = this->calls[shard] && !this->calls[shard]->isFinished();
-        if (!this->finished && this->relayEnded && !isRunning) {
+        if (this->finished) {
+            return;
+        }
+        if (this->relayEnded && !this->isRunning(shard)) {
             this->setState(shard, PartState::Failed);
         }
         someOpen = someOpen || this->states[shard] == PartState::Open;
     }
-    if (this->finished) {
-        return;
-    }
     if (someOpen && !this->relayEnded) {
         // Without budget the parts stay open; budget may come, or the other instance may answer.
         this->relayTimer
@@ -291,18 +293,20 @@
     }
 }
 
-bool FanoutExchange::coversEnough() const
+bool FanoutExchange::suffices(std::size_t shards) const
 {
     const auto all = static_cast<double>(this->parts.size());
-    return this->answered > 0
-        && static_cast<double>(this->answered) / all + ratioTolerance >= this->request.route->minShardRatio;
+    return shards > 0 && static_cast<double>(shards) / all + ratioTolerance >= this->request.route->minShardRatio;
+}
+
+bool FanoutExchange::coversEnough() const
+{
+    return this->suffices(this->answered);
 }
 
 bool FanoutExchange::canCoverEnough() const
 {
-    const auto all = static_cast<double>(this->parts.size());
-    const auto possible = static_cast<double>(this->parts.size() - this->failed);
-    return possible > 0 && possible / all + ratioTolerance >= this->request.route->minShardRatio;
+    return this->suffices(this->parts.size() - this->failed);
 }
 
 void FanoutExchange::objectiveReached()
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -31,13 +31,14 @@
 
     void startParts();
     void startCall(std::size_t shard, bool isRepeat);
-    std::set<std::size_t> startRelay(const std::set<std::size_t> &overloaded);
+    void startRelay(const std::set<std::size_t> &overloaded);
     void relayAnswered(const RelayAnswer &answer);
     void relaySilent();
     void askForMissingParts();
     /// Earns the budget of second sends for the relayed parts, once; the collecting instance earns none for them.
     void countRelayed();
     void askDirectly();
+    bool isRunning(std::size_t shard) const;
     bool mayAskDirectly(std::size_t shard) const;
     std::size_t shardOf(const ServiceId &service) const;
     std::set<std::size_t> overloadedShards() const;
@@ -47,6 +48,8 @@
     void replyIfDone();
     void objectiveReached();
     void deadlineReached();
+    /// True if an answer with so many shards covers what the route demands.
+    bool suffices(std::size_t shards) const;
     bool coversEnough() const;
     bool canCoverEnough() const;
     void replyMerged();
--- a/Source/forwarding/forwardingtimes.h
+++ b/Source/forwarding/forwardingtimes.h
@@ -15,8 +15,4 @@
 /// The final answer leaves this much before the deadline, so that it arrives in time.
 constexpr Duration deadlineMargin = Milliseconds(5);
 
-/// The usual time of a request is the median of the latency; without measurements, this part of the objective.
-constexpr double typicalShare = 0.5;
-constexpr int objectiveParts = 8;
-
 }
--- a/Source/forwarding/requestjournal.h
+++ b/Source/forwarding/requestjournal.h
@@ -8,8 +8,6 @@
 namespace Lycheewall
 {
 
-struct AdmittedRequest;
-
 /**
  * Writes a line for each request that was refused, late or answered without some parts, so that its cause can be found
  * from its id. Writes a bounded number of lines a second and counts the rest.
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/servicecall.h"
 
 #include "forwarding/forwardingtimes.h"
+
 #include <algorithm>
 
 namespace Lycheewall
@@ -11,6 +12,9 @@
 
 /// How long an endpoint may finish work that is not needed any more; a new connection would cost it more.
 constexpr Duration releaseGrace = Milliseconds(40);
+/// The usual time of a request is the median of the latency; without measurements, this part of the objective.
+constexpr double typicalShare = 0.5;
+constexpr int objectiveParts = 8;
 /// A hedge is sent at the earliest when this share of the answers has usually arrived.
 constexpr double earliestHedgeShare = 0.9;
 /// Share of answers that a hedge leaves time for, before the objective.
@@ -96,8 +100,7 @@
     , request(admitted)
     , service(target)
     , done(std::move(callback))
-    , expected(callContext.latencies.quantile(
-          admitted.route->name, typicalShare, admitted.route->objective / objectiveParts))
+    , expected(usualTime(callContext, *admitted.route))
 {
 }
 
@@ -140,11 +143,8 @@
 bool ServiceCall::helps(const ServiceEndpoint &endpoint, TimePoint now) const
 {
     const TimePoint objective = this->request.request->arrivedAt + this->request.route->objective - callerWay;
-    const Duration expectedThere = EndpointChooser::expectedTime(endpoint, this->expected, now);
-    const double slowness = endpoint.stats.isSuspect(now) ? endpoint.stats.slowness() : 1;
-    const auto slowed = std::chrono::duration_cast<Duration>(expectedThere * slowness);
     // Once the objective has passed, any earlier answer helps.
-    return now >= objective || now + slowed < objective;
+    return now >= objective || now + EndpointChooser::likelyTime(endpoint, this->expected, now) < objective;
 }
 
 std::size_t ServiceCall::connectionLimit() const
@@ -310,6 +310,11 @@
     }
 }
 
+Duration ServiceCall::usualTime(const ForwardingContext &context, const Route &route)
+{
+    return context.latencies.quantile(route.name, typicalShare, route.objective / objectiveParts);
+}
+
 Duration ServiceCall::hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request)
 {
     const Route &route = *request.route;
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -42,6 +42,9 @@
                                                     const ZoneId &otherZone,
                                                     Done done);
 
+    /// Time that a request of the route usually takes.
+    static Duration usualTime(const ForwardingContext &context, const Route &route);
+
     /// Time after which a second attempt is due for a request that starts now.
     static Duration hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request);
 
--- a/Source/forwarding/singleexchange.cpp
+++ b/Source/forwarding/singleexchange.cpp
@@ -1,39 +1,13 @@
 #include "forwarding/singleexchange.h"
 
 #include "forwarding/forwardingtimes.h"
+#include "forwarding/refusalreply.h"
+
 #include <algorithm>
 
 namespace Lycheewall
 {
 
-namespace
-{
-
-/// Time after which another endpoint may have room or a lost one may be back.
-constexpr Duration retryPause = Milliseconds(100);
-
-}
-
-ForwardReply refusalOf(const ServiceResult &result)
-{
-    ForwardReply reply;
-    reply.notRun = !result.mayHaveRun;
-    reply.refusal = result.reason == Refusal::None ? Refusal::EndpointUnavailable : result.reason;
-    if (reply.notRun) {
-        reply.retryAfter = retryPause;
-    } else {
-        reply.refusal = Refusal::OutcomeUnknown;
-    }
-    return reply;
-}
-
-ForwardReply deadlineRefusal()
-{
-    ForwardReply reply;
-    reply.refusal = Refusal::DeadlineExceeded;
-    return reply;
-}
-
 std::shared_ptr<Exchange> SingleExchange::start(ForwardingContext &context, const AdmittedRequest &request, Done done)
 {
     const std::shared_ptr<SingleExchange> exchange(new SingleExchange(context, request, std::move(done)));
--- a/Source/forwarding/singleexchange.h
+++ b/Source/forwarding/singleexchange.h
@@ -33,10 +33,4 @@
     bool finished = false;
 };
 
-/// The refusal for a request that no endpoint answered. "Not run" is stated only when that is certain.
-ForwardReply refusalOf(const ServiceResult &result);
-
-/// The refusal at the deadline of a request that may have run.
-ForwardReply deadlineRefusal();
-
 }
