Fleet: Pass requests between instances as one type

Cause: read of the whole change. A question to collect parts repeated the six fields of a request and copied them one by one both ways; the client looked up the chosen instance a second time to send; whether a fleet message is news was tested twice for each message; the pool closed connections in four places with the same two lines.

Change: RequestMessage, the part of a request that endpoints get, without the key, is shared by both; RelayTarget carries the address; MemberTable::heard tells what was new; EndpointPool::discard. Behaviour is the same.

Measured: tests of forwarding, fleet, gateway, platform and feed pass.

--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -188,16 +188,17 @@
 
 bool Gossip::take(const FleetMessage &message, Duration age)
 {
-    if (!this->context.members.isNews(message, age)) {
+    const MemberNews news = this->context.members.heard(message, age);
+    if (news == MemberNews::None) {
         return false;
     }
-    const bool isNew = this->context.members.heard(message, age);
     this->context.quota.noteUse(message.instance, message.incarnation, message.use, this->isSettled());
-    if (isNew) {
-        journal().info("Instance " + message.instance.value() + " at " + message.peerAddress + " is heard from.");
-        this->context.fleetChanged();
+    if (news == MemberNews::Newer) {
+        return false;
     }
-    return isNew;
+    journal().info("Instance " + message.instance.value() + " at " + message.peerAddress + " is heard from.");
+    this->context.fleetChanged();
+    return true;
 }
 
 void Gossip::contactUnknown(const std::vector<std::string> &addresses)
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -83,6 +83,7 @@
     void sweep();
     void askQuietOnes();
     std::vector<RelayedMessage> someOthers();
+    /// Returns true if an instance appeared.
     bool take(const FleetMessage &message, Duration age);
     void contactUnknown(const std::vector<std::string> &addresses);
 
--- a/Source/fleet/membertable.cpp
+++ b/Source/fleet/membertable.cpp
@@ -37,20 +37,20 @@
     return known == this->members.end() || age == Duration::zero() || sentAt > known->second.heardAt;
 }
 
-bool MemberTable::heard(const FleetMessage &message, Duration age)
+MemberNews MemberTable::heard(const FleetMessage &message, Duration age)
 {
     if (!this->isNews(message, age)) {
-        return false;
+        return MemberNews::None;
     }
     const auto [entry, added] = this->members.try_emplace(message.instance);
     Member &member = entry->second;
-    const bool isNew = added || member.silent || member.latest.incarnation != message.incarnation;
+    const bool appeared = added || member.silent || member.latest.incarnation != message.incarnation;
     member.latest = message;
     member.latest.relayed.clear();
     member.latest.known.clear();
     member.heardAt = this->clock.now() - age;
     member.silent = false;
-    return isNew;
+    return appeared ? MemberNews::Appeared : MemberNews::Newer;
 }
 
 std::vector<InstanceId> MemberTable::sweep()
--- a/Source/fleet/membertable.h
+++ b/Source/fleet/membertable.h
@@ -12,6 +12,16 @@
 /// Up to this number of other instances, each tells all others of itself; beyond it, most hear of it through others.
 constexpr std::size_t smallFleet = 12;
 
+/// What a message says that was not known before.
+enum class MemberNews {
+    /// Nothing: the message is older than the last one of its instance.
+    None,
+    /// A newer message of a known process.
+    Newer,
+    /// The instance was unknown or silent, or its process is a new one.
+    Appeared
+};
+
 /// An instance as this one knows it.
 struct Member
 {
@@ -30,9 +40,8 @@
 public:
     MemberTable(const Clock &clock, InstanceId self);
 
-    /// Takes a message that was sent @p age ago. Returns true when the instance was unknown, silent, or has a new
-    /// incarnation. Messages older than the last one of the instance are ignored.
-    bool heard(const FleetMessage &message, Duration age = Duration::zero());
+    /// Takes a message that was sent @p age ago, unless it is older than the last one of its instance.
+    MemberNews heard(const FleetMessage &message, Duration age = Duration::zero());
 
     /// Marks silent instances and forgets those long gone. Returns the ones that fell silent now.
     std::vector<InstanceId> sweep();
@@ -40,9 +49,6 @@
     /// Instances that are heard from, this one excluded, in the order of their ids.
     std::vector<const Member *> alive() const;
 
-    /// True when a message is newer than the last one of its instance.
-    bool isNews(const FleetMessage &message, Duration age) const;
-
     /// Peer addresses of the instances that are heard from, and of the silent ones.
     std::vector<std::string> aliveAddresses() const;
     std::vector<std::string> silentAddresses() const;
@@ -56,6 +62,7 @@
 
 private:
     Duration silentAfter() const;
+    bool isNews(const FleetMessage &message, Duration age) const;
 
     const Clock &clock;
     InstanceId self;
--- a/Source/fleet/relayclient.cpp
+++ b/Source/fleet/relayclient.cpp
@@ -64,7 +64,7 @@
         const bool isBetter = covered.size() >= leastParts && (!best || covered.size() > best->services.size());
         const Member *member = isBetter ? this->instanceIn(endpointZone) : nullptr;
         if (member != nullptr) {
-            best = RelayTarget { member->latest.instance, endpointZone, covered };
+            best = RelayTarget { member->latest.instance, member->latest.peerAddress, endpointZone, covered };
         }
     }
     return best;
@@ -96,27 +96,17 @@
     question.route = admitted.route->name;
     question.services = target.services;
     question.organisation = admitted.organisation;
-    question.attemptId = request.attemptId;
-    question.method = request.method;
-    question.host = request.host;
-    question.target = request.target;
-    question.headers = request.headers;
-    question.body = request.body;
+    question.message = request;
     question.elapsedMs = toMilliseconds(now - request.arrivedAt);
     question.leftMs = toMilliseconds(admitted.deadline - now);
     const std::string bytes = encodeRelayQuestion(question);
     if (bytes.size() > largestQuestion) {
         return nullptr;
     }
-    for (const Member *member : this->context.members.alive()) {
-        if (member->latest.instance == target.instance) {
-            this->waiting[question.id] = std::move(answered);
-            this->context.counters.counter("lycheewall_relay_questions_total").add();
-            this->context.sender.send(member->latest.peerAddress, DatagramKind::relayQuestion + bytes);
-            return std::make_unique<Wait>(*this, question.id, member->latest.peerAddress);
-        }
-    }
-    return nullptr;
+    this->waiting[question.id] = std::move(answered);
+    this->context.counters.counter("lycheewall_relay_questions_total").add();
+    this->context.sender.send(target.peerAddress, DatagramKind::relayQuestion + bytes);
+    return std::make_unique<Wait>(*this, question.id, target.peerAddress);
 }
 
 void RelayClient::noteSilence(const InstanceId &instance)
--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -29,12 +29,7 @@
 CallerRequestPtr requestOf(const RelayQuestion &question, TimePoint now)
 {
     const auto request = std::make_shared<CallerRequest>();
-    request->attemptId = question.attemptId;
-    request->method = question.method;
-    request->host = question.host;
-    request->target = question.target;
-    request->headers = question.headers;
-    request->body = question.body;
+    static_cast<RequestMessage &>(*request) = question.message;
     request->arrivedAt = now - Milliseconds(question.elapsedMs);
     request->deadline = now + Milliseconds(question.leftMs);
     return request;
--- a/Source/forwarding/messages.h
+++ b/Source/forwarding/messages.h
@@ -14,8 +14,8 @@
 /// Header fields in the order in which they came.
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
-/// One attempt of a caller, as it arrived.
-struct CallerRequest
+/// What endpoints get of a request. The caller's key is not part of it.
+struct RequestMessage
 {
     /// The caller's id of this attempt; endpoints echo it.
     std::string attemptId;
@@ -26,6 +26,11 @@
     /// Fields that go on to the endpoint; none that concern one connection or that lycheewall sets itself.
     HeaderList headers;
     std::string body;
+};
+
+/// One attempt of a caller, as it arrived.
+struct CallerRequest : RequestMessage
+{
     std::optional<std::string> key;
     TimePoint arrivedAt;
     /// When the caller stops waiting.
--- a/Source/forwarding/partrelay.h
+++ b/Source/forwarding/partrelay.h
@@ -31,6 +31,7 @@
 struct RelayTarget
 {
     InstanceId instance;
+    std::string peerAddress;
     ZoneId zone;
     std::vector<ServiceId> services;
 };
--- a/Source/forwarding/relaymessage.cpp
+++ b/Source/forwarding/relaymessage.cpp
@@ -54,14 +54,14 @@
         question.services.emplace_back(service.get<std::string>());
     }
     question.organisation = OrganisationId(json.at("o").get<std::string>());
-    question.attemptId = json.at("a").get<std::string>();
-    question.method = json.at("m").get<std::string>();
-    question.host = json.at("h").get<std::string>();
-    question.target = textOf(json.at("t"));
+    question.message.attemptId = json.at("a").get<std::string>();
+    question.message.method = json.at("m").get<std::string>();
+    question.message.host = json.at("h").get<std::string>();
+    question.message.target = textOf(json.at("t"));
     for (const Json &field : json.at("f")) {
-        question.headers.emplace_back(textOf(field.at(0)), textOf(field.at(1)));
+        question.message.headers.emplace_back(textOf(field.at(0)), textOf(field.at(1)));
     }
-    question.body = textOf(json.at("b"));
+    question.message.body = textOf(json.at("b"));
     question.elapsedMs = json.at("e").get<std::int64_t>();
     question.leftMs = json.at("l").get<std::int64_t>();
     return question;
@@ -90,7 +90,7 @@
 std::string encodeRelayQuestion(const RelayQuestion &question)
 {
     Json headers = Json::array();
-    for (const auto &[name, value] : question.headers) {
+    for (const auto &[name, value] : question.message.headers) {
         headers.push_back(Json::array({ binary(name), binary(value) }));
     }
     const Json json { { "i", question.id },
@@ -99,12 +99,12 @@
                       { "n", question.route },
                       { "s", servicesToJson(question.services) },
                       { "o", question.organisation.value() },
-                      { "a", question.attemptId },
-                      { "m", question.method },
-                      { "h", question.host },
-                      { "t", binary(question.target) },
+                      { "a", question.message.attemptId },
+                      { "m", question.message.method },
+                      { "h", question.message.host },
+                      { "t", binary(question.message.target) },
                       { "f", headers },
-                      { "b", binary(question.body) },
+                      { "b", binary(question.message.body) },
                       { "e", question.elapsedMs },
                       { "l", question.leftMs } };
     std::string bytes;
--- a/Source/forwarding/relaymessage.h
+++ b/Source/forwarding/relaymessage.h
@@ -17,12 +17,7 @@
     std::string route;
     std::vector<ServiceId> services;
     OrganisationId organisation;
-    std::string attemptId;
-    std::string method;
-    std::string host;
-    std::string target;
-    HeaderList headers;
-    std::string body;
+    RequestMessage message;
     /// Time since the request arrived, and until its deadline.
     std::int64_t elapsedMs = 0;
     std::int64_t leftMs = 0;
--- a/Source/gateway/endpointpool.cpp
+++ b/Source/gateway/endpointpool.cpp
@@ -84,8 +84,7 @@
         // The oldest idle connection gives way to a new one.
         const ConnectionPtr old = host.idle.front();
         host.idle.pop_front();
-        this->forget(old);
-        old->close();
+        this->discard(old);
         this->openFor(host, call);
     }
     return pooled;
@@ -103,8 +102,7 @@
         if (connection->isUsable(now)) {
             return connection;
         }
-        this->forget(connection);
-        connection->close();
+        this->discard(connection);
     }
     return nullptr;
 }
@@ -142,6 +140,12 @@
     this->hostsByConnection.erase(connection.get());
 }
 
+void EndpointPool::discard(const ConnectionPtr &connection)
+{
+    this->forget(connection);
+    connection->close();
+}
+
 void EndpointPool::assign(Host &host, const ConnectionPtr &connection, const CallPtr &call)
 {
     call->connection = connection;
@@ -249,9 +253,8 @@
         }
         Host &owner = this->hostOf(connection);
         owner.busy.erase(connection.get());
-        this->forget(connection);
         call->connection.reset();
-        connection->close();
+        this->discard(connection);
         this->serveWaiting(owner);
     });
 }
@@ -270,8 +273,7 @@
                 continue;
             }
             place = host.idle.erase(place);
-            this->forget(connection);
-            connection->close();
+            this->discard(connection);
         }
         const bool empty = host.size() == 0 && host.waiting.empty();
         entry = !endpoint && empty ? this->hosts.erase(entry) : std::next(entry);
--- a/Source/gateway/endpointpool.h
+++ b/Source/gateway/endpointpool.h
@@ -68,6 +68,8 @@
     void failLater(const CallPtr &call);
     void noteInfo(Host &host, const EndpointResponseInfo &info);
     void forget(const ConnectionPtr &connection);
+    /// Forgets the connection and closes it.
+    void discard(const ConnectionPtr &connection);
 
     boost::asio::io_context &io;
     const Clock &clock;
--- a/Tests/forwarding/relayedpartstest.cpp
+++ b/Tests/forwarding/relayedpartstest.cpp
@@ -22,7 +22,7 @@
         if (services.size() < 2) {
             return std::nullopt;
         }
-        return RelayTarget { InstanceId("far"), ZoneId("elsewhere"), services };
+        return RelayTarget { InstanceId("far"), "peer-far", ZoneId("elsewhere"), services };
     }
     std::unique_ptr<RelayWait>
     ask(const RelayTarget & /*target*/, const AdmittedRequest & /*request*/, Answered callback) override
