Fleet: Keep messages of large fleets short and within zones

Cause: on the grown sites an instance sent up to 125 KB/s to others. Each message listed what 18 instances had admitted of every organisation since their start, went to receivers in any zone, and was repeated every 100 ms while one organisation was near its limit. Each instance followed the reader across zones by itself. Change: use is listed for the last 3 to 6 seconds only, with the recent count, so that a receiver that missed messages counts no more than that. Three receivers are of the own zone; a zone sends two messages at a time to each other zone. Messages carry fewer others while they are frequent. Silent instances and unknown seeds get short messages. One instance of each zone follows the reader, the others follow it; a confirmation of the feed is passed on at once. Debt of an organisation counts up to 5 seconds of its rate: 2 seconds forgave most of a burst in a large fleet. The test of a watch's age now counts from the question, as the interface does; 30 ms instead of 50 are then certain.

--- a/Source/feed/feedevent.h
+++ b/Source/feed/feedevent.h
@@ -28,7 +28,8 @@
     /// The items are known to be complete up to here. Changes after it come with the events.
     Revision at = 0;
     bool more = false;
-    /// How old the source's own knowledge is; zero for the store itself.
+    /// How old the source's own knowledge is, counted from the question; zero for the store itself, negative when the
+    /// source confirmed its knowledge after the question.
     Duration age {};
 };
 
@@ -37,6 +38,7 @@
 {
     std::vector<FeedEvent> events;
     Revision at = 0;
+    /// As in FeedPage.
     Duration age {};
 };
 
--- a/Source/feed/feedplan.cpp
+++ b/Source/feed/feedplan.cpp
@@ -29,9 +29,10 @@
 
 }
 
-FeedPlan::FeedPlan(const MemberTable &memberTable, InstanceId ownId, SourceFactory sourceFactory)
+FeedPlan::FeedPlan(const MemberTable &memberTable, InstanceId ownId, ZoneId ownZone, SourceFactory sourceFactory)
     : members(memberTable)
     , self(std::move(ownId))
+    , zone(std::move(ownZone))
     , factory(std::move(sourceFactory))
 {
 }
@@ -47,6 +48,26 @@
     return before < readers;
 }
 
+const Member *FeedPlan::zoneSource() const
+{
+    if (this->members.heardCount() <= smallFleet + 1) {
+        return nullptr;
+    }
+    const Member *first = nullptr;
+    for (const Member *member : this->members.alive()) {
+        if (member->latest.zone != this->zone || !isFresh(*member)) {
+            continue;
+        }
+        if (member->latest.readsStore) {
+            return member;
+        }
+        if (first == nullptr && member->latest.instance < this->self) {
+            first = member;
+        }
+    }
+    return first;
+}
+
 std::vector<FeedPeer> FeedPlan::peers()
 {
     std::vector<const Member *> fresh;
@@ -56,6 +77,10 @@
         }
     }
     std::stable_sort(fresh.begin(), fresh.end(), &fresherReader);
+    const auto ofZone = std::find(fresh.begin(), fresh.end(), this->zoneSource());
+    if (ofZone != fresh.end()) {
+        std::rotate(fresh.begin(), ofZone, ofZone + 1);
+    }
     std::vector<FeedPeer> result;
     for (const Member *member : fresh) {
         std::shared_ptr<FeedSource> &source = this->sources[member->latest.peerAddress];
--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -183,6 +183,7 @@
     }
     this->pending = Pending { position.value(), startedAt };
     this->confirmPending();
+    this->context.advanced();
 }
 
 void FeedReader::confirmPending()
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -81,7 +81,7 @@
         FeedRoutes &routes;
         /// Called when the feed is current again after it was not.
         std::function<void()> returned;
-        /// Called after each successful read.
+        /// Called after each successful read or check.
         std::function<void()> advanced;
     };
 
--- a/Source/feed/freshness.cpp
+++ b/Source/feed/freshness.cpp
@@ -21,4 +21,9 @@
     return this->confirmed ? this->clock.now() - this->latest : Duration::max();
 }
 
+std::optional<TimePoint> FeedFreshness::moment() const
+{
+    return this->confirmed ? std::optional(this->latest) : std::nullopt;
+}
+
 }
--- a/Source/feed/freshness.h
+++ b/Source/feed/freshness.h
@@ -2,6 +2,8 @@
 
 #include "core/clock.h"
 
+#include <optional>
+
 namespace Lycheewall
 {
 
@@ -20,6 +22,9 @@
     /// Duration::max() before the first confirmation.
     Duration age() const;
 
+    /// Latest moment up to which all changes are known; nothing before the first confirmation.
+    std::optional<TimePoint> moment() const;
+
 private:
     const Clock &clock;
     bool confirmed = false;
--- a/Source/fleet/fleetmessage.cpp
+++ b/Source/fleet/fleetmessage.cpp
@@ -10,7 +10,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int wireVersion = 1;
+constexpr int wireVersion = 2;
 
 class FleetMessageCategory : public std::error_category
 {
@@ -37,7 +37,7 @@
 {
     Json list = Json::array();
     for (const OrganisationUse &item : use) {
-        list.push_back(Json::array({ item.organisation.value(), item.admitted }));
+        list.push_back(Json::array({ item.organisation.value(), item.admitted, item.recent }));
     }
     return list;
 }
@@ -83,7 +83,9 @@
     message.joining = json.value("j", false);
     message.asking = json.value("q", false);
     for (const Json &item : json.value("u", Json::array())) {
-        message.use.push_back({ OrganisationId(item.at(0).get<std::string>()), item.at(1).get<std::uint64_t>() });
+        message.use.push_back({ OrganisationId(item.at(0).get<std::string>()),
+                                item.at(1).get<std::uint64_t>(),
+                                item.at(2).get<std::uint64_t>() });
     }
     message.known = json.value("k", std::vector<std::string>());
     for (const Json &item : json.value("l", Json::array())) {
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -10,10 +10,14 @@
 namespace
 {
 
-/// In a larger fleet: instances that are told at a time, and messages of others that are passed on to each. About
-/// 18 KB/s at two messages a second.
+/// In a larger fleet: instances of the own availability zone that are told at a time.
 constexpr std::size_t largeFleetTargets = 3;
+/// In a larger fleet: messages that all instances of a zone together send to each other zone at a time.
+constexpr double messagesToOtherZone = 2;
+/// In a larger fleet: messages of others that are passed on, and fewer of them while messages are frequent. Keeps an
+/// instance below 20 KB/s.
 constexpr std::size_t relayedMessages = 18;
+constexpr std::size_t relayedWhenUrgent = 8;
 /// During this time after the start, messages ask for the addresses of all instances.
 constexpr Duration joinTime = std::chrono::seconds(2);
 /// Seeds and silent instances are tried once in so many messages.
@@ -78,12 +82,29 @@
 {
     this->sweep();
     const Duration quiet = this->context.clock.now() - this->toldAt;
-    const bool urgent = this->context.quota.isPressed() || !this->isSettled();
-    if (urgent || quiet + this->settings.urgentPeriod / 2 >= this->settings.period) {
+    if (quiet + this->settings.urgentPeriod / 2 >= this->currentPeriod()) {
         this->tellAll();
     }
 }
 
+bool Gossip::isUrgent() const
+{
+    return this->context.quota.isPressed() || !this->isSettled();
+}
+
+bool Gossip::isLargeFleet() const
+{
+    return this->context.members.heardCount() > smallFleet + 1;
+}
+
+Duration Gossip::currentPeriod() const
+{
+    if (!this->isUrgent()) {
+        return this->settings.period;
+    }
+    return this->isLargeFleet() ? this->settings.urgentPeriodInLargeFleet : this->settings.urgentPeriod;
+}
+
 void Gossip::sweep()
 {
     const std::size_t before = this->context.members.possibleCount();
@@ -117,28 +138,50 @@
 
 std::vector<std::string> Gossip::targets()
 {
-    std::vector<std::string> addresses = this->context.members.aliveAddresses();
-    if (addresses.size() > smallFleet) {
-        shuffle(addresses, this->context.random);
-        addresses.resize(largeFleetTargets);
-    }
-    if (this->ticks % probeEvery == 0 || !this->isSettled()) {
-        const auto silent = this->context.members.silentAddresses();
-        addresses.insert(addresses.end(), silent.begin(), silent.end());
-        addresses.insert(addresses.end(), this->settings.seeds.begin(), this->settings.seeds.end());
-    }
-    std::sort(addresses.begin(), addresses.end());
-    addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+    std::vector<std::string> addresses
+        = this->isLargeFleet() ? this->someOfEachZone() : this->context.members.aliveAddresses();
     addresses.erase(std::remove(addresses.begin(), addresses.end(), this->settings.peerAddress), addresses.end());
     return addresses;
 }
 
+std::vector<std::string> Gossip::addressesToProbe() const
+{
+    std::vector<std::string> addresses = this->context.members.silentAddresses();
+    const std::vector<std::string> alive = this->context.members.aliveAddresses();
+    for (const std::string &seed : this->settings.seeds) {
+        if (seed != this->settings.peerAddress && std::find(alive.begin(), alive.end(), seed) == alive.end()) {
+            addresses.push_back(seed);
+        }
+    }
+    return addresses;
+}
+
+std::vector<std::string> Gossip::someOfEachZone()
+{
+    std::map<ZoneId, std::vector<std::string>> byZone;
+    for (const Member *member : this->context.members.alive()) {
+        byZone[member->latest.zone].push_back(member->latest.peerAddress);
+    }
+    std::vector<std::string> result = std::move(byZone[this->settings.zone]);
+    byZone.erase(this->settings.zone);
+    const double chance = messagesToOtherZone / static_cast<double>(result.size() + 1);
+    shuffle(result, this->context.random);
+    result.resize(std::min(result.size(), largeFleetTargets));
+    for (const auto &[zone, addresses] : byZone) {
+        if (this->context.random.unit() < chance) {
+            result.push_back(addresses[this->context.random.below(addresses.size())]);
+        }
+    }
+    return result;
+}
+
 std::vector<RelayedMessage> Gossip::someOthers()
 {
-    std::vector<const Member *> others = this->context.members.alive();
-    if (others.size() <= smallFleet) {
+    if (!this->isLargeFleet()) {
         return {};
     }
+    std::vector<const Member *> others = this->context.members.alive();
+    const std::size_t passedOn = this->isUrgent() ? relayedWhenUrgent : relayedMessages;
     // Recent messages are the most useful ones. Random ones of them are taken, so that the receivers get different
     // ones.
     std::sort(others.begin(), others.end(), [](const Member *left, const Member *right) {
@@ -146,7 +189,7 @@
     });
     others.resize(std::min(others.size(), 3 * relayedMessages));
     shuffle(others, this->context.random);
-    others.resize(std::min(others.size(), relayedMessages));
+    others.resize(std::min(others.size(), passedOn));
     std::vector<RelayedMessage> relayed;
     for (const Member *member : others) {
         // Rounded up: the message must not look newer than it is.
@@ -167,6 +210,12 @@
     for (const std::string &address : this->targets()) {
         this->context.sender.send(address, bytes);
     }
+    if (this->ticks % probeEvery == 0 || !this->isSettled()) {
+        const std::string hello = encodeFleetMessage(this->compose());
+        for (const std::string &address : this->addressesToProbe()) {
+            this->context.sender.send(address, hello);
+        }
+    }
     ++this->ticks;
     this->toldAt = this->context.clock.now();
     this->askQuietOnes();
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -33,12 +33,14 @@
     Duration period = Milliseconds(500);
     /// Time between messages while an organisation is close to its limit.
     Duration urgentPeriod = Milliseconds(100);
+    Duration urgentPeriodInLargeFleet = Milliseconds(200);
 };
 
 /**
  * Keeps the instances of the fleet informed of each other: state, freshness, use of quotas. In a small fleet each tells
  * all others; in a larger one each tells a few others, and passes on what some more have said, so that its cost does
- * not grow with the fleet. Thread safety: none; used on the thread of the request loop.
+ * not grow with the fleet. Of these messages, only a few a zone go to other availability zones. Thread safety: none;
+ * used on the thread of the request loop.
  */
 class Gossip
 {
@@ -79,7 +81,14 @@
     FleetMessage compose() const;
     void tick();
     void tellAll();
+    bool isUrgent() const;
+    bool isLargeFleet() const;
+    Duration currentPeriod() const;
     std::vector<std::string> targets();
+    /// Silent instances, and seeds that are not heard from.
+    std::vector<std::string> addressesToProbe() const;
+    /// Some instances of the own zone, and now and then one of each other zone.
+    std::vector<std::string> someOfEachZone();
     void sweep();
     void askQuietOnes();
     std::vector<RelayedMessage> someOthers();
--- a/Source/fleet/membertable.cpp
+++ b/Source/fleet/membertable.cpp
@@ -9,6 +9,9 @@
 /// Several messages may be lost before an instance counts as silent.
 constexpr Duration silentAfterInSmallFleet = Milliseconds(1700);
 constexpr Duration silentAfterInLargeFleet = Milliseconds(3500);
+/// An instance is asked when nothing was heard of it for this share of the time after which it counts as silent. In a
+/// large fleet most messages arrive through others in half of that time.
+constexpr double quietShare = 0.67;
 /// A silent instance may be cut off and still serve; its share is set aside for this long.
 constexpr Duration forgottenAfter = std::chrono::seconds(20);
 /// An instance that said that it leaves has ended by then.
@@ -110,7 +113,7 @@
     const TimePoint now = this->clock.now();
     std::vector<std::string> addresses;
     for (const Member *member : this->alive()) {
-        if (2 * (now - member->heardAt) > this->silentAfter()) {
+        if (fractionalSeconds(now - member->heardAt) > quietShare * fractionalSeconds(this->silentAfter())) {
             addresses.push_back(member->latest.peerAddress);
         }
     }
--- a/Source/forwarding/organisationquota.cpp
+++ b/Source/forwarding/organisationquota.cpp
@@ -13,12 +13,15 @@
 /// A bucket below this share of its burst is close to its limit.
 constexpr double pressedShare = 0.4;
 /// Debt beyond this many seconds of the rate is dropped, so that a flood at other instances does not stop service.
-constexpr double mostDebtSeconds = 2;
+constexpr double mostDebtSeconds = 5;
+/// Use counts as recent for one to two of these spans. Messages take up to two seconds through a large fleet.
+constexpr Duration recentSpan = std::chrono::seconds(3);
 
 }
 
 OrganisationQuota::OrganisationQuota(const Clock &quotaClock)
     : clock(quotaClock)
+    , markedAt(quotaClock.now())
 {
 }
 
@@ -102,7 +105,7 @@
         const auto bucket = this->buckets.find(item.organisation);
         if (!onlyBaseline && item.admitted > known && bucket != this->buckets.end()) {
             this->refill(bucket->second);
-            bucket->second.level -= static_cast<double>(item.admitted - known);
+            bucket->second.level -= static_cast<double>(std::min(item.admitted - known, item.recent));
         }
         known = std::max(known, item.admitted);
     }
@@ -116,12 +119,27 @@
     }
 }
 
-std::vector<OrganisationUse> OrganisationQuota::use() const
+void OrganisationQuota::setMarks()
 {
+    const TimePoint now = this->clock.now();
+    if (now - this->markedAt < recentSpan) {
+        return;
+    }
+    for (auto &[id, bucket] : this->buckets) {
+        bucket.atEarlierMark = bucket.atMark;
+        bucket.atMark = bucket.admitted;
+    }
+    this->markedAt = now;
+}
+
+std::vector<OrganisationUse> OrganisationQuota::use()
+{
+    this->setMarks();
     std::vector<OrganisationUse> result;
     for (const auto &[id, bucket] : this->buckets) {
-        if (bucket.rate > 0 && bucket.admitted > 0) {
-            result.push_back({ id, bucket.admitted });
+        const std::uint64_t recent = bucket.admitted - bucket.atEarlierMark;
+        if (bucket.rate > 0 && recent > 0) {
+            result.push_back({ id, bucket.admitted, recent });
         }
     }
     return result;
--- a/Source/forwarding/organisationquota.h
+++ b/Source/forwarding/organisationquota.h
@@ -11,11 +11,14 @@
 namespace Lycheewall
 {
 
-/// How many requests of an organisation an instance has admitted since it started.
+/// What an instance has admitted of an organisation's requests.
 struct OrganisationUse
 {
     OrganisationId organisation;
+    /// Since the process started.
     std::uint64_t admitted = 0;
+    /// In the last seconds. A receiver that missed earlier messages counts no more than this.
+    std::uint64_t recent = 0;
 };
 
 /**
@@ -49,8 +52,8 @@
     /// The instance fell silent. What it admits from now on comes from the share that is set aside for it.
     void noteSilence(const InstanceId &instance);
 
-    /// Own use, for the other instances.
-    std::vector<OrganisationUse> use() const;
+    /// Own use, for the other instances: the organisations with requests in the last seconds.
+    std::vector<OrganisationUse> use();
 
     /// True when some organisation is close to its limit, so that others should hear of its use soon.
     bool isPressed() const;
@@ -63,6 +66,9 @@
         double level = 0;
         TimePoint at;
         std::uint64_t admitted = 0;
+        /// Value of admitted at the last mark and at the one before it.
+        std::uint64_t atMark = 0;
+        std::uint64_t atEarlierMark = 0;
     };
     struct Remote
     {
@@ -73,10 +79,12 @@
 
     double shareInUse() const;
     void refill(Bucket &bucket) const;
+    void setMarks();
 
     const Clock &clock;
     double heard = 1;
     double all = 1;
+    TimePoint markedAt;
     std::map<OrganisationId, Bucket> buckets;
     std::map<InstanceId, Remote> remotes;
 };
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -61,6 +61,7 @@
     , members(clock, settings.instance)
     , plan(members,
            settings.instance,
+           settings.zone,
            [this](const std::string &address) { return std::make_shared<PeerFeed>(this->io, address); })
     , store(storeFactory(io))
     , reload(std::move(reloadSettings))
@@ -78,7 +79,7 @@
                    this->feedAdvanced();
                } })
     , directory(members)
-    , feedServer(timers, replica, freshness)
+    , feedServer(clock, timers, replica, freshness)
     , frontContext { clock, counters, forwarder, dialects.callers, durations }
     , signals(io)
 {
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -17,6 +17,8 @@
 /// Time for the way there and back, beside the wait.
 constexpr std::chrono::milliseconds answerTime { 500 };
 constexpr Duration longestWait = std::chrono::seconds(5);
+/// A watch is answered without changes when the knowledge became newer by this much.
+constexpr Duration worthTelling = Milliseconds(300);
 constexpr int statusGone = 410;
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
@@ -116,10 +118,12 @@
     this->caller.cancel();
 }
 
-PeerFeedServer::PeerFeedServer(TimerService &timerService,
+PeerFeedServer::PeerFeedServer(const Clock &serverClock,
+                               TimerService &timerService,
                                const FeedReplica &feedReplica,
                                const FeedFreshness &feedFreshness)
-    : timers(timerService)
+    : clock(serverClock)
+    , timers(timerService)
     , replica(feedReplica)
     , freshness(feedFreshness)
 {
@@ -149,6 +153,8 @@
 {
     Waiter waiter;
     waiter.after = after;
+    waiter.askedAt = this->clock.now();
+    waiter.knownUntil = this->freshness.moment();
     waiter.respond = std::move(respond);
     const auto changes = this->replica.changesAfter(after);
     if (!changes || !changes.value().empty() || wait == Duration::zero()) {
@@ -174,15 +180,24 @@
         waiter.respond({ statusGone, "text/plain", "gone" });
         return;
     }
-    waiter.respond(cborAnswer(changes.value(), this->replica.position(), this->freshness.age()));
+    // The reader counts the age from the moment of its question; negative when the knowledge is newer.
+    const Duration held = this->clock.now() - waiter.askedAt;
+    waiter.respond(cborAnswer(changes.value(), this->replica.position(), this->freshness.age() - held));
+}
+
+bool PeerFeedServer::isDue(const Waiter &waiter) const
+{
+    const auto changes = this->replica.changesAfter(waiter.after);
+    const std::optional<TimePoint> knownUntil = this->freshness.moment();
+    const bool newer = waiter.knownUntil && knownUntil && *knownUntil - *waiter.knownUntil >= worthTelling;
+    return newer || !changes || !changes.value().empty();
 }
 
 void PeerFeedServer::advanced()
 {
     std::vector<std::uint64_t> due;
     for (const auto &[id, waiter] : this->waiters) {
-        const auto changes = this->replica.changesAfter(waiter.after);
-        if (!changes || !changes.value().empty()) {
+        if (this->isDue(waiter)) {
             due.push_back(id);
         }
     }
--- a/Source/gateway/peerfeed.h
+++ b/Source/gateway/peerfeed.h
@@ -30,31 +30,39 @@
 
 /**
  * Lets other instances read this one's replica. A watch is answered at once when there are changes, and otherwise when
- * some arrive or its wait ends.
+ * some arrive, the knowledge is confirmed to be newer, or its wait ends.
  * Thread safety: none; used on the thread of the request loop.
  */
 class PeerFeedServer
 {
 public:
-    PeerFeedServer(TimerService &timers, const FeedReplica &replica, const FeedFreshness &freshness);
+    PeerFeedServer(const Clock &clock,
+                   TimerService &timers,
+                   const FeedReplica &replica,
+                   const FeedFreshness &freshness);
 
     /// Handles targets that begin with "/feed/"; others get 404.
     void handle(const std::string &target, SideServer::Respond respond);
 
-    /// The replica has moved: answers the watches that wait for it.
+    /// The replica or its freshness has moved: answers the watches that wait for it.
     void advanced();
 
 private:
     struct Waiter
     {
         Revision after = 0;
+        TimePoint askedAt;
+        /// Freshness at the time of the question.
+        std::optional<TimePoint> knownUntil;
         SideServer::Respond respond;
         Subscription timer;
     };
 
     void watch(Revision after, Duration wait, SideServer::Respond respond);
+    bool isDue(const Waiter &waiter) const;
     void answer(const Waiter &waiter) const;
 
+    const Clock &clock;
     TimerService &timers;
     const FeedReplica &replica;
     const FeedFreshness &freshness;
--- a/Tests/feed/feedreadertest.cpp
+++ b/Tests/feed/feedreadertest.cpp
@@ -150,6 +150,7 @@
     FakeRoutes routes;
     std::vector<FeedEvent> seen;
     int returns = 0;
+    int advances = 0;
     FeedReader reader { {},
                         { clock,
                           clock,
@@ -160,7 +161,8 @@
                           store,
                           routes,
                           [this] { ++this->returns; },
-                          [] {
+                          [this] {
+                              ++this->advances;
                           } } };
 };
 
@@ -188,6 +190,16 @@
     }
 }
 
+// Guards against followers whose knowledge grows old although this instance has confirmed its own.
+BOOST_FIXTURE_TEST_CASE(tellsOfEachConfirmation, Fixture)
+{
+    this->reader.start();
+    this->clock.advance(std::chrono::seconds(2));
+    const int before = this->advances;
+    this->clock.advance(std::chrono::seconds(5));
+    BOOST_TEST(this->advances - before >= 4);
+}
+
 // Guards against priced calls: an idle reader must need no more than about one call a second.
 BOOST_FIXTURE_TEST_CASE(readsIdleStoreWithFewCalls, Fixture)
 {
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -32,7 +32,8 @@
 class FakeFleet
 {
 public:
-    explicit FakeFleet(std::size_t size, std::size_t seeds)
+    explicit FakeFleet(std::size_t size, std::size_t seeds, std::size_t zones = 1)
+        : zoneCount(zones)
     {
         for (std::size_t number = 0; number < size; ++number) {
             this->add(number, seeds);
@@ -55,6 +56,9 @@
         void send(const std::string &address, const std::string &bytes) override
         {
             this->sentBytes += bytes.size();
+            if (this->fleet.zoneOf(address.substr(5)) != this->fleet.zoneOf(this->name)) {
+                this->sentToOtherZones += bytes.size();
+            }
             this->fleet.deliver(this->name, address.substr(5), bytes);
         }
 
@@ -67,6 +71,7 @@
         FeedFreshness freshness;
         std::unique_ptr<Gossip> gossip;
         std::size_t sentBytes = 0;
+        std::size_t sentToOtherZones = 0;
     };
 
     Node &node(std::size_t number)
@@ -85,6 +90,18 @@
     {
         this->cutOff.clear();
     }
+    std::string zoneOf(const std::string &name) const
+    {
+        return "z" + std::to_string(std::stoul(name) % this->zoneCount);
+    }
+    std::vector<Node *> all()
+    {
+        std::vector<Node *> result;
+        for (const auto &[name, node] : this->nodes) {
+            result.push_back(node.get());
+        }
+        return result;
+    }
 
     ManualClock clock;
 
@@ -95,7 +112,7 @@
         auto node = std::make_unique<Node>(*this, name);
         GossipSettings settings;
         settings.instance = InstanceId(name);
-        settings.zone = ZoneId("z");
+        settings.zone = ZoneId(this->zoneOf(name));
         settings.callerAddress = "caller-" + name;
         settings.peerAddress = "peer-" + name;
         for (std::size_t seed = 0; seed < seeds; ++seed) {
@@ -126,6 +143,7 @@
             this->clock.after(Milliseconds(1), [this, to, bytes] { this->nodes[to]->gossip->received(bytes); }));
     }
 
+    std::size_t zoneCount;
     std::map<std::string, std::unique_ptr<Node>> nodes;
     std::set<std::string> cutOff;
     std::vector<Subscription> timers;
@@ -137,18 +155,19 @@
 BOOST_AUTO_TEST_CASE(messageSurvivesTheWire)
 {
     FleetMessage message = messageOf("a", MemberState::Leaving);
-    message.use = { { OrganisationId("org"), 17 } };
+    message.use = { { OrganisationId("org"), 17, 3 } };
     message.known = { "peer-b" };
     message.readsStore = true;
     const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
     BOOST_REQUIRE(decoded);
     BOOST_TEST((decoded.value().state == MemberState::Leaving));
     BOOST_TEST(decoded.value().use.at(0).admitted == 17U);
+    BOOST_TEST(decoded.value().use.at(0).recent == 3U);
     BOOST_TEST(decoded.value().known.at(0) == "peer-b");
     BOOST_TEST(decoded.value().readsStore);
     BOOST_TEST((decodeFleetMessage("garbage").error() == FleetMessageError::NotCbor));
-    BOOST_TEST((decodeFleetMessage("\xa1\x61v\x02").error() == FleetMessageError::WrongVersion));
-    BOOST_TEST((decodeFleetMessage("\xa1\x61v\x01").error() == FleetMessageError::FieldMissing));
+    BOOST_TEST((decodeFleetMessage("\xa1\x61v\x01").error() == FleetMessageError::WrongVersion));
+    BOOST_TEST((decodeFleetMessage("\xa1\x61v\x02").error() == FleetMessageError::FieldMissing));
 }
 
 // Guards against instances that never hear of each other: all know a few seeds only.
@@ -194,6 +213,134 @@
     BOOST_TEST(fleet.node(40).members.heardCount() == 79U);
 }
 
+namespace
+{
+
+constexpr std::size_t largeFleet = 76;
+constexpr std::size_t manyOrganisations = 80;
+/// Requests of one organisation a second and its burst in the tests of a large fleet.
+constexpr double hotRate = 30;
+constexpr double hotBurst = 30;
+
+OrganisationId organisationNumber(std::size_t number)
+{
+    return OrganisationId("organisation-" + std::to_string(number));
+}
+
+/// Limits of all organisations at each instance of the fleet.
+void limitOrganisations(FakeFleet &fleet)
+{
+    std::map<OrganisationId, OrganisationSpec> specs;
+    for (std::size_t number = 0; number < manyOrganisations; ++number) {
+        OrganisationSpec spec;
+        spec.id = organisationNumber(number);
+        spec.ratePerSecond = hotRate;
+        spec.burst = hotBurst;
+        specs[spec.id] = spec;
+    }
+    for (FakeFleet::Node *node : fleet.all()) {
+        node->quota.setLimits(specs);
+    }
+}
+
+/// A load of @p perSecond requests of one organisation at random instances. Returns the times of the admitted ones.
+std::vector<double>
+loadOneOrganisation(FakeFleet &fleet, const OrganisationId &organisation, int seconds, int perSecond)
+{
+    Random random(11);
+    std::vector<double> admittedAt;
+    const auto nodes = fleet.all();
+    for (int request = 0; request < seconds * perSecond; ++request) {
+        fleet.advance(fromSeconds(1.0 / perSecond));
+        if (!nodes[random.below(nodes.size())]->quota.refusal(organisation)) {
+            admittedAt.push_back(static_cast<double>(request) / perSecond);
+        }
+    }
+    return admittedAt;
+}
+
+std::size_t mostInWindow(const std::vector<double> &moments, double window)
+{
+    std::size_t most = 0;
+    std::size_t begin = 0;
+    for (std::size_t end = 0; end < moments.size(); ++end) {
+        while (moments[end] - moments[begin] > window) {
+            ++begin;
+        }
+        most = std::max(most, end - begin + 1);
+    }
+    return most;
+}
+
+}
+
+// Guards against messages that list the whole history of each organisation, ten times a second, as soon as one
+// organisation is close to its limit: an instance may use 20 KB/s for control.
+BOOST_AUTO_TEST_CASE(messagesStaySmallWhileAnOrganisationIsAtItsLimit)
+{
+    FakeFleet fleet(largeFleet, 3, 4);
+    limitOrganisations(fleet);
+    fleet.advance(Milliseconds(4000));
+    for (FakeFleet::Node *node : fleet.all()) {
+        for (std::size_t number = 0; number < manyOrganisations; ++number) {
+            node->quota.refusal(organisationNumber(number));
+        }
+    }
+    fleet.advance(std::chrono::seconds(8));
+    std::size_t before = 0;
+    for (const FakeFleet::Node *node : fleet.all()) {
+        before += node->sentBytes;
+    }
+    loadOneOrganisation(fleet, organisationNumber(0), 5, 150);
+    std::size_t sent = 0;
+    for (const FakeFleet::Node *node : fleet.all()) {
+        sent += node->sentBytes;
+    }
+    BOOST_TEST(static_cast<double>(sent - before) / 5 / largeFleet <= 20'000);
+}
+
+// Guards against a fleet whose messages cross availability zones as often as chance has it: such bytes are dear.
+BOOST_AUTO_TEST_CASE(mostMessagesStayInTheirZone)
+{
+    FakeFleet fleet(largeFleet, 3, 4);
+    fleet.advance(Milliseconds(4000));
+    std::size_t sentBefore = 0;
+    std::size_t crossedBefore = 0;
+    for (const FakeFleet::Node *node : fleet.all()) {
+        sentBefore += node->sentBytes;
+        crossedBefore += node->sentToOtherZones;
+    }
+    for (int second = 0; second < 20; ++second) {
+        fleet.advance(std::chrono::seconds(1));
+        for (const FakeFleet::Node *node : fleet.all()) {
+            BOOST_TEST(node->members.heardCount() == largeFleet);
+        }
+    }
+    std::size_t sent = 0;
+    std::size_t crossed = 0;
+    for (const FakeFleet::Node *node : fleet.all()) {
+        sent += node->sentBytes;
+        crossed += node->sentToOtherZones;
+    }
+    BOOST_TEST_MESSAGE("KB/s an instance: " << static_cast<double>(sent - sentBefore) / 20 / 1000 / largeFleet
+                                            << ", to other zones: "
+                                            << static_cast<double>(crossed - crossedBefore) / 20 / 1000 / largeFleet);
+    // With receivers chosen at random, three quarters of the bytes cross zones; at most half of that is allowed.
+    BOOST_TEST(8 * (crossed - crossedBefore) <= 3 * (sent - sentBefore));
+}
+
+// Guards against an organisation that gets several times its rate because a large fleet hears of its use too late. The
+// bound is the platform's: a quarter and 20 requests above rate and burst in 5 seconds.
+BOOST_AUTO_TEST_CASE(largeFleetKeepsAnOrganisationToItsRate)
+{
+    FakeFleet fleet(largeFleet, 3, 4);
+    limitOrganisations(fleet);
+    fleet.advance(Milliseconds(6000));
+    const auto admittedAt = loadOneOrganisation(fleet, organisationNumber(0), 20, 200);
+    BOOST_TEST(static_cast<double>(mostInWindow(admittedAt, 5)) <= (5 * hotRate + hotBurst) * 1.25 + 20);
+    BOOST_TEST(static_cast<double>(admittedAt.size()) >= 0.85 * 20 * hotRate);
+}
+
 // Guards against callers that are sent to an instance that is dead, not ready or leaving, or far away without need.
 BOOST_AUTO_TEST_CASE(directoryNamesReadyInstancesOfTheZone)
 {
@@ -217,7 +364,7 @@
 {
     ManualClock clock;
     MemberTable members(clock, InstanceId("m"));
-    FeedPlan plan(members, InstanceId("m"), [](const std::string &) { return nullptr; });
+    FeedPlan plan(members, InstanceId("m"), ZoneId("z"), [](const std::string &) { return nullptr; });
     BOOST_TEST(plan.readsStore());
     FleetMessage reader = messageOf("a");
     reader.readsStore = true;
@@ -236,6 +383,33 @@
     BOOST_TEST(plan.readsStore());
 }
 
+// Guards against a configuration that crosses availability zones once for each instance of a large fleet, and against
+// a zone that hears nothing when its first instance is behind.
+BOOST_AUTO_TEST_CASE(instancesFollowOneOfTheirZone)
+{
+    ManualClock clock;
+    MemberTable members(clock, InstanceId("m"));
+    FeedPlan plan(members, InstanceId("m"), ZoneId("near"), [](const std::string &) { return nullptr; });
+    FleetMessage reader = messageOf("a");
+    reader.readsStore = true;
+    reader.zone = ZoneId("far");
+    members.heard(reader);
+    FleetMessage first = messageOf("f");
+    first.zone = ZoneId("near");
+    members.heard(first);
+    BOOST_TEST((plan.peers().at(0).instance == InstanceId("a")));
+    for (std::size_t number = 0; number < smallFleet; ++number) {
+        FleetMessage other = messageOf("n" + std::to_string(number));
+        other.zone = ZoneId("near");
+        members.heard(other);
+    }
+    BOOST_TEST((plan.peers().at(0).instance == InstanceId("f")));
+    BOOST_TEST((plan.peers().at(1).instance == InstanceId("a")));
+    first.feedAgeMs = 3000;
+    members.heard(first);
+    BOOST_TEST((plan.peers().at(0).instance == InstanceId("a")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/gateway/peerfeedtest.cpp
+++ b/Tests/gateway/peerfeedtest.cpp
@@ -42,7 +42,7 @@
     AsioTimerService timers { io };
     FeedReplica replica;
     FeedFreshness freshness { clock };
-    PeerFeedServer feedServer { timers, replica, freshness };
+    PeerFeedServer feedServer { clock, timers, replica, freshness };
     std::unique_ptr<SideServer> server;
     std::unique_ptr<PeerFeed> feed;
 };
@@ -78,6 +78,22 @@
     BOOST_TEST(result->value().at == 12U);
 }
 
+// Guards against knowledge that grows old on its way through two instances: a confirmation is passed on at once.
+BOOST_FIXTURE_TEST_CASE(confirmationEndsTheWatch, Fixture)
+{
+    this->replica.replace({}, 9);
+    std::optional<Result<FeedBatch>> result;
+    this->feed->watch(9, std::chrono::seconds(4), [&result](const Result<FeedBatch> &batch) { result = batch; });
+    runFor(this->io, std::chrono::milliseconds(400));
+    BOOST_TEST(!result.has_value());
+    this->freshness.confirm(this->clock.now());
+    this->feedServer.advanced();
+    BOOST_REQUIRE(runUntil(this->io, [&result] { return result.has_value(); }));
+    BOOST_TEST(result->value().events.empty());
+    // Counted from the question, which is older than the confirmation.
+    BOOST_TEST((result->value().age < Milliseconds(-300)));
+}
+
 // Guards against freshness that nobody confirmed: the age of the other instance's knowledge comes with each answer.
 BOOST_FIXTURE_TEST_CASE(answerStatesItsAge, Fixture)
 {
@@ -85,7 +101,7 @@
     runFor(this->io, std::chrono::milliseconds(30));
     const auto batch = this->watch(9, Milliseconds(20));
     BOOST_TEST(batch.value().events.empty());
-    BOOST_TEST((batch.value().age >= Milliseconds(50)));
+    BOOST_TEST((batch.value().age >= Milliseconds(30)));
 }
 
 // Guards against changes that are lost because the other instance's history is too short, and against an instance that
