Fleet: Let the strongest instances carry the work of large fleets

Cause: with 75 to 89 instances each one sees about one query in two seconds. It learns of slow endpoints too late, its share of connections is one for each endpoint, its share of second sends is below one in ten seconds, and most machines have an eighth of a core, on which a query of 36 parts takes long. Change: instances tell each other how much processor time they have and use. Callers, and instances that look for a collector of parts, are sent to the strongest instances of a zone, as many as the load needs and two at least; the others stand by.

--- a/Source/fleet/callerdirectory.cpp
+++ b/Source/fleet/callerdirectory.cpp
@@ -3,30 +3,23 @@
 namespace Lycheewall
 {
 
-CallerDirectory::CallerDirectory(const MemberTable &memberTable)
-    : members(memberTable)
+CallerDirectory::CallerDirectory(ServingSet &servingSet)
+    : serving(servingSet)
 {
 }
 
-std::vector<std::string> CallerDirectory::addresses(const OwnAddress &own, const ZoneId &zone) const
+std::vector<std::string> CallerDirectory::addresses(const ZoneId &zone)
 {
-    std::vector<std::string> near;
-    std::vector<std::string> all;
-    const auto add = [&near, &all, &zone](const std::string &address, const ZoneId &addressZone) {
-        all.push_back(address);
-        if (addressZone == zone) {
-            near.push_back(address);
-        }
-    };
-    if (own.ready) {
-        add(own.address, own.zone);
+    std::vector<ServingInstance> chosen = this->serving.ofZone(zone);
+    if (chosen.empty()) {
+        chosen = this->serving.ready();
     }
-    for (const Member *member : this->members.alive()) {
-        if (member->latest.state == MemberState::Ready) {
-            add(member->latest.callerAddress, member->latest.zone);
-        }
+    std::vector<std::string> result;
+    result.reserve(chosen.size());
+    for (const ServingInstance &instance : chosen) {
+        result.push_back(instance.callerAddress);
     }
-    return near.empty() ? all : near;
+    return result;
 }
 
 }
--- a/Source/fleet/fleetmessage.cpp
+++ b/Source/fleet/fleetmessage.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleetmessage.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace Lycheewall
@@ -42,12 +43,24 @@
     return list;
 }
 
+/// Whole numbers are shorter on the wire than fractions.
+std::int64_t thousandths(double value)
+{
+    return std::llround(1000 * value);
+}
+
+double fromThousandths(const Json &json)
+{
+    return static_cast<double>(json.get<std::int64_t>()) / 1000;
+}
+
 Json toJson(const FleetMessage &message)
 {
     Json json { { "v", wireVersion },          { "i", message.instance.value() },
                 { "n", message.incarnation },  { "s", static_cast<int>(message.state) },
                 { "z", message.zone.value() }, { "c", message.callerAddress },
                 { "p", message.peerAddress },  { "a", message.feedAgeMs } };
+    json["m"] = Json::array({ thousandths(message.processor.available), thousandths(message.processor.used) });
     if (message.readsStore) {
         json["r"] = true;
     }
@@ -79,6 +92,7 @@
     message.callerAddress = json.at("c").get<std::string>();
     message.peerAddress = json.at("p").get<std::string>();
     message.feedAgeMs = json.at("a").get<std::int64_t>();
+    message.processor = { fromThousandths(json.at("m").at(0)), fromThousandths(json.at("m").at(1)) };
     message.readsStore = json.value("r", false);
     message.joining = json.value("j", false);
     message.asking = json.value("q", false);
--- a/Source/fleet/fleetmessage.h
+++ b/Source/fleet/fleetmessage.h
@@ -13,6 +13,15 @@
 
 struct RelayedMessage;
 
+/// Processor time of an instance, in cores.
+struct ProcessorShare
+{
+    /// What it may use.
+    double available = 1;
+    /// What it has used lately.
+    double used = 0;
+};
+
 /// What an instance says of itself and, now and then, of the others that it knows.
 struct FleetMessage
 {
@@ -28,6 +37,7 @@
     /// Age of its knowledge of the platform's data; negative when it has none.
     std::int64_t feedAgeMs = -1;
     bool readsStore = false;
+    ProcessorShare processor;
     /// Asks for an answer with all known addresses.
     bool joining = false;
     /// Asks for an answer.
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -131,6 +131,7 @@
     const Duration age = this->context.freshness.age();
     message.feedAgeMs = age == Duration::max() ? -1 : toMilliseconds(age);
     message.readsStore = this->context.readsStore();
+    message.processor = this->context.processor();
     message.joining = !this->isSettled();
     message.use = this->context.quota.use();
     return message;
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -57,6 +57,8 @@
         FeedFreshness &freshness;
         /// Called after each change of the number of instances.
         std::function<void()> fleetChanged;
+        /// This instance's processor.
+        std::function<ProcessorShare()> processor;
         /// True while this instance reads the store itself.
         std::function<bool()> readsStore;
     };
--- a/Source/fleet/relayclient.cpp
+++ b/Source/fleet/relayclient.cpp
@@ -3,6 +3,8 @@
 #include "fleet/datagramkind.h"
 #include "forwarding/relaymessage.h"
 
+#include <algorithm>
+
 namespace Lycheewall
 {
 
@@ -62,26 +64,26 @@
     std::optional<RelayTarget> best;
     for (const auto &[endpointZone, covered] : byZone) {
         const bool isBetter = covered.size() >= leastParts && (!best || covered.size() > best->services.size());
-        const Member *member = isBetter ? this->instanceIn(endpointZone) : nullptr;
-        if (member != nullptr) {
-            best = RelayTarget { member->latest.instance, member->latest.peerAddress, endpointZone, covered };
+        const auto instance = isBetter ? this->instanceIn(endpointZone) : std::nullopt;
+        if (instance) {
+            best = RelayTarget { instance->instance, instance->peerAddress, endpointZone, covered };
         }
     }
     return best;
 }
 
-const Member *RelayClient::instanceIn(const ZoneId &wanted) const
+std::optional<ServingInstance> RelayClient::instanceIn(const ZoneId &wanted) const
 {
     const TimePoint now = this->context.clock.now();
-    std::vector<const Member *> usable;
-    for (const Member *member : this->context.members.alive()) {
-        const auto avoided = this->avoidedUntil.find(member->latest.instance);
-        const bool isAvoided = avoided != this->avoidedUntil.end() && now < avoided->second;
-        if (member->latest.zone == wanted && member->latest.state == MemberState::Ready && !isAvoided) {
-            usable.push_back(member);
-        }
-    }
-    return usable.empty() ? nullptr : usable[this->context.random.below(usable.size())];
+    std::vector<ServingInstance> usable = this->context.serving.ofZone(wanted);
+    usable.erase(std::remove_if(usable.begin(),
+                                usable.end(),
+                                [this, now](const ServingInstance &instance) {
+                                    const auto avoided = this->avoidedUntil.find(instance.instance);
+                                    return avoided != this->avoidedUntil.end() && now < avoided->second;
+                                }),
+                 usable.end());
+    return usable.empty() ? std::nullopt : std::optional(usable[this->context.random.below(usable.size())]);
 }
 
 std::unique_ptr<RelayWait>
--- a/Source/fleet/relayclient.h
+++ b/Source/fleet/relayclient.h
@@ -3,6 +3,7 @@
 #include "core/counters.h"
 #include "core/random.h"
 #include "fleet/gossip.h"
+#include "fleet/servingset.h"
 #include "forwarding/forwardingcontext.h"
 #include "forwarding/partrelay.h"
 
@@ -24,7 +25,7 @@
         Counters &counters;
         Random &random;
         DatagramSender &sender;
-        const MemberTable &members;
+        ServingSet &serving;
         const EndpointSet &endpoints;
     };
 
@@ -42,7 +43,7 @@
 private:
     class Wait;
 
-    const Member *instanceIn(const ZoneId &zone) const;
+    std::optional<ServingInstance> instanceIn(const ZoneId &zone) const;
 
     Context context;
     std::string replyAddress;
--- /dev/null
+++ b/Source/fleet/servingset.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "fleet/membertable.h"
+
+#include <map>
+
+namespace Lycheewall
+{
+
+/// An instance that callers and other instances can send work to.
+struct ServingInstance
+{
+    InstanceId instance;
+    ZoneId zone;
+    /// Where callers connect.
+    std::string callerAddress;
+    /// Where other instances send datagrams.
+    std::string peerAddress;
+    bool ready = false;
+    ProcessorShare processor;
+};
+
+/**
+ * Chooses the instances that carry the work of each availability zone. In a large fleet these are the strongest ones,
+ * and only as many as the load needs: each then sees enough requests to know the endpoints and to keep its connections
+ * to them in use. All other instances stand by.
+ * Thread safety: none; used on the thread of the request loop.
+ */
+class ServingSet
+{
+public:
+    /// @p own describes this instance and may change; both references outlive the set.
+    ServingSet(const MemberTable &members, const ServingInstance &own);
+
+    /// Instances of @p zone that carry work; empty when none is ready there.
+    std::vector<ServingInstance> ofZone(const ZoneId &zone);
+
+    /// Ready instances of all zones, whether they carry work or stand by.
+    std::vector<ServingInstance> ready() const;
+
+    /// Part of the limits of the whole fleet that this instance may use, above 0 and at most 1. The parts of all
+    /// instances add up to 1 at most, those of silent ones included.
+    double ownShare();
+
+private:
+    /// Number of the first of @p candidates that are enough for the load of all of them.
+    std::size_t neededOf(const std::vector<ServingInstance> &candidates, std::size_t before) const;
+
+    const MemberTable &members;
+    const ServingInstance &own;
+    std::map<ZoneId, std::size_t> sizes;
+};
+
+}
--- a/Source/forwarding/forwardingcontext.h
+++ b/Source/forwarding/forwardingcontext.h
@@ -30,8 +30,8 @@
     RequestJournal &journal;
     /// Null where no other instance can be asked.
     PartRelay *relay = nullptr;
-    /// Instances that share the endpoints' connections.
-    std::size_t fleetSize = 1;
+    /// Part of the endpoints' connections that this instance may use, above 0 and at most 1.
+    double fleetShare = 1;
 };
 
 /// One admitted request.
--- a/Source/forwarding/repeatbudget.cpp
+++ b/Source/forwarding/repeatbudget.cpp
@@ -26,14 +26,14 @@
     this->limits = newLimits;
 }
 
-void RepeatBudget::setFleetSize(std::size_t fleetInstances)
+void RepeatBudget::setShare(double fleetShare)
 {
-    this->instances = static_cast<double>(fleetInstances);
+    this->share = fleetShare;
 }
 
 double RepeatBudget::capacity() const
 {
-    return std::max(1.0, capacityShare * this->limits.slack / this->instances);
+    return std::max(1.0, capacityShare * this->limits.slack * this->share);
 }
 
 RepeatBudget::Account &RepeatBudget::account(const ServiceId &service)
@@ -46,7 +46,7 @@
     }
     const double passed = fractionalSeconds(now - account.at);
     const double window = fractionalSeconds(this->limits.window);
-    account.tokens += passed / window * refillShare * this->limits.slack / this->instances;
+    account.tokens += passed / window * refillShare * this->limits.slack * this->share;
     account.tokens = std::min(account.tokens, this->capacity());
     account.at = now;
     return account;
--- a/Source/forwarding/repeatbudget.h
+++ b/Source/forwarding/repeatbudget.h
@@ -20,7 +20,7 @@
 
 /**
  * This instance's part of the fleet's budget of second sends (retries and hedges), per service. Requests earn their
- * ratio, the slack is divided by the number of instances; the sum over all instances keeps the limit without any
+ * ratio, the slack is divided among the instances; the sum over all instances keeps the limit without any
  * messages.
  * Thread safety: none; used on the thread of the request loop.
  */
@@ -31,8 +31,8 @@
 
     void setLimits(const RepeatLimits &limits);
 
-    /// Precondition: instances > 0. Count instances that may still be running, also silent ones.
-    void setFleetSize(std::size_t instances);
+    /// Part of the fleet's slack that this instance may use, above 0 and at most 1.
+    void setShare(double share);
 
     /// Counts a first send to the service.
     void noteRequest(const ServiceId &service);
@@ -55,7 +55,7 @@
 
     RepeatLimits limits;
     const Clock &clock;
-    double instances = 1;
+    double share = 1;
     std::unordered_map<ServiceId, Account> accounts;
 };
 
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -150,8 +150,8 @@
 std::size_t ServiceCall::connectionLimit() const
 {
     const ServiceSpec *spec = this->request.table->service(this->service);
-    const auto all = static_cast<std::size_t>(std::max(0, spec == nullptr ? 0 : spec->maxConnections));
-    return std::max<std::size_t>(1, all / std::max<std::size_t>(1, this->context.fleetSize));
+    const double all = spec == nullptr ? 0 : spec->maxConnections;
+    return static_cast<std::size_t>(std::max(1.0, all * this->context.fleetShare));
 }
 
 void ServiceCall::ended(const AttemptPtr &attempt, const CallOutcome &outcome)
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -14,12 +14,13 @@
 {
 
 constexpr Duration sweepPeriod = Milliseconds(1000);
+constexpr Duration samplePeriod = Milliseconds(1000);
 /// The settings file may also change without a signal.
 constexpr Duration reloadPeriod = std::chrono::seconds(5);
 constexpr Duration countersPeriod = std::chrono::seconds(10);
-/// Instances that are assumed to share connections and budget until the others had time to answer. A new instance that
-/// knows no other would take whole connection caps and be reset by endpoints.
-constexpr std::size_t assumedFleet = 8;
+/// Largest part of connections and budget that is used until the others had time to answer. A new instance that knows
+/// no other would take whole connection caps and be reset by endpoints.
+constexpr double assumedShare = 1.0 / 8;
 constexpr Duration settlingTime = Milliseconds(2100);
 constexpr Duration endCheckPeriod = Milliseconds(50);
 constexpr int statusOk = 200;
@@ -32,6 +33,17 @@
     return log;
 }
 
+ServingInstance ownInstance(const GatewaySettings &settings)
+{
+    ServingInstance own;
+    own.instance = settings.instance;
+    own.zone = settings.zone;
+    own.callerAddress = settings.callerAddress;
+    own.peerAddress = settings.peerAddress;
+    own.processor.available = settings.processorCores;
+    return own;
+}
+
 std::uint64_t trueRandom()
 {
     std::random_device device;
@@ -78,10 +90,13 @@
                [this] {
                    this->feedAdvanced();
                } })
-    , directory(members)
+    , self(ownInstance(settings))
+    , serving(members, self)
+    , directory(serving)
     , feedServer(clock, timers, replica, freshness)
     , frontContext { clock, counters, forwarder, dialects.callers, durations }
     , signals(io)
+    , processor(clock)
 {
     this->replica.setListener([this](const FeedEvent &event) { this->live.apply(event); });
 }
@@ -112,6 +127,7 @@
     this->subscriptions.push_back(this->timers.after(settlingTime, [this] { this->fleetChanged(); }));
     this->reader.start();
     this->subscriptions.push_back(this->timers.every(sweepPeriod, [this] { this->pool.sweep(); }));
+    this->subscriptions.push_back(this->timers.every(samplePeriod, [this] { this->sampleProcessor(); }));
     this->subscriptions.push_back(this->timers.every(reloadPeriod, [this] { this->reloadSettings(); }));
     this->subscriptions.push_back(this->timers.every(countersPeriod, [this] { this->logCounters(); }));
     return success();
@@ -135,12 +151,13 @@
                                                               this->quota,
                                                               this->freshness,
                                                               [this] { this->fleetChanged(); },
+                                                              [this] { return this->self.processor; },
                                                               [this] {
                                                                   return this->reader.usesStore();
                                                               } });
     this->relayClient = std::make_unique<RelayClient>(
         RelayClient::Context {
-            this->clock, this->counters, this->random, *this->datagrams, this->members, this->endpoints },
+            this->clock, this->counters, this->random, *this->datagrams, this->serving, this->endpoints },
         this->settings.peerAddress,
         this->settings.zone);
     this->relayServer = std::make_unique<RelayServer>(this->forwarding, this->forwarder, *this->datagrams);
@@ -202,11 +219,24 @@
 
 void Gateway::fleetChanged()
 {
-    const std::size_t all = this->members.possibleCount();
-    const std::size_t sharing = this->gossip->isSettled() ? all : std::max(all, assumedFleet);
-    this->forwarding.fleetSize = sharing;
-    this->budget.setFleetSize(sharing);
-    this->quota.setFleet(this->members.heardCount(), all);
+    const double share = this->serving.ownShare();
+    this->forwarding.fleetShare = this->gossip->isSettled() ? share : std::min(share, assumedShare);
+    this->budget.setShare(this->forwarding.fleetShare);
+    this->quota.setFleet(this->members.heardCount(), this->members.possibleCount());
+}
+
+void Gateway::setState(MemberState state)
+{
+    this->self.ready = state == MemberState::Ready;
+    this->gossip->setState(state);
+    this->fleetChanged();
+}
+
+void Gateway::sampleProcessor()
+{
+    this->self.processor.used = this->processor.sample();
+    // The load decides which instances carry work, and with it the shares of the fleet's limits.
+    this->fleetChanged();
 }
 
 void Gateway::feedAdvanced()
@@ -219,7 +249,7 @@
 {
     if (this->gossip->state() == MemberState::Starting && this->forwarder.table()) {
         journal().info("Ready with " + std::to_string(this->endpoints.size()) + " endpoints.");
-        this->gossip->setState(MemberState::Ready);
+        this->setState(MemberState::Ready);
     }
 }
 
@@ -230,10 +260,7 @@
         respond({ statusNotFound, "text/plain", "unknown" });
         return;
     }
-    const OwnAddress own { this->settings.callerAddress,
-                           this->settings.zone,
-                           this->gossip->state() == MemberState::Ready };
-    const auto addresses = this->directory.addresses(own, question->zone);
+    const auto addresses = this->directory.addresses(question->zone);
     if (addresses.empty()) {
         respond({ statusUnavailable, "text/plain", "no instance is ready" });
         return;
@@ -306,7 +333,7 @@
     journal().info("Told to end; leaving.");
     this->leavingSince = this->clock.now();
     this->frontContext.leaving = true;
-    this->gossip->setState(MemberState::Leaving);
+    this->setState(MemberState::Leaving);
     this->subscriptions.push_back(this->timers.after(this->settings.leaveServing, [this] { this->stopServing(); }));
 }
 
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/peerfeed.h"
 #include "gateway/sidedialect.h"
 #include "runtime/asiotimerservice.h"
+#include "runtime/processormeter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -63,6 +64,8 @@
     void takeDatagram(const std::string &bytes);
     void becomeReady();
     void fleetChanged();
+    void setState(MemberState state);
+    void sampleProcessor();
     void feedAdvanced();
     void answerDirectory(const std::string &target, const SideServer::Respond &respond);
     void answerReady(const std::string &target, const SideServer::Respond &respond);
@@ -100,6 +103,8 @@
     Store store;
     Reload reload;
     FeedReader reader;
+    ServingInstance self;
+    ServingSet serving;
     CallerDirectory directory;
     PeerFeedServer feedServer;
     FrontContext frontContext;
@@ -111,6 +116,7 @@
     std::vector<std::unique_ptr<SideServer>> sideServers;
     boost::asio::signal_set signals;
     TimePoint leavingSince;
+    ProcessorMeter processor;
     std::vector<Subscription> subscriptions;
 };
 
--- a/Source/gateway/gatewaysettings.h
+++ b/Source/gateway/gatewaysettings.h
@@ -27,6 +27,8 @@
     std::string metricsAddress;
     /// Peer addresses of instances that are asked at the start.
     std::vector<std::string> seeds;
+    /// Processor time that this process may use, in cores.
+    double processorCores = 1;
     RepeatLimits repeats;
     ForwarderSettings forwarding;
     FeedReaderSettings feed;
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -128,6 +128,7 @@
                                                                   node->quota,
                                                                   node->freshness,
                                                                   [] {},
+                                                                  [] { return ProcessorShare(); },
                                                                   [] {
                                                                       return false;
                                                                   } });
@@ -158,6 +159,7 @@
     message.use = { { OrganisationId("org"), 17, 3 } };
     message.known = { "peer-b" };
     message.readsStore = true;
+    message.processor = { 0.5, 0.125 };
     const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
     BOOST_REQUIRE(decoded);
     BOOST_TEST((decoded.value().state == MemberState::Leaving));
@@ -165,6 +167,8 @@
     BOOST_TEST(decoded.value().use.at(0).recent == 3U);
     BOOST_TEST(decoded.value().known.at(0) == "peer-b");
     BOOST_TEST(decoded.value().readsStore);
+    BOOST_TEST(decoded.value().processor.available == 0.5);
+    BOOST_TEST(decoded.value().processor.used == 0.125);
     BOOST_TEST((decodeFleetMessage("garbage").error() == FleetMessageError::NotCbor));
     BOOST_TEST((decodeFleetMessage("\xa1\x61v\x01").error() == FleetMessageError::WrongVersion));
     BOOST_TEST((decodeFleetMessage("\xa1\x61v\x02").error() == FleetMessageError::FieldMissing));
@@ -346,17 +350,22 @@
 {
     ManualClock clock;
     MemberTable members(clock, InstanceId("self"));
-    const CallerDirectory directory(members);
-    const OwnAddress own { "own", ZoneId("z-self"), true };
+    ServingInstance own;
+    own.instance = InstanceId("self");
+    own.zone = ZoneId("z-self");
+    own.callerAddress = "own";
+    own.ready = true;
+    ServingSet serving(members, own);
+    CallerDirectory directory(serving);
     members.heard(messageOf("a"));
     members.heard(messageOf("b", MemberState::Leaving));
     members.heard(messageOf("c", MemberState::Starting));
-    BOOST_TEST((directory.addresses(own, ZoneId("z-self")) == std::vector<std::string> { "own" }));
-    BOOST_TEST((directory.addresses(own, ZoneId("z-a")) == std::vector<std::string> { "caller-a" }));
-    BOOST_TEST((directory.addresses(own, ZoneId("z-b")) == std::vector<std::string> { "own", "caller-a" }));
+    BOOST_TEST((directory.addresses(ZoneId("z-self")) == std::vector<std::string> { "own" }));
+    BOOST_TEST((directory.addresses(ZoneId("z-a")) == std::vector<std::string> { "caller-a" }));
+    BOOST_TEST((directory.addresses(ZoneId("z-b")) == std::vector<std::string> { "own", "caller-a" }));
     clock.advance(std::chrono::seconds(2));
     members.sweep();
-    BOOST_TEST((directory.addresses(own, ZoneId("z-a")) == std::vector<std::string> { "own" }));
+    BOOST_TEST((directory.addresses(ZoneId("z-a")) == std::vector<std::string> { "own" }));
 }
 
 // Guards against a store that all instances read, and against one that nobody reads.
--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -68,7 +68,9 @@
     Forwarder forwarder { {}, context, freshness };
     MemberTable members { clock, InstanceId("self") };
     FakeSender sender;
-    RelayClient client { { clock, counters, random, sender, members, endpoints }, "peer-self", ZoneId("near") };
+    ServingInstance own;
+    ServingSet serving { members, own };
+    RelayClient client { { clock, counters, random, sender, serving, endpoints }, "peer-self", ZoneId("near") };
     RelayServer server { context, forwarder, sender };
     std::vector<RelayAnswer> answers;
 };
--- a/Tests/forwarding/budgettest.cpp
+++ b/Tests/forwarding/budgettest.cpp
@@ -39,7 +39,7 @@
     std::vector<std::unique_ptr<RepeatBudget>> budgets;
     for (std::size_t made = 0; made < instances; ++made) {
         budgets.push_back(std::make_unique<RepeatBudget>(limits, clock));
-        budgets.back()->setFleetSize(naive ? 1 : instances);
+        budgets.back()->setShare(naive ? 1 : 1.0 / instances);
     }
     std::mt19937_64 engine(seed);
     std::exponential_distribution<double> gap(requestsPerSecond);
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -218,10 +218,21 @@
         , budget(fleet.plan.repeats, fleet.clock)
         , quota(fleet.clock)
         , journal(fleet.clock)
-        , context { fleet.clock, fleet.clock, counters, endpoints,           chooser, caller, budget, latencies, split,
-                    quota,       journal,     nullptr,  fleet.plan.instances }
+        , context { fleet.clock,
+                    fleet.clock,
+                    counters,
+                    endpoints,
+                    chooser,
+                    caller,
+                    budget,
+                    latencies,
+                    split,
+                    quota,
+                    journal,
+                    nullptr,
+                    1.0 / static_cast<double>(fleet.plan.instances) }
     {
-        this->budget.setFleetSize(fleet.plan.instances);
+        this->budget.setShare(1.0 / static_cast<double>(fleet.plan.instances));
         for (const auto &server : fleet.servers) {
             this->endpoints.put(server->record, fleet.clock.now());
         }
