--- a/Source/fleet/servingset.cpp
+++ b/Source/fleet/servingset.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 namespace Lycheewall
 {
@@ -86,27 +87,31 @@
     return size;
 }
 
+bool ServingSet::carriesWork()
+{
+    const std::vector<ServingInstance> chosen = this->ofZone(this->own.zone);
+    return std::any_of(chosen.begin(), chosen.end(), [this](const ServingInstance &instance) {
+        return instance.instance == this->own.instance;
+    });
+}
+
 double ServingSet::ownShare()
 {
     const std::size_t all = this->members.possibleCount();
     if (all <= smallFleet + 1) {
         return 1.0 / static_cast<double>(all);
     }
-    std::map<ZoneId, bool> zones;
+    std::set<ZoneId> zones;
     for (const ServingInstance &instance : this->ready()) {
-        zones[instance.zone] = true;
+        zones.insert(instance.zone);
     }
     std::size_t serving = 0;
-    bool isServing = false;
-    for (const auto &[zone, known] : zones) {
-        for (const ServingInstance &instance : this->ofZone(zone)) {
-            ++serving;
-            isServing = isServing || instance.instance == this->own.instance;
-        }
+    for (const ZoneId &zone : zones) {
+        serving += this->ofZone(zone).size();
     }
     // Silent instances may still carry work.
     const std::size_t silent = all - this->members.heardCount();
-    if (isServing) {
+    if (this->carriesWork()) {
         return servingPart / static_cast<double>(serving + silent);
     }
     return (1 - servingPart) / static_cast<double>(std::max<std::size_t>(1, all - serving));
--- a/Source/fleet/servingset.h
+++ b/Source/fleet/servingset.h
@@ -38,6 +38,9 @@
     /// Ready instances of all zones, whether they carry work or stand by.
     std::vector<ServingInstance> ready() const;
 
+    /// True when this instance is one of those that carry the work of its zone.
+    bool carriesWork();
+
     /// Part of the limits of the whole fleet that this instance may use, above 0 and at most 1. The parts of all
     /// instances add up to 1 at most, those of silent ones included.
     double ownShare();
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <sstream>
 
 namespace Lycheewall
 {
@@ -325,7 +326,10 @@
 
 void Gateway::logCounters()
 {
-    journal().info("Counters: " + this->counters.summary());
+    std::ostringstream processor;
+    processor << "processor=" << this->self.processor.used << '/' << this->self.processor.available
+              << " carries-work=" << (this->serving.carriesWork() ? "yes" : "no");
+    journal().info("Counters: " + processor.str() + ' ' + this->counters.summary());
 }
 
 void Gateway::leave()
