--- a/Source/runtime/processormeter.cpp
+++ b/Source/runtime/processormeter.cpp
@@ -1,6 +1,6 @@
 #include "runtime/processormeter.h"
 
-#include <ctime>
+#include <sys/resource.h>
 
 namespace Lycheewall
 {
@@ -13,9 +13,12 @@
 
 Duration usedTime()
 {
-    timespec time {};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto duration = [](const timeval &time) -> Duration {
+        return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
+    };
+    return duration(usage.ru_utime) + duration(usage.ru_stime);
 }
 
 }
