Fleet: Tell the instances that carry work which endpoints are slow

Cause: each instance learns of a slow endpoint from its own late answers, and probes it by itself. With 36 shards each query meets some endpoint that somebody is still learning of. Change: messages list the endpoints that an instance has found slow within the last second, after three late probes in a row; the others hold theirs back for 1.5 to 3.5 s. Instances that carry work send their messages to each other directly. Ruled out: telling after the first late answer.

--- a/Source/fleet/fleetmessage.cpp
+++ b/Source/fleet/fleetmessage.cpp
@@ -73,6 +73,9 @@
     if (!message.use.empty()) {
         json["u"] = useToJson(message.use);
     }
+    for (const SlowEndpoint &item : message.slow) {
+        json["w"].push_back(Json::array({ item.endpoint.value(), thousandths(item.slowness) }));
+    }
     if (!message.known.empty()) {
         json["k"] = message.known;
     }
@@ -101,6 +104,9 @@
                                 item.at(1).get<std::uint64_t>(),
                                 item.at(2).get<std::uint64_t>() });
     }
+    for (const Json &item : json.value("w", Json::array())) {
+        message.slow.push_back({ EndpointId(item.at(0).get<std::string>()), fromThousandths(item.at(1)) });
+    }
     message.known = json.value("k", std::vector<std::string>());
     for (const Json &item : json.value("l", Json::array())) {
         message.relayed.push_back({ item.at(0).get<std::int64_t>(), messageOf(item.at(1)) });
--- a/Source/fleet/fleetmessage.h
+++ b/Source/fleet/fleetmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "forwarding/endpointset.h"
 #include "forwarding/organisationquota.h"
 
 #include <string>
@@ -43,6 +44,8 @@
     /// Asks for an answer.
     bool asking = false;
     std::vector<OrganisationUse> use;
+    /// Endpoints that it has found slow within the last second.
+    std::vector<SlowEndpoint> slow;
     /// Peer addresses of other instances.
     std::vector<std::string> known;
     /// What other instances have said, in fleets too large for each instance to tell all others.
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -134,6 +134,7 @@
     message.processor = this->context.processor();
     message.joining = !this->isSettled();
     message.use = this->context.quota.use();
+    message.slow = this->context.endpoints.foundSlow(this->context.clock.now());
     return message;
 }
 
@@ -176,6 +177,22 @@
     return result;
 }
 
+std::vector<std::string> Gossip::othersThatCarryWork()
+{
+    if (!this->isLargeFleet() || !this->context.serving.carriesWork()) {
+        return {};
+    }
+    std::vector<std::string> addresses;
+    for (const ServingInstance &instance : this->context.serving.ofAllZones()) {
+        if (instance.instance != this->settings.instance) {
+            addresses.push_back(instance.peerAddress);
+        }
+    }
+    shuffle(addresses, this->context.random);
+    addresses.resize(std::min(addresses.size(), smallFleet));
+    return addresses;
+}
+
 std::vector<RelayedMessage> Gossip::someOthers()
 {
     if (!this->isLargeFleet()) {
@@ -203,39 +220,40 @@
 void Gossip::tellAll()
 {
     FleetMessage message = this->compose();
+    std::vector<std::string> briefly = this->othersThatCarryWork();
+    if (this->ticks % probeEvery == 0 || !this->isSettled()) {
+        const std::vector<std::string> probes = this->addressesToProbe();
+        briefly.insert(briefly.end(), probes.begin(), probes.end());
+    }
+    this->sendAll(briefly, message);
     message.relayed = this->someOthers();
     if (this->ticks % shareEvery == 0) {
         message.known = this->context.members.aliveAddresses();
     }
-    const std::string bytes = encodeFleetMessage(message);
-    for (const std::string &address : this->targets()) {
-        this->context.sender.send(address, bytes);
-    }
-    if (this->ticks % probeEvery == 0 || !this->isSettled()) {
-        const std::string hello = encodeFleetMessage(this->compose());
-        for (const std::string &address : this->addressesToProbe()) {
-            this->context.sender.send(address, hello);
-        }
-    }
+    this->sendAll(this->targets(), message);
     ++this->ticks;
     this->toldAt = this->context.clock.now();
     this->askQuietOnes();
 }
 
-void Gossip::askQuietOnes()
+void Gossip::sendAll(const std::vector<std::string> &addresses, const FleetMessage &message)
 {
-    const std::vector<std::string> quiet = this->context.members.quietAddresses();
-    if (quiet.empty()) {
+    if (addresses.empty()) {
         return;
     }
-    FleetMessage question = this->compose();
-    question.asking = true;
-    const std::string bytes = encodeFleetMessage(question);
-    for (const std::string &address : quiet) {
+    const std::string bytes = encodeFleetMessage(message);
+    for (const std::string &address : addresses) {
         this->context.sender.send(address, bytes);
     }
 }
 
+void Gossip::askQuietOnes()
+{
+    FleetMessage question = this->compose();
+    question.asking = true;
+    this->sendAll(this->context.members.quietAddresses(), question);
+}
+
 bool Gossip::take(const FleetMessage &message, Duration age)
 {
     const MemberNews news = this->context.members.heard(message, age);
@@ -243,6 +261,7 @@
         return false;
     }
     this->context.quota.noteUse(message.instance, message.incarnation, message.use, this->isSettled());
+    this->context.endpoints.foundSlowElsewhere(message.slow, this->context.clock.now() - age, this->context.random);
     if (news == MemberNews::Newer) {
         return false;
     }
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -4,7 +4,7 @@
 #include "core/random.h"
 #include "core/timerservice.h"
 #include "feed/freshness.h"
-#include "fleet/membertable.h"
+#include "fleet/servingset.h"
 
 #include <functional>
 
@@ -39,7 +39,8 @@
 /**
  * Keeps the instances of the fleet informed of each other: state, freshness, use of quotas. In a small fleet each tells
  * all others; in a larger one each tells a few others, and passes on what some more have said, so that its cost does
- * not grow with the fleet. Of these messages, only a few a zone go to other availability zones. Thread safety: none;
+ * not grow with the fleet. Of these messages, only a few a zone go to other availability zones. Instances that carry
+ * work tell each other directly what they admit and which endpoints they find slow. Thread safety: none;
  * used on the thread of the request loop.
  */
 class Gossip
@@ -55,6 +56,8 @@
         MemberTable &members;
         OrganisationQuota &quota;
         FeedFreshness &freshness;
+        EndpointSet &endpoints;
+        ServingSet &serving;
         /// Called after each change of the number of instances.
         std::function<void()> fleetChanged;
         /// This instance's processor.
@@ -91,7 +94,10 @@
     std::vector<std::string> addressesToProbe() const;
     /// Some instances of the own zone, and now and then one of each other zone.
     std::vector<std::string> someOfEachZone();
+    /// The other instances that carry work, when this one does and the fleet is large.
+    std::vector<std::string> othersThatCarryWork();
     void sweep();
+    void sendAll(const std::vector<std::string> &addresses, const FleetMessage &message);
     void askQuietOnes();
     std::vector<RelayedMessage> someOthers();
     /// Returns true if an instance appeared.
--- a/Source/fleet/servingset.cpp
+++ b/Source/fleet/servingset.cpp
@@ -69,6 +69,20 @@
     return candidates;
 }
 
+std::vector<ServingInstance> ServingSet::ofAllZones()
+{
+    std::set<ZoneId> zones;
+    for (const ServingInstance &instance : this->ready()) {
+        zones.insert(instance.zone);
+    }
+    std::vector<ServingInstance> result;
+    for (const ZoneId &zone : zones) {
+        const std::vector<ServingInstance> chosen = this->ofZone(zone);
+        result.insert(result.end(), chosen.begin(), chosen.end());
+    }
+    return result;
+}
+
 std::size_t ServingSet::neededOf(const std::vector<ServingInstance> &candidates, std::size_t before) const
 {
     const double load
@@ -101,14 +115,7 @@
     if (all <= smallFleet + 1) {
         return 1.0 / static_cast<double>(all);
     }
-    std::set<ZoneId> zones;
-    for (const ServingInstance &instance : this->ready()) {
-        zones.insert(instance.zone);
-    }
-    std::size_t serving = 0;
-    for (const ZoneId &zone : zones) {
-        serving += this->ofZone(zone).size();
-    }
+    const std::size_t serving = this->ofAllZones().size();
     // Silent instances may still carry work.
     const std::size_t silent = all - this->members.heardCount();
     if (this->carriesWork()) {
--- a/Source/fleet/servingset.h
+++ b/Source/fleet/servingset.h
@@ -35,6 +35,9 @@
     /// Instances of @p zone that carry work; empty when none is ready there.
     std::vector<ServingInstance> ofZone(const ZoneId &zone);
 
+    /// Instances of all zones that carry work.
+    std::vector<ServingInstance> ofAllZones();
+
     /// Ready instances of all zones, whether they carry work or stand by.
     std::vector<ServingInstance> ready() const;
 
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -8,6 +8,13 @@
 namespace
 {
 
+/// Slow endpoints that are told at a time; keeps messages in one packet.
+constexpr std::size_t mostTold = 40;
+/// After an instance has found an endpoint slow, the others send no probe for this time and a random part of the second
+/// one. The first of them tells the others what it finds.
+constexpr Duration probePause = Milliseconds(1500);
+constexpr Duration probeSpread = Milliseconds(2000);
+
 bool sameProcess(const EndpointRecord &left, const EndpointRecord &right)
 {
     return left.service == right.service && left.address == right.address && left.bornMs == right.bornMs;
@@ -83,4 +90,28 @@
     return this->byId.size();
 }
 
+std::vector<SlowEndpoint> EndpointSet::foundSlow(TimePoint now) const
+{
+    std::vector<SlowEndpoint> slow;
+    for (const auto &[id, endpoint] : this->byId) {
+        const auto slowness = endpoint->stats.slownessFoundHere(now);
+        if (slowness && slow.size() < mostTold) {
+            slow.push_back({ id, *slowness });
+        }
+    }
+    return slow;
+}
+
+void EndpointSet::foundSlowElsewhere(const std::vector<SlowEndpoint> &slow, TimePoint observedAt, Random &random)
+{
+    for (const SlowEndpoint &item : slow) {
+        const EndpointPtr endpoint = this->find(item.endpoint);
+        if (!endpoint) {
+            continue;
+        }
+        const Duration spread = fromSeconds(random.unit() * fractionalSeconds(probeSpread));
+        endpoint->stats.foundSlowElsewhere(item.slowness, observedAt, observedAt + probePause + spread);
+    }
+}
+
 }
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/random.h"
 #include "forwarding/endpointstats.h"
 #include "forwarding/routetable.h"
 
@@ -37,6 +38,14 @@
 };
 using EndpointPtr = std::shared_ptr<ServiceEndpoint>;
 
+/// An endpoint that an instance has found slow.
+struct SlowEndpoint
+{
+    EndpointId endpoint;
+    /// Time of an answer relative to what is expected.
+    double slowness = 1;
+};
+
 /**
  * The endpoints that are published now, by service, and the zones that are evacuated.
  * Thread safety: none; used on the thread of the request loop.
@@ -62,6 +71,12 @@
 
     std::size_t size() const;
 
+    /// Endpoints that this instance has found slow lately, for the other instances; a bounded number.
+    std::vector<SlowEndpoint> foundSlow(TimePoint now) const;
+
+    /// Another instance found these endpoints slow at @p observedAt. @p random spreads the probes of the instances.
+    void foundSlowElsewhere(const std::vector<SlowEndpoint> &slow, TimePoint observedAt, Random &random);
+
 private:
     std::unordered_map<EndpointId, EndpointPtr> byId;
     std::unordered_map<ServiceId, std::vector<EndpointPtr>> byService;
--- a/Source/forwarding/endpointstats.cpp
+++ b/Source/forwarding/endpointstats.cpp
@@ -21,6 +21,10 @@
 /// Time to the first probe of a suspect endpoint, and the longest time between two.
 constexpr Duration firstProbe = Milliseconds(60);
 constexpr Duration longestProbe = Milliseconds(2000);
+/// Other instances are told of slowness for this long after it was observed.
+constexpr Duration tellingTime = Milliseconds(1000);
+/// Late probes after which an endpoint is told to be slow; a moment's pause causes fewer.
+constexpr int certainSuspicion = 3;
 /// A report of load says little once the requests that it counted have ended.
 constexpr double reportLifeSeconds = 0.15;
 /// Failures in a row after which an endpoint is avoided, and for how long at first and at most.
@@ -98,6 +102,25 @@
     this->reportAt = now;
 }
 
+void EndpointStats::foundSlowElsewhere(double slower, TimePoint observedAt, TimePoint probeAt)
+{
+    if (this->inTimeSince && *this->inTimeSince >= observedAt) {
+        return;
+    }
+    if (this->suspicion == 0) {
+        this->suspicion = 1;
+        this->logSlowness = std::log(std::clamp(slower, lateRatio, greatestRatio));
+        this->suspectSince = observedAt;
+    }
+    this->nextProbe = std::max(this->nextProbe, probeAt);
+}
+
+std::optional<double> EndpointStats::slownessFoundHere(TimePoint now) const
+{
+    const bool isRecent = this->suspicion >= certainSuspicion && this->lateAt && now - *this->lateAt < tellingTime;
+    return isRecent ? std::optional(this->slowness()) : std::nullopt;
+}
+
 int EndpointStats::inFlight() const
 {
     return static_cast<int>(this->pending.size());
@@ -150,7 +173,11 @@
     if (!isNews) {
         return;
     }
+    if (ratio < inTimeRatio) {
+        this->inTimeSince = request.start;
+    }
     if (ratio > lateRatio) {
+        this->lateAt = now;
         const int doublings = std::min(this->suspicion, 6);
         ++this->suspicion;
         this->suspectSince = now;
--- a/Source/forwarding/endpointstats.h
+++ b/Source/forwarding/endpointstats.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Lycheewall
@@ -46,6 +47,14 @@
 
     void reported(const LoadReport &report, TimePoint now);
 
+    /// Another instance found the endpoint @p slower times as slow as expected at @p observedAt. Unless this instance
+    /// has seen it in time since, the endpoint is suspect, and no probe is sent before @p nextProbe: one instance's
+    /// probe serves all.
+    void foundSlowElsewhere(double slower, TimePoint observedAt, TimePoint nextProbe);
+
+    /// Slowness that this instance itself has observed within the last second; nothing when there is none.
+    std::optional<double> slownessFoundHere(TimePoint now) const;
+
     int inFlight() const;
 
     /// Requests of other callers by the latest report, fading as the report ages.
@@ -83,6 +92,9 @@
     int suspicion = 0;
     /// Requests that started before this moment say nothing new.
     TimePoint suspectSince;
+    /// Start of the latest request that was answered in time, and moment of the latest late one.
+    std::optional<TimePoint> inTimeSince;
+    std::optional<TimePoint> lateAt;
     TimePoint nextProbe;
     double logSlowness = 0;
     double failures = 0;
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -151,6 +151,8 @@
                                                               this->members,
                                                               this->quota,
                                                               this->freshness,
+                                                              this->endpoints,
+                                                              this->serving,
                                                               [this] { this->fleetChanged(); },
                                                               [this] { return this->self.processor; },
                                                               [this] {
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -51,7 +51,10 @@
             , members(owner.clock, InstanceId(nodeName))
             , quota(owner.clock)
             , freshness(owner.clock)
+            , serving(this->members, this->own)
         {
+            this->own.instance = InstanceId(this->name);
+            this->own.zone = ZoneId(owner.zoneOf(this->name));
         }
         void send(const std::string &address, const std::string &bytes) override
         {
@@ -69,6 +72,9 @@
         MemberTable members;
         OrganisationQuota quota;
         FeedFreshness freshness;
+        EndpointSet endpoints;
+        ServingInstance own;
+        ServingSet serving;
         std::unique_ptr<Gossip> gossip;
         std::size_t sentBytes = 0;
         std::size_t sentToOtherZones = 0;
@@ -127,6 +133,8 @@
                                                                   node->members,
                                                                   node->quota,
                                                                   node->freshness,
+                                                                  node->endpoints,
+                                                                  node->serving,
                                                                   [] {},
                                                                   [] { return ProcessorShare(); },
                                                                   [] {
@@ -157,6 +165,7 @@
 {
     FleetMessage message = messageOf("a", MemberState::Leaving);
     message.use = { { OrganisationId("org"), 17, 3 } };
+    message.slow = { { EndpointId("endpoint"), 4.5 } };
     message.known = { "peer-b" };
     message.readsStore = true;
     message.processor = { 0.5, 0.125 };
@@ -167,6 +176,8 @@
     BOOST_TEST(decoded.value().use.at(0).recent == 3U);
     BOOST_TEST(decoded.value().known.at(0) == "peer-b");
     BOOST_TEST(decoded.value().readsStore);
+    BOOST_TEST((decoded.value().slow.at(0).endpoint == EndpointId("endpoint")));
+    BOOST_TEST(decoded.value().slow.at(0).slowness == 4.5);
     BOOST_TEST(decoded.value().processor.available == 0.5);
     BOOST_TEST(decoded.value().processor.used == 0.125);
     BOOST_TEST((decodeFleetMessage("garbage").error() == FleetMessageError::NotCbor));
@@ -419,6 +430,34 @@
     BOOST_TEST((plan.peers().at(0).instance == InstanceId("a")));
 }
 
+// Guards against a fleet in which each instance that carries work has to find out about a slow endpoint by itself.
+BOOST_AUTO_TEST_CASE(instancesThatCarryWorkTellOfSlowEndpoints)
+{
+    FakeFleet fleet(largeFleet, 3, 4);
+    EndpointRecord record;
+    record.id = EndpointId("endpoint");
+    record.service = ServiceId("service");
+    for (FakeFleet::Node *node : fleet.all()) {
+        node->endpoints.put(record, fleet.clock.now());
+        node->own.ready = true;
+        node->gossip->setState(MemberState::Ready);
+    }
+    fleet.advance(Milliseconds(5000));
+    const auto carrying = fleet.node(0).serving.ofAllZones();
+    BOOST_REQUIRE(carrying.size() == 8U);
+    EndpointStats &stats = fleet.node(std::stoul(carrying[0].instance.value())).endpoints.find(record.id)->stats;
+    for (int probe = 0; probe < 4; ++probe) {
+        const auto token = stats.started(fleet.clock.now(), Milliseconds(10));
+        fleet.advance(Milliseconds(300));
+        stats.answered(token, fleet.clock.now());
+    }
+    fleet.advance(Milliseconds(600));
+    for (std::size_t other = 1; other < carrying.size(); ++other) {
+        FakeFleet::Node &node = fleet.node(std::stoul(carrying[other].instance.value()));
+        BOOST_TEST(node.endpoints.find(record.id)->stats.isSuspect(fleet.clock.now()));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/forwarding/loadtest.cpp
+++ b/Tests/forwarding/loadtest.cpp
@@ -134,6 +134,50 @@
     }
 }
 
+namespace
+{
+
+/// Search of the guidebook publishers over 36 shards, as one that only few instances carry.
+SimulationPlan grownCragwall()
+{
+    SimulationPlan plan = cragwall();
+    plan.zones = 4;
+    plan.instances = 8;
+    plan.shards = 36;
+    plan.requestsPerSecond = 60;
+    plan.zoneDelayMs = 0.9;
+    plan.queueLimit = 36;
+    plan.minShardRatio = 0.95;
+    plan.repeats.slack = 190;
+    return plan;
+}
+
+}
+
+// Pattern: one in seven endpoints of 36 shards is many times slower for seconds, so that each query meets some. Guards
+// against a fleet in which each instance has to find out by itself about each slow endpoint.
+BOOST_AUTO_TEST_CASE(slowEndpointsAcrossManyShards)
+{
+    const auto isSlow = [](std::size_t shard, std::size_t endpoint) {
+        return (shard * 3 + endpoint) * 2654435761U % 100 < 15;
+    };
+    /// The users' mark of worth for days with trouble and the prices of such a day.
+    constexpr double marked = 0.56 + 0.19;
+    SimulationPlan plan = withSlow(grownCragwall(), 11, isSlow);
+    const SimulationResult alone = play("36 shards, each instance alone", plan);
+    plan.tellPeriod = Milliseconds(200);
+    const SimulationResult told = play("36 shards, instances tell each other", plan);
+    plan.instances = 76;
+    plan.tellPeriod = Duration::zero();
+    play("36 shards, 76 instances, alone", plan);
+    plan.instances = 8;
+    BOOST_TEST(told.credit >= marked);
+    BOOST_TEST(told.credit > alone.credit);
+    BOOST_TEST(told.worstBudgetUse <= 1);
+    plan.instances = 76;
+    BOOST_TEST(play("36 shards, 76 instances", plan).credit < told.credit);
+}
+
 // Pattern: one endpoint of each shard crashes and comes back. Guards against parts that are lost with it.
 BOOST_AUTO_TEST_CASE(oneEndpointOfEachShardCrashes)
 {
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -366,6 +366,19 @@
     }
 }
 
+void SimulatedFleet::tellOfSlowEndpoints()
+{
+    const TimePoint now = this->clock.now();
+    for (const auto &teller : this->instances) {
+        const auto slow = teller->endpoints.foundSlow(now);
+        for (const auto &hearer : this->instances) {
+            if (hearer != teller) {
+                hearer->endpoints.foundSlowElsewhere(slow, now, hearer->random);
+            }
+        }
+    }
+}
+
 void SimulatedFleet::arrive(std::size_t instance)
 {
     const auto request = std::make_shared<CallerRequest>();
@@ -410,6 +423,9 @@
 SimulationResult SimulatedFleet::run()
 {
     this->scheduleArrivals();
+    if (this->plan.tellPeriod > Duration::zero()) {
+        this->telling = this->clock.every(this->plan.tellPeriod, [this] { this->tellOfSlowEndpoints(); });
+    }
     this->clock.advance(fromMilliseconds(this->plan.seconds * 1000) + 2 * this->plan.timeout);
     this->result.credit = this->result.requests == 0 ? 0 : this->creditSum / static_cast<double>(this->result.requests);
     this->result.worstBudgetUse = this->worstBudgetUse();
--- a/Tests/forwarding/simulatedfleet.h
+++ b/Tests/forwarding/simulatedfleet.h
@@ -37,6 +37,8 @@
     double minShardRatio = 0.89;
     int maxAttempts = 2;
     RepeatLimits repeats { 0.2, 52, std::chrono::seconds(10) };
+    /// Time between two messages in which instances tell each other of slow endpoints; 0: they tell nothing.
+    Duration tellPeriod {};
     double seconds = 20;
     /// Results of earlier requests are not counted.
     double countFrom = 0;
@@ -86,6 +88,7 @@
     void buildInstances();
     void scheduleArrivals();
     void arrive(std::size_t instance);
+    void tellOfSlowEndpoints();
     void noteReply(double arrivedSecond, TimePoint arrivedAt, const ForwardReply &reply);
     double second() const;
     double workMs();
@@ -100,6 +103,7 @@
     std::vector<std::unique_ptr<Server>> servers;
     std::vector<std::unique_ptr<Instance>> instances;
     std::vector<Subscription> arrivals;
+    Subscription telling;
     std::uint64_t nextRequest = 1;
     SimulationResult result;
     double creditSum = 0;
