--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -50,32 +50,35 @@
 {
     const auto admitted = this->admit(request);
     if (!admitted) {
-        const Refusal refusal = admitted.error().refusal;
+        const Refusal refusal = admitted.error().reply.refusal;
         this->context.counters.refused(refusal);
         const Duration age = this->freshness.age();
         this->context.journal.note(
             *request,
             std::string(refusalCode(refusal)),
             "version=" + (this->current ? std::to_string(this->current->version()) : std::string("none"))
-                + " feed-age-ms="
-                + (age == Duration::max() ? std::string("none") : std::to_string(toMilliseconds(age))));
-        done(admitted.error());
+                + " feed-age-ms=" + (age == Duration::max() ? std::string("none") : std::to_string(toMilliseconds(age)))
+                + admitted.error().detail);
+        done(admitted.error().reply);
         return nullptr;
     }
     return startExchange(this->context, admitted.value(), std::move(done));
 }
 
-ResultOr<AdmittedRequest, ForwardReply> Forwarder::admit(const CallerRequestPtr &request)
+ResultOr<AdmittedRequest, Forwarder::Denial> Forwarder::admit(const CallerRequestPtr &request)
 {
+    const auto deny = [](const ForwardReply &reply, std::string detail = "") {
+        return failure(Denial { reply, std::move(detail) });
+    };
     if (!this->current) {
-        return failure(this->refuse(Refusal::NotReady, notReadyPause));
+        return deny(this->refuse(Refusal::NotReady, notReadyPause));
     }
     const Route *route = this->current->match(request->host, request->target);
     if (route == nullptr) {
         if (this->freshness.age() > this->settings.denialFreshness) {
-            return failure(this->refuse(Refusal::CutOff, notReadyPause));
+            return deny(this->refuse(Refusal::CutOff, notReadyPause));
         }
-        return failure(this->refuse(Refusal::UnknownRoute));
+        return deny(this->refuse(Refusal::UnknownRoute));
     }
     AdmittedRequest admitted;
     admitted.request = request;
@@ -83,15 +86,17 @@
     admitted.route = route;
     admitted.deadline = std::min(request->deadline, request->arrivedAt + route->timeout);
     if (admitted.deadline <= this->context.clock.now()) {
-        return failure(this->refuse(Refusal::DeadlineUnreachable));
+        return deny(this->refuse(Refusal::DeadlineUnreachable));
     }
     const auto organisation = this->identify(*request, *route);
     if (!organisation) {
-        return failure(organisation.error());
+        return deny(organisation.error());
     }
     admitted.organisation = organisation.value();
     if (const auto wait = this->context.quota.refusal(admitted.organisation)) {
-        return failure(this->refuse(Refusal::RateExceeded, wait));
+        return deny(this->refuse(Refusal::RateExceeded, wait),
+                    " organisation=" + admitted.organisation.value()
+                        + " wait-ms=" + std::to_string(toMilliseconds(*wait)));
     }
     return success(admitted);
 }
--- a/Source/forwarding/forwarder.h
+++ b/Source/forwarding/forwarder.h
@@ -36,8 +36,15 @@
     std::shared_ptr<Exchange> forward(const CallerRequestPtr &request, Exchange::Done done);
 
 private:
+    /// A refusal with what decided it, for the journal.
+    struct Denial
+    {
+        ForwardReply reply;
+        std::string detail;
+    };
+
     ForwardReply refuse(Refusal refusal, std::optional<Duration> retryAfter = std::nullopt) const;
-    ResultOr<AdmittedRequest, ForwardReply> admit(const CallerRequestPtr &request);
+    ResultOr<AdmittedRequest, Denial> admit(const CallerRequestPtr &request);
     ResultOr<OrganisationId, ForwardReply> identify(const CallerRequest &request, const Route &route);
 
     ForwarderSettings settings;
