--- /dev/null
+++ b/Tests/fleet/fakefleet.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "core/manualclock.h"
+#include "fleet/gossip.h"
+
+#include <memory>
+
+namespace Lycheewall
+{
+
+/// Instances that exchange datagrams; a datagram reaches its receiver unless one of both is cut off.
+class FakeFleet
+{
+public:
+    explicit FakeFleet(std::size_t size, std::size_t seeds, std::size_t zones = 1)
+        : zoneCount(zones)
+    {
+        for (std::size_t number = 0; number < size; ++number) {
+            this->add(number, seeds);
+        }
+        for (const auto &[name, node] : this->nodes) {
+            node->gossip->start();
+        }
+    }
+
+    struct Node : public DatagramSender
+    {
+        explicit Node(FakeFleet &owner, const std::string &nodeName)
+            : fleet(owner)
+            , name(nodeName)
+            , members(owner.clock, InstanceId(nodeName))
+            , quota(owner.clock)
+            , freshness(owner.clock)
+            , serving(this->members, this->own)
+        {
+            this->own.instance = InstanceId(this->name);
+            this->own.zone = ZoneId(owner.zoneOf(this->name));
+        }
+        void send(const std::string &address, const std::string &bytes) override
+        {
+            this->sentBytes += bytes.size();
+            if (this->fleet.zoneOf(address.substr(5)) != this->fleet.zoneOf(this->name)) {
+                this->sentToOtherZones += bytes.size();
+            }
+            this->fleet.deliver(this->name, address.substr(5), bytes);
+        }
+
+        FakeFleet &fleet;
+        std::string name;
+        Random random { 3 };
+        Counters counters;
+        MemberTable members;
+        OrganisationQuota quota;
+        FeedFreshness freshness;
+        EndpointSet endpoints;
+        ServingInstance own;
+        ServingSet serving;
+        std::unique_ptr<Gossip> gossip;
+        std::size_t sentBytes = 0;
+        std::size_t sentToOtherZones = 0;
+    };
+
+    Node &node(std::size_t number)
+    {
+        return *this->nodes.at(std::to_string(number));
+    }
+    void advance(Duration step)
+    {
+        this->clock.advance(step);
+    }
+    void cut(std::size_t number)
+    {
+        this->cutOff.insert(std::to_string(number));
+    }
+    void heal()
+    {
+        this->cutOff.clear();
+    }
+    std::string zoneOf(const std::string &name) const
+    {
+        return "z" + std::to_string(std::stoul(name) % this->zoneCount);
+    }
+    std::vector<Node *> all()
+    {
+        std::vector<Node *> result;
+        for (const auto &[name, node] : this->nodes) {
+            result.push_back(node.get());
+        }
+        return result;
+    }
+
+    ManualClock clock;
+
+private:
+    void add(std::size_t number, std::size_t seeds)
+    {
+        const std::string name = std::to_string(number);
+        auto node = std::make_unique<Node>(*this, name);
+        GossipSettings settings;
+        settings.instance = InstanceId(name);
+        settings.zone = ZoneId(this->zoneOf(name));
+        settings.callerAddress = "caller-" + name;
+        settings.peerAddress = "peer-" + name;
+        for (std::size_t seed = 0; seed < seeds; ++seed) {
+            settings.seeds.push_back("peer-" + std::to_string(seed));
+        }
+        node->gossip = std::make_unique<Gossip>(settings,
+                                                Gossip::Context { this->clock,
+                                                                  this->clock,
+                                                                  node->random,
+                                                                  node->counters,
+                                                                  *node,
+                                                                  node->members,
+                                                                  node->quota,
+                                                                  node->freshness,
+                                                                  node->endpoints,
+                                                                  node->serving,
+                                                                  [] {},
+                                                                  [] { return ProcessorShare(); },
+                                                                  [] {
+                                                                      return false;
+                                                                  } });
+        this->nodes[name] = std::move(node);
+    }
+
+    void deliver(const std::string &from, const std::string &to, const std::string &bytes)
+    {
+        if (this->cutOff.count(from) > 0 || this->cutOff.count(to) > 0 || this->nodes.count(to) == 0) {
+            return;
+        }
+        this->timers.push_back(
+            this->clock.after(Milliseconds(1), [this, to, bytes] { this->nodes[to]->gossip->received(bytes); }));
+    }
+
+    std::size_t zoneCount;
+    std::map<std::string, std::unique_ptr<Node>> nodes;
+    std::set<std::string> cutOff;
+    std::vector<Subscription> timers;
+};
+
+}
--- a/Tests/forwarding/endpointstatstest.cpp
+++ b/Tests/forwarding/endpointstatstest.cpp
@@ -141,6 +141,39 @@
     BOOST_TEST(endpoints.find(record.id)->stats.inFlight() == 0);
 }
 
+// Guards against probes of a slow endpoint by each instance at once, against old news, and against hearsay that is
+// passed on as an observation.
+BOOST_AUTO_TEST_CASE(slownessFoundElsewhereHoldsProbesBack)
+{
+    EndpointStats stats;
+    stats.foundSlowElsewhere(6, at(0), at(2000));
+    BOOST_TEST(stats.isSuspect(at(1900)));
+    BOOST_TEST(!stats.isSuspect(at(2001)));
+    BOOST_TEST(stats.slowness() >= 5.9);
+    BOOST_TEST(!stats.slownessFoundHere(at(10)));
+    const auto probe = stats.started(at(2010), expected);
+    stats.answered(probe, at(2020));
+    BOOST_TEST(!stats.isSuspect(at(2021)));
+    stats.foundSlowElsewhere(6, at(2005), at(4000));
+    BOOST_TEST(!stats.isSuspect(at(2030)));
+}
+
+// Guards against an endpoint that is told to be slow because it paused for a moment.
+BOOST_AUTO_TEST_CASE(onlyLastingSlownessIsTold)
+{
+    EndpointStats stats;
+    int moment = 0;
+    for (int probe = 0; probe < 3; ++probe) {
+        BOOST_TEST(!stats.slownessFoundHere(at(moment)));
+        const auto token = stats.started(at(moment), expected);
+        moment += 100;
+        stats.answered(token, at(moment));
+        moment += 300;
+    }
+    BOOST_TEST(stats.slownessFoundHere(at(moment)).has_value());
+    BOOST_TEST(!stats.slownessFoundHere(at(moment + 1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/forwarding/quotatest.cpp
+++ b/Tests/forwarding/quotatest.cpp
@@ -238,6 +238,26 @@
     BOOST_TEST(admitted >= 9);
 }
 
+// Guards against a burst of debt for old use: an instance that missed messages counts the recent requests only.
+BOOST_AUTO_TEST_CASE(oldUseOfOthersIsNotCharged)
+{
+    ManualClock clock;
+    OrganisationQuota quota(clock);
+    quota.setLimits(limitsOf(10, 100));
+    clock.advance(std::chrono::seconds(20));
+    quota.noteUse(InstanceId("other"), 1, { { organisation, 5000, 40 } }, true);
+    int admitted = 0;
+    while (!quota.refusal(organisation)) {
+        ++admitted;
+    }
+    BOOST_TEST(admitted == 60);
+    BOOST_TEST(quota.use().at(0).recent == 60U);
+    clock.advance(std::chrono::seconds(7));
+    quota.use();
+    clock.advance(std::chrono::seconds(4));
+    BOOST_TEST(quota.use().empty());
+}
+
 // Guards against limits where none is set.
 BOOST_AUTO_TEST_CASE(noRateMeansNoLimit)
 {
