Forwarding: Round shares of connections without losing one

Cause: connections are now multiplied with a share instead of divided by a count; a product such as 45 x 1/9 can fall just below a whole number and lose a connection. Change: a tolerance in the rounding; two comments say what their constants are.

--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -10,8 +10,8 @@
 
 /// Slow endpoints that are told at a time; keeps messages in one packet.
 constexpr std::size_t mostTold = 40;
-/// After an instance has found an endpoint slow, the others send no probe for this time and a random part of the second
-/// one. The first of them tells the others what it finds.
+/// After an instance has found an endpoint slow, the others send no probe for probePause and a random time of up to
+/// probeSpread. The first one that probes it tells the others what it finds.
 constexpr Duration probePause = Milliseconds(1500);
 constexpr Duration probeSpread = Milliseconds(2000);
 
--- a/Source/forwarding/endpointstats.h
+++ b/Source/forwarding/endpointstats.h
@@ -48,9 +48,9 @@
     void reported(const LoadReport &report, TimePoint now);
 
     /// Another instance found the endpoint @p slower times as slow as expected at @p observedAt. Unless this instance
-    /// has seen it in time since, the endpoint is suspect, and no probe is sent before @p nextProbe: one instance's
+    /// has seen it in time since, the endpoint is suspect, and no probe is sent before @p probeAt: one instance's
     /// probe serves all.
-    void foundSlowElsewhere(double slower, TimePoint observedAt, TimePoint nextProbe);
+    void foundSlowElsewhere(double slower, TimePoint observedAt, TimePoint probeAt);
 
     /// Slowness that this instance itself has observed within the last second; nothing when there is none.
     std::optional<double> slownessFoundHere(TimePoint now) const;
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -23,6 +23,8 @@
 constexpr Duration hedgePause = Milliseconds(8);
 /// Nothing is sent when less time is left.
 constexpr Duration leastTime = Milliseconds(2);
+/// Keeps a share such as a ninth of 45 connections from being rounded down to one less.
+constexpr double roundingTolerance = 1e-9;
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
 constexpr int firstServerError = 500;
@@ -151,7 +153,7 @@
 {
     const ServiceSpec *spec = this->request.table->service(this->service);
     const double all = spec == nullptr ? 0 : spec->maxConnections;
-    return static_cast<std::size_t>(std::max(1.0, all * this->context.fleetShare));
+    return static_cast<std::size_t>(std::max(1.0, all * this->context.fleetShare + roundingTolerance));
 }
 
 void ServiceCall::ended(const AttemptPtr &attempt, const CallOutcome &outcome)
