--- a/Source/feed/feedplan.cpp
+++ b/Source/feed/feedplan.cpp
@@ -50,7 +50,7 @@
 
 const Member *FeedPlan::zoneSource() const
 {
-    if (this->members.heardCount() <= smallFleet + 1) {
+    if (!this->members.isLargeFleet()) {
         return nullptr;
     }
     const Member *first = nullptr;
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -41,6 +41,13 @@
     }
 }
 
+/// Keeps @p count random ones of the items, or all if there are fewer.
+template<typename Item> void keepSome(std::vector<Item> &items, std::size_t count, Random &random)
+{
+    shuffle(items, random);
+    items.resize(std::min(items.size(), count));
+}
+
 }
 
 Gossip::Gossip(const GossipSettings &gossipSettings, Context gossipContext)
@@ -95,17 +102,12 @@
     return this->context.quota.isPressed() || !this->isSettled();
 }
 
-bool Gossip::isLargeFleet() const
-{
-    return this->context.members.heardCount() > smallFleet + 1;
-}
-
 Duration Gossip::currentPeriod() const
 {
     if (!this->isUrgent()) {
         return this->settings.period;
     }
-    return this->isLargeFleet() ? this->settings.urgentPeriodInLargeFleet : this->settings.urgentPeriod;
+    return this->context.members.isLargeFleet() ? this->settings.urgentPeriodInLargeFleet : this->settings.urgentPeriod;
 }
 
 void Gossip::sweep()
@@ -144,20 +146,29 @@
 std::vector<std::string> Gossip::targets()
 {
     std::vector<std::string> addresses
-        = this->isLargeFleet() ? this->someOfEachZone() : this->context.members.aliveAddresses();
+        = this->context.members.isLargeFleet() ? this->someOfEachZone() : this->context.members.aliveAddresses();
     addresses.erase(std::remove(addresses.begin(), addresses.end(), this->settings.peerAddress), addresses.end());
     return addresses;
 }
 
-std::vector<std::string> Gossip::addressesToProbe() const
+std::vector<std::string> Gossip::unheard(const std::vector<std::string> &addresses) const
 {
-    std::vector<std::string> addresses = this->context.members.silentAddresses();
-    const std::vector<std::string> alive = this->context.members.aliveAddresses();
-    for (const std::string &seed : this->settings.seeds) {
-        if (seed != this->settings.peerAddress && std::find(alive.begin(), alive.end(), seed) == alive.end()) {
-            addresses.push_back(seed);
+    const std::vector<std::string> heard = this->context.members.aliveAddresses();
+    std::vector<std::string> result;
+    for (const std::string &address : addresses) {
+        const bool isHeard = std::find(heard.begin(), heard.end(), address) != heard.end();
+        if (!isHeard && address != this->settings.peerAddress) {
+            result.push_back(address);
         }
     }
+    return result;
+}
+
+std::vector<std::string> Gossip::addressesToProbe() const
+{
+    std::vector<std::string> addresses = this->context.members.silentAddresses();
+    const std::vector<std::string> seeds = this->unheard(this->settings.seeds);
+    addresses.insert(addresses.end(), seeds.begin(), seeds.end());
     return addresses;
 }
 
@@ -170,8 +181,7 @@
     std::vector<std::string> result = std::move(byZone[this->settings.zone]);
     byZone.erase(this->settings.zone);
     const double chance = messagesToOtherZone / static_cast<double>(result.size() + 1);
-    shuffle(result, this->context.random);
-    result.resize(std::min(result.size(), largeFleetTargets));
+    keepSome(result, largeFleetTargets, this->context.random);
     for (const auto &[zone, addresses] : byZone) {
         if (this->context.random.unit() < chance) {
             result.push_back(addresses[this->context.random.below(addresses.size())]);
@@ -182,7 +192,7 @@
 
 std::vector<std::string> Gossip::othersThatCarryWork()
 {
-    if (!this->isLargeFleet() || !this->context.serving.carriesWork()) {
+    if (!this->context.members.isLargeFleet() || !this->context.serving.carriesWork()) {
         return {};
     }
     std::vector<std::string> addresses;
@@ -191,14 +201,13 @@
             addresses.push_back(instance.peerAddress);
         }
     }
-    shuffle(addresses, this->context.random);
-    addresses.resize(std::min(addresses.size(), smallFleet));
+    keepSome(addresses, smallFleet, this->context.random);
     return addresses;
 }
 
 std::vector<RelayedMessage> Gossip::someOthers()
 {
-    if (!this->isLargeFleet()) {
+    if (!this->context.members.isLargeFleet()) {
         return {};
     }
     std::vector<const Member *> others = this->context.members.alive();
@@ -209,8 +218,7 @@
         return left->heardAt > right->heardAt;
     });
     others.resize(std::min(others.size(), 3 * relayedMessages));
-    shuffle(others, this->context.random);
-    others.resize(std::min(others.size(), passedOn));
+    keepSome(others, passedOn, this->context.random);
     std::vector<RelayedMessage> relayed;
     for (const Member *member : others) {
         // Rounded up: the message must not look newer than it is.
@@ -234,7 +242,7 @@
         message.known = this->someAddresses();
     }
     // Only seeds are asked for addresses; in a large fleet each other instance would send the same ones.
-    message.joining = message.joining && !this->isLargeFleet();
+    message.joining = message.joining && !this->context.members.isLargeFleet();
     this->sendAll(this->targets(), message);
     ++this->ticks;
     this->toldAt = this->context.clock.now();
@@ -244,8 +252,7 @@
 std::vector<std::string> Gossip::someAddresses()
 {
     std::vector<std::string> addresses = this->context.members.aliveAddresses();
-    shuffle(addresses, this->context.random);
-    addresses.resize(std::min(addresses.size(), sharedAddresses));
+    keepSome(addresses, sharedAddresses, this->context.random);
     return addresses;
 }
 
@@ -285,18 +292,10 @@
 
 void Gossip::contactUnknown(const std::vector<std::string> &addresses)
 {
-    const auto heard = this->context.members.aliveAddresses();
-    std::vector<std::string> unknown;
-    for (const std::string &address : addresses) {
-        const bool isKnown = std::find(heard.begin(), heard.end(), address) != heard.end();
-        if (!isKnown && address != this->settings.peerAddress) {
-            unknown.push_back(address);
-        }
-    }
-    if (this->isLargeFleet()) {
+    std::vector<std::string> unknown = this->unheard(addresses);
+    if (this->context.members.isLargeFleet()) {
         // Others pass on what most have said.
-        shuffle(unknown, this->context.random);
-        unknown.resize(std::min(unknown.size(), contactedUnknown));
+        keepSome(unknown, contactedUnknown, this->context.random);
     }
     FleetMessage hello = this->compose();
     hello.joining = false;
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -87,9 +87,10 @@
     void tick();
     void tellAll();
     bool isUrgent() const;
-    bool isLargeFleet() const;
     Duration currentPeriod() const;
     std::vector<std::string> targets();
+    /// Those of @p addresses from which nothing is heard; the own address is left out.
+    std::vector<std::string> unheard(const std::vector<std::string> &addresses) const;
     /// Silent instances, and seeds that are not heard from.
     std::vector<std::string> addressesToProbe() const;
     /// Some instances of the own zone, and now and then one of each other zone.
--- a/Source/fleet/membertable.cpp
+++ b/Source/fleet/membertable.cpp
@@ -1,5 +1,7 @@
 #include "fleet/membertable.h"
 
+#include <algorithm>
+
 namespace Lycheewall
 {
 
@@ -120,9 +122,16 @@
     return addresses;
 }
 
+bool MemberTable::isLargeFleet() const
+{
+    return this->heardCount() > smallFleet + 1;
+}
+
 std::size_t MemberTable::heardCount() const
 {
-    return this->alive().size() + 1;
+    const auto heard = std::count_if(
+        this->members.begin(), this->members.end(), [](const auto &entry) { return !entry.second.silent; });
+    return static_cast<std::size_t>(heard) + 1;
 }
 
 std::size_t MemberTable::possibleCount() const
--- a/Source/fleet/membertable.h
+++ b/Source/fleet/membertable.h
@@ -56,6 +56,9 @@
     /// Peer addresses of instances that count as silent soon if nothing is heard of them.
     std::vector<std::string> quietAddresses() const;
 
+    /// True when so many instances are heard from that not each of them can tell all others.
+    bool isLargeFleet() const;
+
     /// Instances heard from, and all that may still be running; this one included.
     std::size_t heardCount() const;
     std::size_t possibleCount() const;
--- a/Source/fleet/servingset.cpp
+++ b/Source/fleet/servingset.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <set>
 
 namespace Lycheewall
 {
@@ -59,7 +58,12 @@
                                     candidates.end(),
                                     [&zone](const ServingInstance &instance) { return instance.zone != zone; }),
                      candidates.end());
-    if (candidates.empty() || this->members.heardCount() <= smallFleet + 1) {
+    return this->carrying(zone, std::move(candidates));
+}
+
+std::vector<ServingInstance> ServingSet::carrying(const ZoneId &zone, std::vector<ServingInstance> candidates)
+{
+    if (candidates.empty() || !this->members.isLargeFleet()) {
         return candidates;
     }
     std::sort(candidates.begin(), candidates.end(), &strongerFirst);
@@ -71,13 +75,13 @@
 
 std::vector<ServingInstance> ServingSet::ofAllZones()
 {
-    std::set<ZoneId> zones;
-    for (const ServingInstance &instance : this->ready()) {
-        zones.insert(instance.zone);
+    std::map<ZoneId, std::vector<ServingInstance>> byZone;
+    for (ServingInstance &instance : this->ready()) {
+        byZone[instance.zone].push_back(std::move(instance));
     }
     std::vector<ServingInstance> result;
-    for (const ZoneId &zone : zones) {
-        const std::vector<ServingInstance> chosen = this->ofZone(zone);
+    for (auto &[zone, candidates] : byZone) {
+        const std::vector<ServingInstance> chosen = this->carrying(zone, std::move(candidates));
         result.insert(result.end(), chosen.begin(), chosen.end());
     }
     return result;
--- a/Source/fleet/servingset.h
+++ b/Source/fleet/servingset.h
@@ -49,6 +49,9 @@
     double ownShare();
 
 private:
+    /// Those of @p candidates, the ready instances of @p zone, that carry its work.
+    std::vector<ServingInstance> carrying(const ZoneId &zone, std::vector<ServingInstance> candidates);
+
     /// Number of the first of @p candidates that are enough for the load of all of them.
     std::size_t neededOf(const std::vector<ServingInstance> &candidates, std::size_t before) const;
 
