Forwarding: Log refused relay requests on both instances

The report of the shard that ran on three endpoints can be explained by a late refusal, by a relayed request that ran twice or by a wrong 'not sent'; the log told none of these apart, since nothing was written when a relay request was refused. Now the refusing instance logs both versions of the routes, and the requesting one its direct calls so far and whether it had stopped waiting; a counter counts the late ones. Behaviour is unchanged.

--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -154,6 +154,13 @@
     refusal.isFinal = true;
     refusal.isRefused = true;
     this->context.counters.counter("lycheewall_relay_refusals_total").add();
+    const auto &table = this->forwarder.table();
+    this->context.requestLog.write(
+        *makeCallerRequest(relayRequest, this->context.clock.now()),
+        "relay-refused",
+        "route=" + relayRequest.route + " requested-version=" + std::to_string(relayRequest.tableVersion)
+            + " version=" + (table ? std::to_string(table->version()) : std::string("none"))
+            + " remaining-ms=" + std::to_string(relayRequest.remainingMs) + " from=" + relayRequest.replyAddress);
     this->sender.send(relayRequest.replyAddress,
                       DatagramKind::relayResponse + encodeRelayResponse(relayRequest.id, refusal));
 }
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -166,6 +166,7 @@
         this->setShardState(shard, ShardState::Succeeded);
     }
     if (response.isRefused) {
+        this->logRelayRefusal();
         this->callRelayedShardsDirectly();
     } else {
         this->recordRelayedFirstAttempts();
@@ -173,6 +174,16 @@
     }
 }
 
+void FanoutExchange::logRelayRefusal()
+{
+    if (this->areRelayedAttemptsRecorded) {
+        this->context.counters.counter("lycheewall_relay_late_refusals_total").add();
+    }
+    this->context.requestLog.write(*this->request.request,
+                                   this->areRelayedAttemptsRecorded ? "relay-refused-late" : "relay-refused",
+                                   this->describeMissing());
+}
+
 void FanoutExchange::recordRelayedFirstAttempts()
 {
     if (this->areRelayedAttemptsRecorded) {
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -40,6 +40,8 @@
     /// Records a first attempt for each relayed shard in the retry budget, once per request. The relaying instance
     /// records none for them.
     void recordRelayedFirstAttempts();
+    /// Logs a refusal of the relaying instance, with the direct calls that were made before it arrived.
+    void logRelayRefusal();
     void callRelayedShardsDirectly();
     bool isCallInFlight(std::size_t shard) const;
     bool canHedgeShard(std::size_t shard) const;
