Forwarding: Count all attempts at a shard in one place

Cause: a relaying instance that refuses (it has another version of the routes) may answer after the requesting one has stopped waiting and has hedged. The refusal then started a new call for the shard, with the full number of attempts: 1 + 2. Each call counted its own attempts only. The new call also replaced the hedge in flight, which nobody could cancel any more, and earned the retry budget a second time.

Ruled out: a relayed request that ran although it was refused (all arrivals of the report come from the requesting instance); a wrong 'not sent' (the report shows five relayed shards called in one moment).

Change: the calls of one shard share an AttemptHistory: the attempts sent, the endpoints tried, and whether the first attempt was recorded in the budget. A hedge in flight takes over the remaining attempts, instead of being replaced.

Before: countsHedgeInFlightAfterLateRelayRefusal and countsFailedHedgeAfterLateRelayRefusal give 3 attempts for 2 allowed, cancelsAllCallsOfShardAfterLateRelayRefusal leaves a call running. After: all three pass, with test_forwarding (68) and test_fleet (26).

--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -55,8 +55,8 @@
         this->admitted = request;
         this->outstanding = this->relayRequest.services.size();
         for (const ServiceId &service : this->relayRequest.services) {
-            this->calls.push_back(
-                ServiceCall::start(this->context, request, service, [self, service](const ServiceResult &result) {
+            this->calls.push_back(ServiceCall::start(
+                this->context, request, CallTarget(service), [self, service](const ServiceResult &result) {
                     self->handleShardResult(service, result);
                 }));
         }
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -42,6 +42,9 @@
     , shardResponses(this->request.route->shards.size())
     , shardStates(this->request.route->shards.size(), ShardState::Pending)
 {
+    for (const ServiceId &service : this->request.route->shards) {
+        this->targets.emplace_back(service);
+    }
 }
 
 std::set<std::size_t> FanoutExchange::overloadedShards() const
@@ -84,12 +87,12 @@
 
 void FanoutExchange::startShardCall(std::size_t shard, bool isHedge)
 {
-    const ServiceId &service = this->request.route->shards[shard];
+    const CallTarget &target = this->targets[shard];
     const auto done = [self = this->shared_from_this(), shard](const ServiceResult &result) {
         self->handleShardResult(shard, result);
     };
-    auto call = isHedge ? ServiceCall::startHedge(this->context, this->request, service, this->relayZone, done)
-                        : ServiceCall::start(this->context, this->request, service, done);
+    auto call = isHedge ? ServiceCall::startHedge(this->context, this->request, target, this->relayZone, done)
+                        : ServiceCall::start(this->context, this->request, target, done);
     if (this->finished) {
         call->cancel();
         return;
@@ -176,22 +179,18 @@
 
 void FanoutExchange::logRelayRefusal()
 {
-    if (this->areRelayedAttemptsRecorded) {
+    if (this->hasRelayTimedOut) {
         this->context.counters.counter("lycheewall_relay_late_refusals_total").add();
     }
     this->context.requestLog.write(*this->request.request,
-                                   this->areRelayedAttemptsRecorded ? "relay-refused-late" : "relay-refused",
+                                   this->hasRelayTimedOut ? "relay-refused-late" : "relay-refused",
                                    this->describeMissing());
 }
 
 void FanoutExchange::recordRelayedFirstAttempts()
 {
-    if (this->areRelayedAttemptsRecorded) {
-        return;
-    }
-    this->areRelayedAttemptsRecorded = true;
     for (const std::size_t shard : this->relayedShards) {
-        this->context.retryBudget.recordFirstAttempt(this->request.route->shards[shard]);
+        ServiceCall::recordFirstAttempt(this->context, this->targets[shard]);
     }
 }
 
@@ -200,7 +199,12 @@
     const std::set<std::size_t> pendingShards = std::move(this->relayedShards);
     this->relayedShards.clear();
     for (const std::size_t shard : pendingShards) {
-        if (!this->finished && this->shardStates[shard] == ShardState::Pending) {
+        if (this->finished || this->shardStates[shard] != ShardState::Pending) {
+            continue;
+        }
+        if (this->isCallInFlight(shard)) {
+            this->calls[shard]->takeOverAttempts();
+        } else {
             this->startShardCall(shard, false);
         }
     }
@@ -222,6 +226,7 @@
     if (this->finished) {
         return;
     }
+    this->hasRelayTimedOut = true;
     this->context.relay->handleTimeout(this->relayInstance);
     this->mayHaveRun = true;
     this->recordRelayedFirstAttempts();
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -37,8 +37,7 @@
     void handleRelayResponse(const RelayResponse &response);
     void handleRelayTimeout();
     void hedgeRelayedShards();
-    /// Records a first attempt for each relayed shard in the retry budget, once per request. The relaying instance
-    /// records none for them.
+    /// Records a first attempt for each relayed shard in the retry budget. The relaying instance records none for them.
     void recordRelayedFirstAttempts();
     /// Logs a refusal of the relaying instance, with the direct calls that were made before it arrived.
     void logRelayRefusal();
@@ -67,6 +66,8 @@
     ReplyCallback done;
     /// By shard; nullptr for a shard that was skipped or that was sent to the relaying instance only.
     std::vector<std::shared_ptr<ServiceCall>> calls;
+    /// By shard: the service and the attempts of this instance, by one or several calls.
+    std::vector<CallTarget> targets;
     /// By shard: signature and records of its response. Of the shards that one relay response covers, the first one
     /// holds the merged records of all.
     std::vector<EndpointResponse> shardResponses;
@@ -83,7 +84,7 @@
     std::set<std::size_t> relayedShards;
     /// True if no further response of the relaying instance is expected.
     bool isRelayFinished = false;
-    bool areRelayedAttemptsRecorded = false;
+    bool hasRelayTimedOut = false;
     std::unique_ptr<PendingRelay> pendingRelay;
     Subscription relayTimer;
     Subscription objectiveTimer;
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -54,13 +54,13 @@
 
 std::shared_ptr<ServiceCall> ServiceCall::start(ForwardingContext &context,
                                                 const AdmittedRequest &request,
-                                                const ServiceId &service,
+                                                const CallTarget &target,
                                                 ResultCallback done)
 {
-    std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
+    std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, target, std::move(done)));
     // For a relayed request, the requesting instance records the first attempt because it makes the extra ones.
     if (!request.attemptLimit) {
-        context.retryBudget.recordFirstAttempt(service);
+        recordFirstAttempt(context, target);
     }
     call->startFirstAttempt(AttemptKind::First);
     return call;
@@ -68,22 +68,41 @@
 
 std::shared_ptr<ServiceCall> ServiceCall::startHedge(ForwardingContext &context,
                                                      const AdmittedRequest &request,
-                                                     const ServiceId &service,
+                                                     const CallTarget &target,
                                                      const ZoneId &otherZone,
                                                      ResultCallback done)
 {
-    std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, service, std::move(done)));
+    std::shared_ptr<ServiceCall> call(new ServiceCall(context, request, target, std::move(done)));
     call->isHedge = true;
     call->request.attemptLimit = 1;
-    for (const EndpointPtr &endpoint : context.endpoints.endpointsOf(service)) {
+    for (const EndpointPtr &endpoint : context.endpoints.endpointsOf(target.service)) {
         if (endpoint->record.zone == otherZone) {
-            call->triedEndpoints.push_back(endpoint->record.id);
+            call->otherZoneEndpoints.push_back(endpoint->record.id);
         }
     }
     call->startFirstAttempt(AttemptKind::Hedge);
     return call;
 }
 
+void ServiceCall::recordFirstAttempt(ForwardingContext &context, const CallTarget &target)
+{
+    if (!target.attempts->isFirstRecorded) {
+        target.attempts->isFirstRecorded = true;
+        context.retryBudget.recordFirstAttempt(target.service);
+    }
+}
+
+void ServiceCall::takeOverAttempts()
+{
+    if (this->finished) {
+        return;
+    }
+    this->isHedge = false;
+    this->request.attemptLimit.reset();
+    this->otherZoneEndpoints.clear();
+    this->scheduleHedgeIfAllowed();
+}
+
 void ServiceCall::startFirstAttempt(AttemptKind kind)
 {
     if (!this->startAttempt(kind)) {
@@ -91,6 +110,11 @@
         this->finish(this->lastResult);
         return;
     }
+    this->scheduleHedgeIfAllowed();
+}
+
+void ServiceCall::scheduleHedgeIfAllowed()
+{
     const bool isIdempotent = this->request.route->idempotency == Idempotency::Idempotent;
     if (isIdempotent && this->request.maxAttempts() > 1) {
         this->scheduleHedge(hedgeDelay(this->context, this->request));
@@ -99,31 +123,39 @@
 
 ServiceCall::ServiceCall(ForwardingContext &callContext,
                          const AdmittedRequest &admitted,
-                         const ServiceId &target,
+                         const CallTarget &target,
                          ResultCallback callback)
     : context(callContext)
     , request(admitted)
-    , service(target)
+    , service(target.service)
     , done(std::move(callback))
     , expectedLatency(typicalLatency(callContext, *admitted.route))
+    , history(target.attempts)
+{
+}
+
+std::vector<EndpointId> ServiceCall::excludedEndpoints() const
 {
+    std::vector<EndpointId> excluded = this->history->endpoints;
+    excluded.insert(excluded.end(), this->otherZoneEndpoints.begin(), this->otherZoneEndpoints.end());
+    return excluded;
 }
 
 bool ServiceCall::startAttempt(AttemptKind kind)
 {
     const TimePoint now = this->context.clock.now();
-    if (this->request.deadline - now < minRemainingTime) {
+    if (this->request.deadline - now < minRemainingTime || this->history->sent >= this->request.maxAttempts()) {
         return false;
     }
     const EndpointPtr endpoint
-        = this->context.chooser.choose({ this->service, this->expectedLatency, this->triedEndpoints }, now);
+        = this->context.chooser.choose({ this->service, this->expectedLatency, this->excludedEndpoints() }, now);
     if (!endpoint) {
         return false;
     }
     if (kind == AttemptKind::Hedge && !this->isHedgeUseful(*endpoint, now)) {
         return false;
     }
-    const bool usesBudget = this->attemptsSent > 0 || this->isHedge;
+    const bool usesBudget = this->history->sent > 0 || this->isHedge;
     if (usesBudget && !this->context.retryBudget.tryAcquire(this->service)) {
         this->context.counters.counter("lycheewall_forwarding_repeats_denied_total").add();
         return false;
@@ -135,7 +167,8 @@
     attempt->token
         = endpoint->stats.requestStarted(now, EndpointChooser::nominalLatency(*endpoint, this->expectedLatency, now));
     this->attempts.push_back(attempt);
-    this->triedEndpoints.push_back(endpoint->record.id);
+    this->history->endpoints.push_back(endpoint->record.id);
+    ++this->history->sent;
     ++this->attemptsSent;
     const bool nonIdempotent = this->request.route->idempotency == Idempotency::NonIdempotent;
     const EndpointCall call { endpoint,      this->request.request,  this->request.organisation, this->request.deadline,
@@ -176,6 +209,7 @@
     }
     if (outcome.result == CallResult::NotSent) {
         --this->attemptsSent;
+        --this->history->sent;
         if (attempt->usesBudget) {
             this->context.retryBudget.refund(this->service);
         }
@@ -246,7 +280,7 @@
 
 void ServiceCall::retryOrFinish()
 {
-    if (this->attemptsSent < this->request.maxAttempts() && this->startAttempt(AttemptKind::Retry)) {
+    if (this->startAttempt(AttemptKind::Retry)) {
         this->context.counters.counter("lycheewall_forwarding_retries_total", refusalCode(this->lastResult.reason))
             .add();
         return;
@@ -349,7 +383,7 @@
 
 void ServiceCall::tryHedge()
 {
-    if (this->finished || this->attemptsSent >= this->request.maxAttempts()) {
+    if (this->finished || this->history->sent >= this->request.maxAttempts()) {
         return;
     }
     if (this->startAttempt(AttemptKind::Hedge)) {
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -19,6 +19,30 @@
     Refusal reason = Refusal::None;
 };
 
+/// The attempts that one request has made at one service. Calls that follow each other share it, so that all of them
+/// together keep to the route's maximum number of attempts.
+struct AttemptHistory
+{
+    int sent = 0;
+    std::vector<EndpointId> endpoints;
+    /// True once the first attempt was recorded in the retry budget.
+    bool isFirstRecorded = false;
+};
+using AttemptHistoryPtr = std::shared_ptr<AttemptHistory>;
+
+/// The service that a call is for, and the attempts that earlier calls of the request have made at it.
+struct CallTarget
+{
+    explicit CallTarget(ServiceId targetService, AttemptHistoryPtr earlierAttempts = std::make_shared<AttemptHistory>())
+        : service(std::move(targetService))
+        , attempts(std::move(earlierAttempts))
+    {
+    }
+
+    ServiceId service;
+    AttemptHistoryPtr attempts;
+};
+
 /**
  * One request to one service: the first attempt, retries after failures and at most one hedge, an extra attempt while
  * another one is in flight. Keeps to the maximum number of attempts and to the retry budget. A request that must not
@@ -33,17 +57,20 @@
     /// Starts the first attempt. @p done is called once, possibly from within start(), unless the call is cancelled
     /// first.
     static std::shared_ptr<ServiceCall>
-    start(ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service, ResultCallback done);
+    start(ForwardingContext &context, const AdmittedRequest &request, const CallTarget &target, ResultCallback done);
 
     /// As start(), for a request that an instance in @p otherZone may already have sent to an endpoint there. Makes a
     /// single attempt at an endpoint outside of that zone, if a response can be expected on time and the retry budget
     /// allows it.
     static std::shared_ptr<ServiceCall> startHedge(ForwardingContext &context,
                                                    const AdmittedRequest &request,
-                                                   const ServiceId &service,
+                                                   const CallTarget &target,
                                                    const ZoneId &otherZone,
                                                    ResultCallback done);
 
+    /// Records the first attempt at @p target in the retry budget, unless that was done before.
+    static void recordFirstAttempt(ForwardingContext &context, const CallTarget &target);
+
     /// Median latency of the route's requests at endpoints; without measurements, a fixed fraction of the latency
     /// objective.
     static Duration typicalLatency(const ForwardingContext &context, const Route &route);
@@ -51,6 +78,11 @@
     /// Time after which a request whose first attempt starts now is hedged.
     static Duration hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request);
 
+    /// Turns a hedge in flight into an ordinary call: the instance in the other zone has sent the request to no
+    /// endpoint, so the remaining attempts of the route may be made here, in all zones. Has no effect on a finished
+    /// call.
+    void takeOverAttempts();
+
     /// Cancels the call: the result callback is not called any more, and attempts in flight are cancelled.
     void cancel();
 
@@ -79,10 +111,13 @@
 
     ServiceCall(ForwardingContext &context,
                 const AdmittedRequest &request,
-                const ServiceId &service,
+                const CallTarget &target,
                 ResultCallback done);
 
     void startFirstAttempt(AttemptKind kind);
+    void scheduleHedgeIfAllowed();
+    /// Endpoints that the next attempt must not go to.
+    std::vector<EndpointId> excludedEndpoints() const;
     bool startAttempt(AttemptKind kind);
     bool isHedgeUseful(const ServiceEndpoint &endpoint, TimePoint now) const;
     std::size_t connectionLimit() const;
@@ -102,8 +137,11 @@
     ResultCallback done;
     Duration expectedLatency;
     std::vector<AttemptPtr> attempts;
-    std::vector<EndpointId> triedEndpoints;
+    AttemptHistoryPtr history;
+    /// Endpoints of the zone in which another instance may have sent the request.
+    std::vector<EndpointId> otherZoneEndpoints;
     bool isHedge = false;
+    /// Attempts of this call alone.
     int attemptsSent = 0;
     bool finished = false;
     ServiceResult lastResult;
--- a/Source/forwarding/singleexchange.cpp
+++ b/Source/forwarding/singleexchange.cpp
@@ -13,8 +13,10 @@
 {
     const std::shared_ptr<SingleExchange> exchange(new SingleExchange(context, request, std::move(done)));
     const ServiceId service = context.serviceBalancer.nextService(*request.route);
-    const auto call = ServiceCall::start(
-        context, request, service, [exchange](const ServiceResult &result) { exchange->handleResult(result); });
+    const auto call
+        = ServiceCall::start(context, request, CallTarget(service), [exchange](const ServiceResult &result) {
+              exchange->handleResult(result);
+          });
     if (exchange->finished) {
         return exchange;
     }
--- a/Tests/forwarding/shardrelaytest.cpp
+++ b/Tests/forwarding/shardrelaytest.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/fixture.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 namespace Lycheewall
@@ -65,6 +66,38 @@
         this->finishAllRequests();
     }
 
+    /// Adds endpoints to the shard "far1" and fills its retry budget, so that the route's limit alone bounds its
+    /// attempts.
+    void allowManyAttemptsAtFar1()
+    {
+        for (const char *id : { "far1b", "far1c" }) {
+            EndpointRecord record;
+            record.id = EndpointId(id);
+            record.service = ServiceId("far1");
+            record.zone = ZoneId("there");
+            this->endpoints.addOrUpdate(record, this->clock.now());
+        }
+        for (int sent = 0; sent < 100; ++sent) {
+            this->retryBudget.recordFirstAttempt(ServiceId("far1"));
+        }
+    }
+
+    int attemptsAt(const std::string &service) const
+    {
+        return static_cast<int>(
+            std::count_if(this->endpointSender.calls.begin(), this->endpointSender.calls.end(), [&](const auto &call) {
+                return call->call.endpoint->record.service == ServiceId(service);
+            }));
+    }
+
+    void refuseRelay()
+    {
+        RelayResponse refusal;
+        refusal.isFinal = true;
+        refusal.isRefused = true;
+        this->relay.responseCallback(refusal);
+    }
+
     void respondFromLocalShards()
     {
         this->call(0).finish(CallResult::Answered, 200, low);
@@ -195,14 +228,61 @@
 BOOST_AUTO_TEST_CASE(callsShardsDirectlyAfterRelayRefusal)
 {
     this->start();
-    RelayResponse refusal;
-    refusal.isFinal = true;
-    refusal.isRefused = true;
-    this->relay.responseCallback(refusal);
+    this->refuseRelay();
     BOOST_TEST(this->endpointSender.calls.size() == 4U);
     BOOST_TEST(this->relay.timeouts == 0);
 }
 
+// Guards against a shard that runs on more endpoints than the route allows: the refusal arrives while the hedge that
+// was sent after the relay timeout is in flight.
+BOOST_AUTO_TEST_CASE(countsHedgeInFlightAfterLateRelayRefusal)
+{
+    this->allowManyAttemptsAtFar1();
+    this->start();
+    this->respondFromLocalShards();
+    this->clock.advance(Milliseconds(60));
+    BOOST_REQUIRE(this->attemptsAt("far1") == 1);
+    this->refuseRelay();
+    this->clock.advance(Milliseconds(300));
+    BOOST_TEST(this->attemptsAt("far1") == this->route.maxAttempts);
+    BOOST_TEST(this->attemptsAt("far2") == 1);
+}
+
+// Guards against a shard that runs on more endpoints than the route allows: the hedge has already failed when the
+// refusal arrives.
+BOOST_AUTO_TEST_CASE(countsFailedHedgeAfterLateRelayRefusal)
+{
+    this->allowManyAttemptsAtFar1();
+    this->start();
+    this->respondFromLocalShards();
+    this->clock.advance(Milliseconds(60));
+    BOOST_REQUIRE(this->attemptsAt("far1") == 1);
+    this->call(2).finish(CallResult::Lost);
+    this->refuseRelay();
+    for (std::size_t number = 3; number < this->endpointSender.calls.size(); ++number) {
+        this->call(number).finish(CallResult::Lost);
+    }
+    this->clock.advance(Milliseconds(300));
+    BOOST_TEST(this->attemptsAt("far1") == this->route.maxAttempts);
+}
+
+// Guards against endpoints that keep working after the reply: a hedge that was in flight when the refusal arrived.
+BOOST_AUTO_TEST_CASE(cancelsAllCallsOfShardAfterLateRelayRefusal)
+{
+    this->route.minShardRatio = 0.75;
+    this->allowManyAttemptsAtFar1();
+    this->start();
+    this->respondFromLocalShards();
+    this->clock.advance(Milliseconds(60));
+    this->refuseRelay();
+    this->call(this->endpointSender.calls.size() - 1).finish(CallResult::Answered, 200, high);
+    this->clock.advance(Milliseconds(300));
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    for (const auto &call : this->endpointSender.calls) {
+        BOOST_TEST((call->cancelled || !call->done));
+    }
+}
+
 // Guards against waiting for shards that the final relay response does not contain, and against treating a relaying
 // instance as timed out although it has sent a first response.
 BOOST_AUTO_TEST_CASE(shardsNotInFinalRelayResponseAreMissing)
