Fleet: Handle a duplicated relay request once

The network may deliver a datagram twice. The relaying instance then sent the shards to a second endpoint, while the requesting one counts a single attempt; a cancellation that overtook its request was lost, and the endpoints ran for a caller who had left.

Before: handlesDuplicatedRequestOnce sends 4 requests instead of 2, ignoresRequestAfterItsCancellation sends 2 instead of none. After: both pass. Requests are remembered for 5 s after they have arrived, in order of arrival, so that forgetting costs a constant time per datagram.

--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -17,6 +17,9 @@
 /// time.
 constexpr Duration responseMargin = callerRoundTrip + interZoneRoundTrip;
 
+/// How long a relay request is remembered after it has ended: longer than the network delays a datagram.
+constexpr Duration duplicateRetention = std::chrono::seconds(5);
+
 const Route *findRoute(const RouteTable &table, const std::string &name)
 {
     for (const Route &route : table.routes()) {
@@ -172,14 +175,28 @@
         this->context.counters.counter("lycheewall_fleet_bad_messages_total", decoded.error().message()).add();
         return;
     }
-    const auto entry = this->queries.find({ decoded.value().replyAddress, decoded.value().id });
-    if (entry == this->queries.end()) {
-        return;
-    }
-    if (const auto query = entry->second.lock()) {
+    const RequestKey key { decoded.value().replyAddress, decoded.value().id };
+    // Remembered also if the request is unknown: it may arrive after its cancellation.
+    this->remember(key);
+    if (const auto query = this->receivedRequests[key].query.lock()) {
         query->cancel();
     }
-    this->queries.erase(entry);
+}
+
+bool RelayServer::remember(const RequestKey &key)
+{
+    this->forgetOldRequests();
+    const bool isNew
+        = this->receivedRequests.try_emplace(key, ReceivedRequest { this->context.clock.now(), {} }).second;
+    if (isNew) {
+        this->arrivalOrder.push_back(key);
+    }
+    return isNew;
+}
+
+std::size_t RelayServer::rememberedRequests() const
+{
+    return this->receivedRequests.size();
 }
 
 void RelayServer::handleRequest(const std::string &bytes)
@@ -190,6 +207,11 @@
         return;
     }
     const RelayRequest &relayRequest = decoded.value();
+    const RequestKey key { relayRequest.replyAddress, relayRequest.id };
+    if (!this->remember(key)) {
+        this->context.counters.counter("lycheewall_relay_duplicates_total").add();
+        return;
+    }
     const auto &table = this->forwarder.table();
     const bool hasSameVersion = table && table->version() == relayRequest.tableVersion;
     const Route *route = hasSameVersion ? findRoute(*table, relayRequest.route) : nullptr;
@@ -205,16 +227,21 @@
     admitted.deadline = admitted.request->deadline;
     // The requesting instance makes the last attempt if a shard response does not arrive on time.
     admitted.attemptLimit = std::max(1, route->maxAttempts - 1);
-    this->removeFinished();
     const auto query = std::make_shared<RelayedQuery>(this->context, this->sender, relayRequest);
-    this->queries[{ relayRequest.replyAddress, relayRequest.id }] = query;
+    this->receivedRequests[key].query = query;
     query->start(admitted);
 }
 
-void RelayServer::removeFinished()
+void RelayServer::forgetOldRequests()
 {
-    for (auto entry = this->queries.begin(); entry != this->queries.end();) {
-        entry = entry->second.expired() ? this->queries.erase(entry) : std::next(entry);
+    const TimePoint oldest = this->context.clock.now() - duplicateRetention;
+    while (!this->arrivalOrder.empty()) {
+        const auto received = this->receivedRequests.find(this->arrivalOrder.front());
+        if (received->second.receivedAt >= oldest || !received->second.query.expired()) {
+            return;
+        }
+        this->receivedRequests.erase(received);
+        this->arrivalOrder.pop_front();
     }
 }
 
--- a/Source/fleet/relayserver.h
+++ b/Source/fleet/relayserver.h
@@ -4,6 +4,7 @@
 #include "forwarding/forwarder.h"
 #include "forwarding/relaymessage.h"
 
+#include <deque>
 #include <map>
 
 namespace Lycheewall
@@ -14,7 +15,7 @@
  * shard responses and sends them back. If some are still missing when a hedge is due, a first response is sent with the
  * others. It is sent even if it is empty, so that the requesting instance does not take slow shards for an instance
  * that does not respond. The requesting instance makes the last attempt, so that both instances together stay within
- * the attempts that the route allows.
+ * the attempts that the route allows. For the same reason a datagram that the network delivers twice is handled once.
  * Thread safety: none; used on the thread of the request loop.
  */
 class RelayServer
@@ -28,17 +29,31 @@
     /// Handles the cancellation of a relay request. @p bytes is the datagram without its kind.
     void handleCancel(const std::string &bytes);
 
+    /// Number of recent relay requests that are remembered to recognise duplicates.
+    std::size_t rememberedRequests() const;
+
 private:
     class RelayedQuery;
+    /// Reply address and id of a relay request.
+    using RequestKey = std::pair<std::string, std::uint64_t>;
+    struct ReceivedRequest
+    {
+        TimePoint receivedAt;
+        /// Expired once the query has ended, or if the cancellation arrived before the request.
+        std::weak_ptr<RelayedQuery> query;
+    };
 
     void sendRefusal(const RelayRequest &relayRequest);
-    void removeFinished();
+    /// Returns false if the request was received or cancelled before.
+    bool remember(const RequestKey &key);
+    void forgetOldRequests();
 
     ForwardingContext &context;
     const Forwarder &forwarder;
     DatagramSender &sender;
-    /// Queries by reply address and id of the relay request.
-    std::map<std::pair<std::string, std::uint64_t>, std::weak_ptr<RelayedQuery>> queries;
+    std::map<RequestKey, ReceivedRequest> receivedRequests;
+    /// Keys of receivedRequests, the oldest first.
+    std::deque<RequestKey> arrivalOrder;
 };
 
 }
--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -129,6 +129,45 @@
     BOOST_TEST(this->call(1).cancelled);
 }
 
+// Guards against a shard that runs on more endpoints than the route allows because the network delivers a relay request
+// twice, before or after its end.
+BOOST_AUTO_TEST_CASE(handlesDuplicatedRequestOnce)
+{
+    const auto pending = this->sendRequest();
+    const std::string relayRequest = this->sender.lastPayload();
+    this->server.handleRequest(relayRequest);
+    this->server.handleRequest(relayRequest);
+    BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
+    this->call(0).finish(CallResult::Answered, 200, "aaaaaaaaaaaaaaaa");
+    this->call(1).finish(CallResult::Answered, 200, "zzzzzzzzzzzzzzzz");
+    this->server.handleRequest(relayRequest);
+    BOOST_TEST(this->endpointSender.calls.size() == 2U);
+}
+
+// Guards against endpoints that run a request whose caller has left: the cancellation overtook the relay request.
+BOOST_AUTO_TEST_CASE(ignoresRequestAfterItsCancellation)
+{
+    auto pending = this->sendRequest();
+    const std::string relayRequest = this->sender.lastPayload();
+    pending.reset();
+    this->server.handleCancel(this->sender.lastPayload());
+    this->server.handleRequest(relayRequest);
+    BOOST_TEST(this->endpointSender.calls.empty());
+}
+
+// Guards against memory that grows with each relay request.
+BOOST_AUTO_TEST_CASE(forgetsRequestsAfterDuplicatesCanArrive)
+{
+    const auto pending = this->sendRequest();
+    const std::string relayRequest = this->sender.lastPayload();
+    this->server.handleRequest(relayRequest);
+    BOOST_TEST(this->server.rememberedRequests() == 1U);
+    this->clock.advance(std::chrono::seconds(10));
+    const auto next = this->sendRequest();
+    this->server.handleRequest(this->sender.lastPayload());
+    BOOST_TEST(this->server.rememberedRequests() == 1U);
+}
+
 // Guards against a requesting instance that mistakes a slow shard for a relaying instance that does not respond.
 BOOST_AUTO_TEST_CASE(sendsPartialResponseWhenShardIsSlow)
 {
