Gateway: Read and log the rate limits that endpoints name

A value that is not a number is counted, logged and ignored. A response to a request that was sent before the limit was named does not end it.

--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "forwarding/endpointratelimit.h"
 #include "forwarding/endpointstats.h"
 #include "forwarding/routetable.h"
 
@@ -33,6 +34,7 @@
 {
     EndpointRecord record;
     EndpointStats stats;
+    EndpointRateLimit rateLimit;
     TimePoint coldUntil;
     /// False once the entry was removed. Requests in flight may still hold the object.
     bool registered = true;
--- a/Source/gateway/codecs.h
+++ b/Source/gateway/codecs.h
@@ -38,6 +38,7 @@
     std::optional<LoadReport> load;
     /// Remaining warm-up time of the endpoint; std::nullopt if the endpoint sent none.
     std::optional<Duration> remainingWarmup;
+    RateLimitStatement rateLimit;
 };
 
 /**
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpointconnectionpool.h"
 
+#include "core/log.h"
 #include "runtime/socketaddress.h"
 
 #include <algorithm>
@@ -18,6 +19,12 @@
 /// that moment, and then it is unknown whether the request ran.
 constexpr Duration maximumNonIdempotentIdle = Milliseconds(500);
 
+Log &logger()
+{
+    static Log &log = Log::component("endpoint");
+    return log;
+}
+
 }
 
 class EndpointConnectionPool::PooledCall : public OutgoingCall, public std::enable_shared_from_this<PooledCall>
@@ -50,6 +57,7 @@
     EndpointCall call;
     std::function<void(CallOutcome)> done;
     ConnectionPtr connection;
+    TimePoint sentAt;
     Subscription graceTimer;
 };
 
@@ -153,6 +161,7 @@
                                     const CallPtr &call)
 {
     call->connection = connection;
+    call->sentAt = this->clock.now();
     connections.busy[connection.get()] = call;
     connection->send(call->call);
 }
@@ -212,12 +221,17 @@
     } else {
         this->unregister(connection);
     }
-    this->updateEndpoint(connections, info);
+    const bool hasResponded = outcome.result == CallResult::Answered || outcome.result == CallResult::NotRun;
+    if (hasResponded) {
+        this->updateEndpoint(connections, info, call->sentAt);
+    }
     this->dispatchQueued(connections);
     call->finish(outcome);
 }
 
-void EndpointConnectionPool::updateEndpoint(EndpointConnections &connections, const EndpointResponseMetadata &info)
+void EndpointConnectionPool::updateEndpoint(EndpointConnections &connections,
+                                            const EndpointResponseMetadata &info,
+                                            TimePoint sentAt)
 {
     const EndpointPtr endpoint = connections.endpoint.lock();
     if (!endpoint) {
@@ -230,6 +244,31 @@
     if (info.remainingWarmup) {
         endpoint->coldUntil = now + *info.remainingWarmup;
     }
+    this->updateRateLimit(*endpoint, info.rateLimit, sentAt);
+}
+
+void EndpointConnectionPool::updateRateLimit(ServiceEndpoint &endpoint,
+                                             const RateLimitStatement &statement,
+                                             TimePoint sentAt)
+{
+    const std::string name = "Endpoint " + endpoint.record.id.value() + " of " + endpoint.record.service.value();
+    if (statement.isMalformed) {
+        this->counters.counter("lycheewall_endpoint_bad_limits_total").add();
+        logger().warn(name + " names a rate limit that is not a number; it is ignored.");
+        return;
+    }
+    switch (endpoint.rateLimit.apply(statement, sentAt, this->clock.now())) {
+    case EndpointRateLimit::Change::Began:
+        this->counters.counter("lycheewall_endpoint_limits_total").add();
+        logger().info(name + " takes at most " + std::to_string(endpoint.rateLimit.requestsPerSecond())
+                      + " requests per second from all instances.");
+        return;
+    case EndpointRateLimit::Change::Ended:
+        logger().info(name + " names no rate limit any more.");
+        return;
+    case EndpointRateLimit::Change::None:
+        return;
+    }
 }
 
 void EndpointConnectionPool::closedWhileIdle(const ConnectionPtr &connection)
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -69,7 +69,9 @@
     void openConnection(EndpointConnections &connections, const EndpointCall &call);
     void cancelCall(const CallPtr &call, Duration gracePeriod);
     void postFailure(const CallPtr &call);
-    void updateEndpoint(EndpointConnections &connections, const EndpointResponseMetadata &info);
+    /// Applies what the response to a request that was sent at @p sentAt says about its endpoint.
+    void updateEndpoint(EndpointConnections &connections, const EndpointResponseMetadata &info, TimePoint sentAt);
+    void updateRateLimit(ServiceEndpoint &endpoint, const RateLimitStatement &statement, TimePoint sentAt);
     void unregister(const ConnectionPtr &connection);
     /// Removes the connection from the pool and closes it.
     void discard(const ConnectionPtr &connection);
