Forwarding: Keep to the rate limits that endpoints name

Cause: nothing read the limit; arrivals were those of an endpoint without one.

Change: each instance keeps a token bucket for an endpoint that names a limit, with its share of the fleet, and every attempt takes a token at the one place that sends. A query whose coverage cannot be reached is refused before it sends anything, with the time until the next token and a spread; shards that are nearly out of tokens are left out by turns where the route allows it. The choice of skipped shards moves from FanoutExchange into selectShards(). The fleet share of limits moves from ForwardingContext to EndpointSet, which the chooser reads.

--- a/Source/core/refusal.cpp
+++ b/Source/core/refusal.cpp
@@ -31,6 +31,7 @@
     "deadline-exceeded",
     "endpoint-unavailable",
     "endpoint-shed",
+    "endpoint-rate-limited",
     "endpoint-draining",
     "endpoint-cold",
     "endpoint-connection-cap",
--- a/Source/core/refusal.h
+++ b/Source/core/refusal.h
@@ -31,6 +31,7 @@
     DeadlineExceeded,
     EndpointUnavailable,
     EndpointShed,
+    EndpointRateLimited,
     EndpointDraining,
     EndpointCold,
     EndpointConnectionCap,
--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/endpointchooser.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Lycheewall
 {
@@ -47,6 +48,11 @@
         if (!this->endpoints.isAvailable(*endpoint) || contains(criteria.excluded, endpoint->record.id)) {
             continue;
         }
+        const EndpointRateLimit &rateLimit = endpoint->rateLimit;
+        const double share = this->endpoints.fleetShare();
+        if (!rateLimit.canSend(share, now) || rateLimit.fillLevel(share, now) < criteria.minRateFillLevel) {
+            continue;
+        }
         const double endpointCost
             = this->cost(*endpoint, criteria, now) + tieBreakJitterMs * this->random.uniformReal();
         if (!best || endpointCost < bestCost) {
@@ -71,6 +77,57 @@
     return best;
 }
 
+std::vector<EndpointPtr> EndpointChooser::availableEndpoints(const ServiceId &service) const
+{
+    std::vector<EndpointPtr> result;
+    for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
+        if (this->endpoints.isAvailable(*endpoint)) {
+            result.push_back(endpoint);
+        }
+    }
+    return result;
+}
+
+bool EndpointChooser::isRateLimited(const ServiceId &service) const
+{
+    bool isAnyAvailable = false;
+    for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
+        if (!this->endpoints.isAvailable(*endpoint)) {
+            continue;
+        }
+        if (!endpoint->rateLimit.isLimited()) {
+            return false;
+        }
+        isAnyAvailable = true;
+    }
+    return isAnyAvailable;
+}
+
+Duration EndpointChooser::rateWaitTime(const ServiceId &service, TimePoint now) const
+{
+    if (!this->isRateLimited(service)) {
+        return Duration::zero();
+    }
+    Duration shortest = Duration::max();
+    for (const EndpointPtr &endpoint : this->availableEndpoints(service)) {
+        shortest = std::min(shortest, endpoint->rateLimit.waitTime(this->endpoints.fleetShare(), now));
+    }
+    return shortest;
+}
+
+double EndpointChooser::rateFillLevel(const ServiceId &service, TimePoint now) const
+{
+    if (!this->isRateLimited(service)) {
+        return 1;
+    }
+    const std::vector<EndpointPtr> available = this->availableEndpoints(service);
+    const double sum = std::accumulate(
+        available.begin(), available.end(), 0.0, [this, now](double total, const EndpointPtr &endpoint) {
+            return total + endpoint->rateLimit.fillLevel(this->endpoints.fleetShare(), now);
+        });
+    return sum / static_cast<double>(available.size());
+}
+
 bool EndpointChooser::hasHealthyLocalEndpoint(const ServiceId &service, TimePoint now) const
 {
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -16,6 +16,8 @@
     Duration typicalLatency {};
     /// Endpoints that earlier attempts of the request were sent to.
     std::vector<EndpointId> excluded;
+    /// Fill level (see EndpointRateLimit) that an endpoint with a rate limit must have.
+    double minRateFillLevel = 0;
 };
 
 /**
@@ -30,8 +32,8 @@
     /// @p zone is the availability zone of this instance.
     EndpointChooser(const EndpointSet &endpoints, ZoneId zone, Random &random);
 
-    /// Returns nullptr if no endpoint of the service is available. Ejected endpoints are selected only if there is no
-    /// other.
+    /// Returns nullptr if no endpoint of the service is available, or those that are available take no more requests of
+    /// this instance now. Ejected endpoints are selected only if there is no other.
     EndpointPtr choose(const EndpointCriteria &criteria, TimePoint now) const;
 
     /// Lowest estimatedLatency() among the available endpoints of the service that are not ejected; std::nullopt if
@@ -39,6 +41,17 @@
     std::optional<Duration>
     lowestEstimatedLatency(const ServiceId &service, Duration typicalLatency, TimePoint now) const;
 
+    /// Time until an available endpoint of the service takes another request of this instance under the rate limits
+    /// that the endpoints name; zero if one takes it now or none is available.
+    Duration rateWaitTime(const ServiceId &service, TimePoint now) const;
+
+    /// Mean fill level (see EndpointRateLimit) of the available endpoints of the service; 1 if one of them has no rate
+    /// limit, or none is available.
+    double rateFillLevel(const ServiceId &service, TimePoint now) const;
+
+    /// True if all available endpoints of the service name a rate limit.
+    bool isRateLimited(const ServiceId &service) const;
+
     /// True if the service has an available endpoint in this zone that is neither suspect nor ejected.
     bool hasHealthyLocalEndpoint(const ServiceId &service, TimePoint now) const;
 
@@ -49,6 +62,7 @@
     static Duration estimatedLatency(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now);
 
 private:
+    std::vector<EndpointPtr> availableEndpoints(const ServiceId &service) const;
     double cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const;
 
     const EndpointSet &endpoints;
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -91,6 +91,16 @@
     return this->byId.size();
 }
 
+void EndpointSet::setFleetShare(double share)
+{
+    this->ownFleetShare = share;
+}
+
+double EndpointSet::fleetShare() const
+{
+    return this->ownFleetShare;
+}
+
 std::vector<SlowEndpoint> EndpointSet::locallySlowEndpoints(TimePoint now) const
 {
     std::vector<SlowEndpoint> slowEndpoints;
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -75,6 +75,10 @@
 
     std::size_t size() const;
 
+    /// Sets this instance's share of the fleet-wide connection and rate limits of each endpoint, above 0 and at most 1.
+    void setFleetShare(double share);
+    double fleetShare() const;
+
     /// Endpoints that this instance has recently observed to be slow, as reports for the other instances. Their number
     /// is bounded.
     std::vector<SlowEndpoint> locallySlowEndpoints(TimePoint now) const;
@@ -87,6 +91,7 @@
     std::unordered_map<EndpointId, EndpointPtr> byId;
     std::unordered_map<ServiceId, std::vector<EndpointPtr>> byService;
     std::set<ZoneId> evacuatedZones;
+    double ownFleetShare = 1;
 };
 
 }
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -2,11 +2,10 @@
 
 #include "forwarding/forwardingtimes.h"
 #include "forwarding/refusalreply.h"
+#include "forwarding/shardselection.h"
 #include "forwarding/topmerge.h"
 
 #include <algorithm>
-#include <functional>
-#include <map>
 
 namespace Lycheewall
 {
@@ -47,34 +46,16 @@
     }
 }
 
-std::set<std::size_t> FanoutExchange::overloadedShards() const
-{
-    const Route &route = *this->request.route;
-    const TimePoint now = this->context.clock.now();
-    const Duration remaining = this->request.request->arrivedAt + route.latencyObjective - callerRoundTrip - now;
-    const Duration typicalLatency = ServiceCall::typicalLatency(this->context, route);
-    std::multimap<Duration, std::size_t, std::greater<>> lateShards;
-    for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
-        const auto latency = this->context.chooser.lowestEstimatedLatency(route.shards[shard], typicalLatency, now);
-        if (latency && *latency > remaining) {
-            lateShards.emplace(*latency, shard);
-        }
-    }
-    const auto shardTotal = static_cast<double>(route.shards.size());
-    auto omittable = static_cast<std::size_t>((1 - route.minShardRatio) * shardTotal + ratioTolerance);
-    std::set<std::size_t> overloaded;
-    for (auto entry = lateShards.begin(); entry != lateShards.end() && omittable > 0; ++entry, --omittable) {
-        overloaded.insert(entry->second);
-    }
-    return overloaded;
-}
-
 void FanoutExchange::startShardRequests()
 {
-    const std::set<std::size_t> overloaded = this->overloadedShards();
-    this->startRelay(overloaded);
+    const ShardSelection selection = selectShards(this->context, this->request);
+    if (selection.retryAfter) {
+        this->refuseRateLimited(*selection.retryAfter);
+        return;
+    }
+    this->startRelay(selection.skipped);
     for (std::size_t shard = 0; shard < this->shardStates.size() && !this->finished; ++shard) {
-        if (overloaded.count(shard) > 0) {
+        if (selection.skipped.count(shard) > 0) {
             this->context.counters.counter("lycheewall_forwarding_parts_not_asked_total").add();
             ServiceResult result;
             result.reason = Refusal::QueueFull;
@@ -85,6 +66,19 @@
     }
 }
 
+void FanoutExchange::refuseRateLimited(Duration retryAfter)
+{
+    ServiceResult result;
+    result.reason = Refusal::EndpointRateLimited;
+    result.retryAfter = retryAfter;
+    this->context.counters.countRefusal(result.reason);
+    this->context.requestLog.write(*this->request.request,
+                                   std::string(refusalCode(result.reason)),
+                                   "route=" + this->request.route->name
+                                       + " retry-after-ms=" + std::to_string(toMilliseconds(retryAfter)));
+    this->reply(makeRefusalReply(result));
+}
+
 void FanoutExchange::startShardCall(std::size_t shard, bool isHedge)
 {
     const CallTarget &target = this->targets[shard];
@@ -100,7 +94,7 @@
     this->calls[shard] = std::move(call);
 }
 
-void FanoutExchange::startRelay(const std::set<std::size_t> &overloaded)
+void FanoutExchange::startRelay(const std::set<std::size_t> &skipped)
 {
     // The relaying instance and this one share the route's maximum number of attempts.
     if (this->context.relay == nullptr || this->request.route->maxAttempts < 2) {
@@ -110,7 +104,10 @@
     const TimePoint now = this->context.clock.now();
     std::vector<ServiceId> remoteShards;
     for (std::size_t shard = 0; shard < shards.size(); ++shard) {
-        if (overloaded.count(shard) == 0 && !this->context.chooser.hasHealthyLocalEndpoint(shards[shard], now)) {
+        const bool hasLocalEndpoint = this->context.chooser.hasHealthyLocalEndpoint(shards[shard], now);
+        // This instance has a share of its own of the rate that the endpoints take.
+        const bool isRateLimited = this->context.chooser.isRateLimited(shards[shard]);
+        if (skipped.count(shard) == 0 && !hasLocalEndpoint && !isRateLimited) {
             remoteShards.push_back(shards[shard]);
         }
     }
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -12,9 +12,8 @@
  * A request to all shards of an index, whose responses are merged into one reply. The reply is complete when all shards
  * have responded. When the route's latency objective is reached, a reply that covers at least Route::minShardRatio of
  * the shards is sent without the missing ones and states their number; after the objective, the reply is sent as soon
- * as this coverage is reached. Shards whose endpoints are all so loaded that they would respond only after the
- * objective are skipped as far as the required coverage allows: further requests would only keep them from responding
- * to any request on time.
+ * as this coverage is reached. selectShards() decides which shards are skipped from the start, and whether the query is
+ * refused at once because too many shards take no more requests.
  * Thread safety: none; used on the thread of the request loop.
  */
 class FanoutExchange : public Exchange, public std::enable_shared_from_this<FanoutExchange>
@@ -33,7 +32,7 @@
 
     void startShardRequests();
     void startShardCall(std::size_t shard, bool isHedge);
-    void startRelay(const std::set<std::size_t> &overloaded);
+    void startRelay(const std::set<std::size_t> &skipped);
     void handleRelayResponse(const RelayResponse &response);
     void handleRelayTimeout();
     void hedgeRelayedShards();
@@ -45,7 +44,7 @@
     bool isCallInFlight(std::size_t shard) const;
     bool canHedgeShard(std::size_t shard) const;
     std::size_t shardIndexOf(const ServiceId &service) const;
-    std::set<std::size_t> overloadedShards() const;
+    void refuseRateLimited(Duration retryAfter);
     void startTimers();
     void handleShardResult(std::size_t shard, const ServiceResult &result);
     void setShardState(std::size_t shard, ShardState state);
--- a/Source/forwarding/forwardingcontext.h
+++ b/Source/forwarding/forwardingcontext.h
@@ -28,10 +28,9 @@
     WeightedRoundRobin &serviceBalancer;
     OrganisationQuota &quota;
     RequestLog &requestLog;
+    Random &random;
     /// nullptr if shard requests cannot be relayed through other instances.
     ShardRelay *relay = nullptr;
-    /// This instance's share of the fleet-wide connection limit of each endpoint, above 0 and at most 1.
-    double fleetShare = 1;
 };
 
 /// One admitted request.
--- a/Source/forwarding/refusalreply.cpp
+++ b/Source/forwarding/refusalreply.cpp
@@ -17,7 +17,7 @@
     reply.notRun = !result.mayHaveRun;
     reply.refusal = result.reason == Refusal::None ? Refusal::EndpointUnavailable : result.reason;
     if (reply.notRun) {
-        reply.retryAfter = defaultRetryAfter;
+        reply.retryAfter = result.retryAfter.value_or(defaultRetryAfter);
     } else {
         reply.refusal = Refusal::OutcomeUnknown;
     }
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -20,6 +20,8 @@
 constexpr double earliestHedgeQuantile = 0.9;
 /// A hedge is timed so that this fraction of the responses to it would arrive before the latency objective.
 constexpr double hedgeResponseQuantile = 0.95;
+/// An endpoint with a rate limit gets a hedge only above this fill level: the rate that it takes is for first attempts.
+constexpr double minRateFillLevelForHedge = 0.5;
 /// Interval at which a hedge is tried again if no endpoint was suitable or the retry budget was exhausted.
 constexpr Duration hedgeRetryInterval = Milliseconds(8);
 /// No attempt is sent if less time remains before the deadline.
@@ -106,13 +108,23 @@
 void ServiceCall::startFirstAttempt(AttemptKind kind)
 {
     if (!this->startAttempt(kind)) {
-        this->lastResult.reason = Refusal::EndpointUnavailable;
-        this->finish(this->lastResult);
+        this->finishUnsent();
         return;
     }
     this->scheduleHedgeIfAllowed();
 }
 
+void ServiceCall::finishUnsent()
+{
+    const Duration wait = this->context.chooser.rateWaitTime(this->service, this->context.clock.now());
+    this->lastResult.reason = Refusal::EndpointUnavailable;
+    if (wait > Duration::zero()) {
+        this->lastResult.reason = Refusal::EndpointRateLimited;
+        this->lastResult.retryAfter = wait;
+    }
+    this->finish(this->lastResult);
+}
+
 void ServiceCall::scheduleHedgeIfAllowed()
 {
     const bool isIdempotent = this->request.route->idempotency == Idempotency::Idempotent;
@@ -147,8 +159,9 @@
     if (this->request.deadline - now < minRemainingTime || this->history->sent >= this->request.maxAttempts()) {
         return false;
     }
-    const EndpointPtr endpoint
-        = this->context.chooser.choose({ this->service, this->expectedLatency, this->excludedEndpoints() }, now);
+    const double minRateFillLevel = kind == AttemptKind::Hedge ? minRateFillLevelForHedge : 0;
+    const EndpointPtr endpoint = this->context.chooser.choose(
+        { this->service, this->expectedLatency, this->excludedEndpoints(), minRateFillLevel }, now);
     if (!endpoint) {
         return false;
     }
@@ -161,6 +174,7 @@
         return false;
     }
     const auto attempt = std::make_shared<Attempt>();
+    endpoint->rateLimit.take(this->context.endpoints.fleetShare(), now);
     attempt->endpoint = endpoint;
     attempt->usesBudget = usesBudget;
     attempt->startedAt = now;
@@ -193,7 +207,8 @@
 {
     const ServiceSpec *spec = this->request.table->findService(this->service);
     const double fleetLimit = spec == nullptr ? 0 : spec->maxConnections;
-    return static_cast<std::size_t>(std::max(1.0, fleetLimit * this->context.fleetShare + roundingTolerance));
+    return static_cast<std::size_t>(
+        std::max(1.0, fleetLimit * this->context.endpoints.fleetShare() + roundingTolerance));
 }
 
 void ServiceCall::handleOutcome(const AttemptPtr &attempt, const CallOutcome &outcome)
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -17,6 +17,8 @@
     /// Without a response: true if an endpoint may have run the request.
     bool mayHaveRun = false;
     Refusal reason = Refusal::None;
+    /// Without a response: the time after which a retry can succeed; std::nullopt if none is known.
+    std::optional<Duration> retryAfter;
 };
 
 /// The attempts that one request has made at one service. Calls that follow each other share it, so that all of them
@@ -116,6 +118,8 @@
 
     void startFirstAttempt(AttemptKind kind);
     void scheduleHedgeIfAllowed();
+    /// Finishes the call without an attempt, with the reason why there was none.
+    void finishUnsent();
     /// Endpoints that the next attempt must not go to.
     std::vector<EndpointId> excludedEndpoints() const;
     bool startAttempt(AttemptKind kind);
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -68,8 +68,8 @@
     , retryBudget(settings.retryLimits, clock)
     , quota(clock)
     , requestLog(clock)
-    , forwarding { clock,     timers,          counters, endpoints,  chooser, pool, retryBudget,
-                   latencies, serviceBalancer, quota,    requestLog, nullptr, 1 }
+    , forwarding { clock,     timers,          counters, endpoints,  chooser, pool,   retryBudget,
+                   latencies, serviceBalancer, quota,    requestLog, random,  nullptr }
     , freshness(clock)
     , forwarder(settings.forwarding, forwarding, freshness)
     , feedApplier({ clock, timers, counters, codecs.feed, endpoints, forwarder, quota })
@@ -230,8 +230,8 @@
 void Gateway::updateFleetShare()
 {
     const double share = this->activeInstances.ownFleetShare();
-    this->forwarding.fleetShare = this->gossip->hasJoined() ? share : std::min(share, maximumShareBeforeJoined);
-    this->retryBudget.setFleetShare(this->forwarding.fleetShare);
+    this->endpoints.setFleetShare(this->gossip->hasJoined() ? share : std::min(share, maximumShareBeforeJoined));
+    this->retryBudget.setFleetShare(this->endpoints.fleetShare());
     this->quota.setInstanceCounts(this->members.liveCount(), this->members.knownCount());
 }
 
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -155,9 +155,8 @@
     WeightedRoundRobin serviceBalancer;
     OrganisationQuota quota { clock };
     RequestLog requestLog { clock };
-    ForwardingContext context { clock,          clock,       counters,  endpoints,       chooser,
-                                endpointSender, retryBudget, latencies, serviceBalancer, quota,
-                                requestLog,     nullptr,     1 };
+    ForwardingContext context { clock,     clock,           counters, endpoints,  chooser, endpointSender, retryBudget,
+                                latencies, serviceBalancer, quota,    requestLog, random,  nullptr };
     RouteTableContent tableContent;
     Route route;
     std::shared_ptr<Exchange> exchange;
--- a/Tests/forwarding/loadtest.cpp
+++ b/Tests/forwarding/loadtest.cpp
@@ -24,8 +24,8 @@
 {
     BOOST_TEST_MESSAGE(name << ": credit " << result.credit << ", requests " << result.requests << ", late "
                             << result.late << ", refused " << result.refused << ", partial " << result.partial
-                            << ", budget use " << result.maxBudgetUsage << ", sends " << result.sends
-                            << ", other zones " << result.crossZoneSends);
+                            << ", budget use " << result.maxBudgetUsage << ", limit use " << result.maxLimitUsage
+                            << ", sends " << result.sends << ", other zones " << result.crossZoneSends);
 }
 
 SimulationResult simulate(const char *name, const SimulationPlan &plan)
@@ -186,6 +186,73 @@
     BOOST_TEST(simulate("36 shards, 76 instances", plan).credit < withGossip.credit);
 }
 
+namespace
+{
+
+/// From 3 s on, endpoints for which @p isLimited returns true name a limit of @p requestsPerSecond.
+SimulationPlan
+withRateLimits(SimulationPlan plan, double requestsPerSecond, std::function<bool(std::size_t, std::size_t)> isLimited)
+{
+    plan.durationSeconds = 19;
+    plan.warmUpSeconds = 5;
+    plan.rateLimit = [=](std::size_t shard, std::size_t endpoint, double second) {
+        return second > 3 && isLimited(shard, endpoint) ? std::optional(requestsPerSecond) : std::nullopt;
+    };
+    return plan;
+}
+
+/// As cragwallPlan(), with 60 requests per second for each endpoint.
+SimulationPlan loadedCragwallPlan()
+{
+    SimulationPlan plan = cragwallPlan();
+    plan.requestsPerSecond = 180;
+    return plan;
+}
+
+}
+
+// Guards against endpoints that get more requests than the limit that they name, although the other endpoints of the
+// shard could serve them. Pattern: two of three endpoints of each shard are in need.
+BOOST_AUTO_TEST_CASE(limitedEndpointsBesideOthers)
+{
+    const auto isLimited = [](std::size_t shard, std::size_t endpoint) {
+        return endpoint != shard % 3;
+    };
+    const SimulationResult result
+        = simulate("limits, others free", withRateLimits(loadedCragwallPlan(), 33, isLimited));
+    BOOST_TEST(result.maxLimitUsage <= 1);
+    BOOST_TEST(result.credit >= minFaultCreditCragwall);
+    BOOST_TEST(result.maxBudgetUsage <= 1);
+}
+
+// Guards against shards that get more requests than all their endpoints take together, and against replies that are
+// lost for it beyond need. Pattern: all endpoints of three shards are in need, and take 99 of 180 requests per second.
+BOOST_AUTO_TEST_CASE(limitedShards)
+{
+    /// Complete replies to as many queries as the limited shards take, and no other reply.
+    constexpr double creditOfCompleteReplies = 99.0 / 180;
+    const auto isLimited = [](std::size_t shard, std::size_t) {
+        return shard < 3;
+    };
+    const SimulationResult result = simulate("limited shards", withRateLimits(loadedCragwallPlan(), 33, isLimited));
+    BOOST_TEST(result.maxLimitUsage <= 1);
+    BOOST_TEST(result.credit >= creditOfCompleteReplies);
+    BOOST_TEST(result.maxBudgetUsage <= 1);
+}
+
+// Guards against the same in a fleet with few active instances and many shards. Pattern: seven of ten endpoints.
+BOOST_AUTO_TEST_CASE(limitedEndpointsAcrossManyShards)
+{
+    const auto isLimited = [](std::size_t shard, std::size_t endpoint) {
+        return (shard * 3 + endpoint) * 2654435761U % 100 < 70;
+    };
+    SimulationPlan plan = withRateLimits(largeCragwallPlan(), 20, isLimited);
+    plan.requestsPerSecond = 112;
+    const SimulationResult result = simulate("36 shards, limits", plan);
+    BOOST_TEST(result.maxLimitUsage <= 1);
+    BOOST_TEST(result.maxBudgetUsage <= 1);
+}
+
 // Guards against missing shard responses because of a crashed endpoint. Pattern: one endpoint of each shard crashes and
 // is available again after some seconds.
 BOOST_AUTO_TEST_CASE(oneEndpointOfEachShardCrashes)
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -45,6 +45,8 @@
     /// Removes the request from the server's queue or slot, as the server does when its connection is closed.
     std::function<void()> removeFromServer;
     EndpointPtr endpoint;
+    std::size_t instance = 0;
+    TimePoint sentAt;
     double serviceTimeMs = 0;
     double delayMs = 0;
     bool cancelled = false;
@@ -64,6 +66,27 @@
     EndpointRecord record;
     int running = 0;
     std::deque<std::shared_ptr<Job>> queue;
+    std::optional<double> limitNamedAt;
+    /// When each instance first got a response with the limit.
+    std::map<std::size_t, double> toldAt;
+    /// Arrivals from instances that knew the limit for half a second.
+    std::vector<double> limitedArrivals;
+
+    std::optional<double> currentLimit() const
+    {
+        const SimulationPlan &plan = this->fleet->plan;
+        return plan.rateLimit ? plan.rateLimit(this->shard, this->index, this->fleet->elapsedSeconds()) : std::nullopt;
+    }
+
+    void recordArrival(std::size_t instance)
+    {
+        constexpr double reactionSeconds = 0.5;
+        const double now = this->fleet->elapsedSeconds();
+        const auto told = this->toldAt.find(instance);
+        if (this->currentLimit() && told != this->toldAt.end() && now >= told->second + reactionSeconds) {
+            this->limitedArrivals.push_back(now);
+        }
+    }
 
     bool isDown() const
     {
@@ -76,6 +99,7 @@
         if (job->cancelled) {
             return;
         }
+        this->recordArrival(job->instance);
         if (this->isDown()) {
             CallOutcome outcome;
             outcome.result = CallResult::Lost;
@@ -162,10 +186,20 @@
 
     void sendResponse(const std::shared_ptr<Job> &job, const CallOutcome &outcome)
     {
+        RateLimitStatement statement;
+        statement.requestsPerSecond = this->currentLimit();
+        if (statement.requestsPerSecond && !this->limitNamedAt) {
+            this->limitNamedAt = this->fleet->elapsedSeconds();
+        }
         const LoadReport report { this->running, static_cast<int>(this->queue.size()), this->fleet->plan.slots };
-        job->timer = this->fleet->clock.after(fromMilliseconds(job->delayMs), [this, job, outcome, report] {
+        job->timer = this->fleet->clock.after(fromMilliseconds(job->delayMs), [this, job, outcome, report, statement] {
+            const TimePoint now = this->fleet->clock.now();
             if (outcome.result != CallResult::Lost) {
-                job->endpoint->stats.updateLoad(report, this->fleet->clock.now());
+                job->endpoint->stats.updateLoad(report, now);
+                job->endpoint->rateLimit.apply(statement, job->sentAt, now);
+                if (statement.requestsPerSecond) {
+                    this->toldAt.try_emplace(job->instance, this->fleet->elapsedSeconds());
+                }
             }
             job->deliver(outcome);
         });
@@ -176,9 +210,10 @@
 class SimulatedFleet::Sender : public EndpointSender
 {
 public:
-    Sender(SimulatedFleet &simulated, std::size_t instanceZone)
+    Sender(SimulatedFleet &simulated, std::size_t instanceNumber)
         : fleet(simulated)
-        , zone(instanceZone)
+        , instance(instanceNumber)
+        , zone(instanceNumber % simulated.plan.zones)
     {
     }
 
@@ -199,6 +234,8 @@
         job->clock = &this->fleet.clock;
         job->done = std::move(done);
         job->endpoint = call.endpoint;
+        job->instance = this->instance;
+        job->sentAt = this->fleet.clock.now();
         job->serviceTimeMs = this->fleet.drawServiceTimeMs();
         job->delayMs = server->zone == this->zone ? sameZoneDelayMs : this->fleet.plan.zoneDelayMs;
         job->timer = this->fleet.clock.after(fromMilliseconds(job->delayMs), [server, job] { server->receive(job); });
@@ -207,6 +244,7 @@
 
 private:
     SimulatedFleet &fleet;
+    std::size_t instance;
     std::size_t zone;
 };
 
@@ -216,25 +254,16 @@
     Instance(SimulatedFleet &fleet, std::size_t number)
         : random(fleet.plan.seed * 1000 + number)
         , chooser(endpoints, ZoneId("zone-" + std::to_string(number % fleet.plan.zones)), random)
-        , sender(fleet, number % fleet.plan.zones)
+        , sender(fleet, number)
         , retryBudget(fleet.plan.retryLimits, fleet.clock)
         , quota(fleet.clock)
         , requestLog(fleet.clock)
-        , context { fleet.clock,
-                    fleet.clock,
-                    counters,
-                    endpoints,
-                    chooser,
-                    sender,
-                    retryBudget,
-                    latencies,
-                    serviceBalancer,
-                    quota,
-                    requestLog,
-                    nullptr,
-                    1.0 / static_cast<double>(fleet.plan.instances) }
+        , context { fleet.clock, fleet.clock,     counters, endpoints,  chooser, sender, retryBudget,
+                    latencies,   serviceBalancer, quota,    requestLog, random,  nullptr }
     {
-        this->retryBudget.setFleetShare(1.0 / static_cast<double>(fleet.plan.instances));
+        const double share = 1.0 / static_cast<double>(fleet.plan.instances);
+        this->endpoints.setFleetShare(share);
+        this->retryBudget.setFleetShare(share);
         for (const auto &server : fleet.servers) {
             this->endpoints.addOrUpdate(server->record, fleet.clock.now());
         }
@@ -357,6 +386,27 @@
     return maxUsage;
 }
 
+double SimulatedFleet::maxLimitUsage() const
+{
+    constexpr double windowSeconds = 4;
+    constexpr double allowedFactor = 1.5;
+    constexpr double allowedExtra = 5;
+    double maxUsage = 0;
+    for (const auto &server : this->servers) {
+        const std::vector<double> &times = server->limitedArrivals;
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            if (*first < server->limitNamedAt.value_or(0) + windowSeconds) {
+                continue;
+            }
+            const auto last = std::lower_bound(first, times.end(), *first + windowSeconds);
+            const double limit = this->plan.rateLimit(server->shard, server->index, *first).value_or(0);
+            const double allowed = allowedFactor * limit * windowSeconds + allowedExtra;
+            maxUsage = std::max(maxUsage, static_cast<double>(last - first) / allowed);
+        }
+    }
+    return maxUsage;
+}
+
 void SimulatedFleet::scheduleArrivals()
 {
     std::exponential_distribution<double> interval(this->plan.requestsPerSecond);
@@ -432,6 +482,7 @@
     this->clock.advance(fromMilliseconds(this->plan.durationSeconds * 1000) + 2 * this->plan.timeout);
     this->result.credit = this->result.requests == 0 ? 0 : this->creditSum / static_cast<double>(this->result.requests);
     this->result.maxBudgetUsage = this->maxBudgetUsage();
+    this->result.maxLimitUsage = this->maxLimitUsage();
     return this->result;
 }
 
--- a/Tests/forwarding/simulatedfleet.h
+++ b/Tests/forwarding/simulatedfleet.h
@@ -47,6 +47,8 @@
     std::function<double(std::size_t shard, std::size_t endpoint, double second)> slowdown;
     /// True while an endpoint loses its connections and does not respond; never down if empty.
     std::function<bool(std::size_t shard, std::size_t endpoint, double second)> isDown;
+    /// Rate limit in requests per second that an endpoint names in its responses; none if empty.
+    std::function<std::optional<double>(std::size_t shard, std::size_t endpoint, double second)> rateLimit;
 };
 
 /// Measurements of the callers and endpoints.
@@ -62,6 +64,10 @@
     /// Number of extra attempts relative to the number that the retry budget allows, for the service and window with
     /// the highest ratio.
     double maxBudgetUsage = 0;
+    /// Number of requests in 4 seconds that an endpoint got from instances that knew its rate limit for half a second,
+    /// relative to what the users allow (1.5 times the limit, and 5), for the endpoint and window with the highest
+    /// ratio. Counted from 4 s after the endpoint first named the limit.
+    double maxLimitUsage = 0;
     std::size_t sends = 0;
     std::size_t crossZoneSends = 0;
 };
@@ -94,6 +100,7 @@
     double drawServiceTimeMs();
     void recordSend(const ServiceId &service, bool isExtraAttempt);
     double maxBudgetUsage() const;
+    double maxLimitUsage() const;
 
     SimulationPlan plan;
     ManualClock clock;
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -34,6 +34,9 @@
             info.attemptId = std::string(message["Id"]);
         }
         info.notRun = message.count("Not-Run") > 0;
+        if (message.count("Limit") > 0) {
+            info.rateLimit.requestsPerSecond = std::stod(std::string(message["Limit"]));
+        }
         return info;
     }
     EndpointResponse decode(HttpResponseMessage &&message) const override
@@ -104,6 +107,29 @@
     BOOST_TEST(this->server->connections == 1);
 }
 
+// Guards against a rate limit that is learned from successes only, that ends with a connection that is lost, or that
+// stays after the endpoint has recovered.
+BOOST_FIXTURE_TEST_CASE(learnsRateLimitFromResponses, Fixture)
+{
+    this->serve([](int number) -> std::string {
+        switch (number) {
+        case 1:
+            return "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: 1\r\nLimit: 7.5\r\nContent-Length: 0\r\n\r\n";
+        case 2:
+            return "this is no response\r\n\r\n";
+        default:
+            return makeResponse(std::to_string(number), "body");
+        }
+    });
+    BOOST_TEST((this->call("1").result == CallResult::NotRun));
+    BOOST_REQUIRE(this->endpoint->rateLimit.isLimited());
+    BOOST_TEST(this->endpoint->rateLimit.requestsPerSecond() == 7.5);
+    BOOST_TEST((this->call("2").result == CallResult::Lost));
+    BOOST_TEST(this->endpoint->rateLimit.isLimited());
+    BOOST_TEST((this->call("3").result == CallResult::Answered));
+    BOOST_TEST(!this->endpoint->rateLimit.isLimited());
+}
+
 // Guards against opening more connections than the endpoint accepts from this instance.
 BOOST_FIXTURE_TEST_CASE(respectsConnectionLimit, Fixture)
 {
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -188,6 +188,27 @@
     BOOST_TEST(PlatformEndpointCodec().inspect(misdirected).notRun);
 }
 
+// Guards against a rate limit that is misread: anything but a decimal number is reported as malformed and names none.
+BOOST_AUTO_TEST_CASE(parsesRateLimits)
+{
+    const auto parse = [](const char *text) {
+        HttpResponseMessage message(http::status::ok, 11);
+        message.set(Names::Header::serverLimit, text);
+        return PlatformEndpointCodec().inspect(message).rateLimit;
+    };
+    BOOST_TEST(parse("31.9").requestsPerSecond.value() == 31.9);
+    BOOST_TEST(parse("0").requestsPerSecond.value() == 0);
+    for (const char *text : { "", "-1", "many", "3,5", "4 per second", "nan", "inf", "1e999", "0x10", "2026-12-05" }) {
+        const RateLimitStatement statement = parse(text);
+        BOOST_TEST(statement.isMalformed, text);
+        BOOST_TEST(!statement.requestsPerSecond, text);
+    }
+    const RateLimitStatement absent
+        = PlatformEndpointCodec().inspect(HttpResponseMessage(http::status::ok, 11)).rateLimit;
+    BOOST_TEST(!absent.isMalformed);
+    BOOST_TEST(!absent.requestsPerSecond);
+}
+
 // Guards against a status that states "not run" to the caller for a request that may have run, and the reverse.
 BOOST_AUTO_TEST_CASE(statusTellsWhetherRequestHasRun)
 {
