Core: Check the nesting of CBOR before it is parsed, on every path

The parser of nlohmann::json recurses for each level. The codec of lycheewalld checked its frames for that; datagrams and feed responses of lycheewall-platformd did not. The check moves to Source/core and all four readers use it.

--- a/Source/peer/codec/cborcheck.cpp
+++ b/Source/core/cborparser.cpp
@@ -1,9 +1,9 @@
-#include "peer/codec/cborcheck.h"
-
-#include "peer/codec/peercodec.h"
+#include "core/cborparser.h"
 
 #include <array>
 #include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string_view>
 
 namespace Lycheewall
 {
@@ -21,8 +21,9 @@
 class Scanner
 {
 public:
-    explicit Scanner(std::string_view text)
+    Scanner(std::string_view text, std::size_t listLengthLimit)
         : frame(text)
+        , maxListLength(listLengthLimit)
     {
     }
 
@@ -39,7 +40,7 @@
             error = this->item();
         }
         if (!error && this->position != this->frame.size()) {
-            return PeerCodecError::Malformed;
+            return CborError::Malformed;
         }
         return error;
     }
@@ -48,14 +49,14 @@
     std::error_code item()
     {
         if (this->position == this->frame.size()) {
-            return PeerCodecError::Malformed;
+            return CborError::Malformed;
         }
         const auto head = static_cast<std::uint8_t>(this->frame[this->position]);
         ++this->position;
         const std::uint8_t shortArgument = head & argumentMask;
         std::uint64_t argument = 0;
         if (!this->readArgument(shortArgument, argument)) {
-            return PeerCodecError::Malformed;
+            return CborError::Malformed;
         }
         switch (head >> majorShift) {
         case Bytes:
@@ -66,7 +67,7 @@
         case Map:
             return this->enter(argument, 2);
         case Tag:
-            return PeerCodecError::Malformed;
+            return CborError::Malformed;
         default:
             return {};
         }
@@ -95,7 +96,7 @@
     std::error_code skip(std::uint64_t size)
     {
         if (this->frame.size() - this->position < size) {
-            return PeerCodecError::Malformed;
+            return CborError::Malformed;
         }
         this->position += size;
         return {};
@@ -103,11 +104,11 @@
 
     std::error_code enter(std::uint64_t entries, std::uint64_t itemsPerEntry)
     {
-        if (entries > maxPeerListLength) {
-            return PeerCodecError::ListTooLong;
+        if (entries > this->maxListLength) {
+            return CborError::ListTooLong;
         }
         if (this->depth == maxCborDepth) {
-            return PeerCodecError::NestedTooDeeply;
+            return CborError::NestedTooDeeply;
         }
         this->open.at(static_cast<std::size_t>(this->depth)) = entries * itemsPerEntry;
         ++this->depth;
@@ -115,19 +116,57 @@
     }
 
     std::string_view frame;
+    std::size_t maxListLength;
     std::size_t position = 0;
     std::array<std::uint64_t, maxCborDepth> open {};
     int depth = 0;
 };
 
+class CborCategory : public std::error_category
+{
+public:
+    const char *name() const noexcept override
+    {
+        return "lycheewall.cbor";
+    }
+    std::string message(int value) const override
+    {
+        switch (static_cast<CborError>(value)) {
+        case CborError::Malformed:
+            return "malformed";
+        case CborError::NestedTooDeeply:
+            return "nested-too-deeply";
+        case CborError::ListTooLong:
+            return "list-too-long";
+        }
+        return "unknown";
+    }
+};
+
+}
+
+const std::error_category &cborCategory()
+{
+    static const CborCategory category;
+    return category;
 }
 
-std::error_code checkCbor(std::string_view frame)
+std::error_code make_error_code(CborError error)
 {
-    if (frame.size() > maxPeerFrameBytes) {
-        return PeerCodecError::FrameTooLarge;
+    return { static_cast<int>(error), cborCategory() };
+}
+
+Result<nlohmann::json> parseCbor(const std::string &bytes, std::size_t maxListLength)
+{
+    const std::error_code error = Scanner(bytes, maxListLength).run();
+    if (error) {
+        return failure(error);
+    }
+    nlohmann::json item = nlohmann::json::from_cbor(bytes, true, false);
+    if (item.is_discarded()) {
+        return failure(make_error_code(CborError::Malformed));
     }
-    return Scanner(frame).run();
+    return success(std::move(item));
 }
 
 }
--- a/Source/fleet/gossipmessage.cpp
+++ b/Source/fleet/gossipmessage.cpp
@@ -1,5 +1,7 @@
 #include "fleet/gossipmessage.h"
 
+#include "core/cborparser.h"
+
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -132,10 +134,11 @@
 
 Result<GossipMessage> decodeGossipMessage(const std::string &bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded() || !json.is_object()) {
+    const auto parsed = parseCbor(bytes);
+    if (!parsed || !parsed.value().is_object()) {
         return make_error_code(GossipMessageError::NotCbor);
     }
+    const Json &json = parsed.value();
     const auto version = json.find("v");
     if (version == json.end() || *version != wireVersion) {
         return make_error_code(GossipMessageError::WrongVersion);
--- a/Source/forwarding/relaymessage.cpp
+++ b/Source/forwarding/relaymessage.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/relaymessage.h"
 
+#include "core/cborparser.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Lycheewall
@@ -114,10 +116,11 @@
 
 Result<RelayRequest> decodeRelayRequest(const std::string &bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded()) {
+    const auto parsed = parseCbor(bytes);
+    if (!parsed) {
         return make_error_code(RelayMessageError::NotCbor);
     }
+    const Json &json = parsed.value();
     try {
         return requestFromJson(json);
     } catch (const Json::exception &) {
@@ -134,10 +137,11 @@
 
 Result<RelayCancel> decodeRelayCancel(const std::string &bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded()) {
+    const auto parsed = parseCbor(bytes);
+    if (!parsed) {
         return make_error_code(RelayMessageError::NotCbor);
     }
+    const Json &json = parsed.value();
     try {
         return RelayCancel { json.at(0).get<std::string>(), json.at(1).get<std::uint64_t>() };
     } catch (const Json::exception &) {
@@ -163,10 +167,11 @@
 
 Result<std::pair<std::uint64_t, RelayResponse>> decodeRelayResponse(const std::string &bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded()) {
+    const auto parsed = parseCbor(bytes);
+    if (!parsed) {
         return make_error_code(RelayMessageError::NotCbor);
     }
+    const Json &json = parsed.value();
     try {
         return std::make_pair(json.at("i").get<std::uint64_t>(), responseFromJson(json));
     } catch (const Json::exception &) {
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peerfeed.h"
 
+#include "core/cborparser.h"
+
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
@@ -68,7 +70,11 @@
     if (response.value().status != statusOk) {
         return make_error_code(FeedError::Busy);
     }
-    const Json json = Json::from_cbor(response.value().body, true, false);
+    const auto parsed = parseCbor(response.value().body);
+    if (!parsed) {
+        return make_error_code(FeedError::MalformedResponse);
+    }
+    const Json &json = parsed.value();
     try {
         FeedBatch batch;
         batch.events = eventsFromJson(json.at("e"));
--- a/Source/peer/codec/peercodec.cpp
+++ b/Source/peer/codec/peercodec.cpp
@@ -1,6 +1,6 @@
 #include "peer/codec/peercodec.h"
 
-#include "peer/codec/cborcheck.h"
+#include "core/cborparser.h"
 #include "peer/codec/messagereader.h"
 #include "peer/codec/messagewriter.h"
 
@@ -58,6 +58,14 @@
     return result;
 }
 
+PeerCodecError peerError(const std::error_code &error)
+{
+    if (error == CborError::NestedTooDeeply) {
+        return PeerCodecError::NestedTooDeeply;
+    }
+    return error == CborError::ListTooLong ? PeerCodecError::ListTooLong : PeerCodecError::Malformed;
+}
+
 }
 
 std::string PeerCodec::encode(const PeerMessage &message)
@@ -79,14 +87,14 @@
 
 Result<PeerMessage> PeerCodec::decode(const std::string &frame)
 {
-    const std::error_code problem = checkCbor(frame);
-    if (problem) {
-        return failure(problem);
+    if (frame.size() > maxPeerFrameBytes) {
+        return failure(make_error_code(PeerCodecError::FrameTooLarge));
     }
-    nlohmann::json map = nlohmann::json::from_cbor(frame, true, false);
-    if (map.is_discarded()) {
-        return failure(make_error_code(PeerCodecError::Malformed));
+    auto parsed = parseCbor(frame, maxPeerListLength);
+    if (!parsed) {
+        return failure(make_error_code(peerError(parsed.error())));
     }
+    nlohmann::json &map = parsed.value();
     if (!map.is_object()) {
         return failure(make_error_code(PeerCodecError::NotAMap));
     }
--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -210,6 +210,19 @@
     BOOST_TEST(this->client.selectTarget(this->route.shards).has_value());
 }
 
+// Guards against a datagram that ends the process: the parser recurses for each level of nesting, so that a deeply
+// nested one exhausts the stack.
+BOOST_AUTO_TEST_CASE(rejectsDeeplyNestedDatagrams)
+{
+    const char listOfOne = '\x81';
+    const std::string nested = std::string(65'000, listOfOne) + '\0';
+    this->server.handleRequest(nested);
+    this->server.handleCancel(nested);
+    this->client.handleResponse(nested);
+    BOOST_TEST(!decodeGossipMessage(nested));
+    BOOST_TEST(this->counters.value("lycheewall_fleet_bad_messages_total{reason=\"not-cbor\"}") == 3U);
+}
+
 // Guards against malformed datagrams that crash an instance or are not counted.
 BOOST_AUTO_TEST_CASE(countsMalformedDatagrams)
 {
