Gateway: Bound what an endpoint can send before its response ends

Change: 4 MiB a response, 32 MiB over all connections (responses up to 256 KiB are always accepted), 64 KiB that the parser leaves unread, 16 interim or stale responses. Beyond, the connection is closed and the attempt counts as lost.

--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -18,7 +18,10 @@
 {
 
 constexpr std::size_t readSize = 8192;
-constexpr std::uint64_t responseBodyLimit = std::uint64_t { 64 } * 1024 * 1024;
+/// Most interim and stale responses before the reply, and most bytes that the parser may leave unread, for example of a
+/// chunk header. An endpoint beyond these sends without end.
+constexpr int maxSkippedResponses = 16;
+constexpr std::size_t maxUnparsedBytes = 65'536;
 /// An idle connection is not used if the endpoint's keep-alive timeout expires within this time.
 constexpr Duration keepAliveMargin = Milliseconds(400);
 /// TCP_USER_TIMEOUT: the kernel drops the connection if sent data stays unacknowledged for this long, which means that
@@ -48,10 +51,12 @@
 EndpointConnection::EndpointConnection(asio::io_context &io,
                                        const Clock &connectionClock,
                                        const EndpointCodec &endpointCodec,
+                                       std::shared_ptr<ResponseMemory> responseMemory,
                                        Owner &connectionOwner)
     : socket(io)
     , clock(connectionClock)
     , codec(endpointCodec)
+    , memory(std::move(responseMemory))
     , owner(connectionOwner)
     , timer(io)
 {
@@ -91,7 +96,7 @@
 void EndpointConnection::beginResponse()
 {
     this->parser.emplace();
-    this->parser->body_limit(responseBodyLimit);
+    this->parser->body_limit(ResponseMemory::maxResponseBytes);
     this->parser->eager(true);
     if (this->isHeadRequest) {
         this->parser->skip(true);
@@ -102,6 +107,7 @@
 {
     this->state = State::Busy;
     this->writing = true;
+    this->skippedResponses = 0;
     this->message = this->codec.encode(call, this->clock.now());
     this->attemptId = call.request->attemptId;
     this->isHeadRequest = this->message.method() == http::verb::head;
@@ -147,9 +153,29 @@
         return;
     }
     this->parse();
+    if (this->state == State::Busy && !this->updateMemory(this->parser->get().body().size() + this->buffer.size())) {
+        this->failRequest();
+        return;
+    }
     this->startRead();
 }
 
+bool EndpointConnection::updateMemory(std::size_t bytes)
+{
+    const std::size_t previousBytes = this->responseBytes;
+    this->responseBytes = bytes;
+    return this->memory->update(previousBytes, bytes);
+}
+
+void EndpointConnection::skipResponse()
+{
+    if (++this->skippedResponses > maxSkippedResponses) {
+        this->failRequest();
+        return;
+    }
+    this->beginResponse();
+}
+
 void EndpointConnection::parse()
 {
     while (this->state == State::Busy && this->buffer.size() > 0) {
@@ -160,7 +186,7 @@
             this->handleResponse();
             continue;
         }
-        if (error == http::error::need_more) {
+        if (error == http::error::need_more && this->buffer.size() <= maxUnparsedBytes) {
             return;
         }
         if (error) {
@@ -173,7 +199,7 @@
 void EndpointConnection::handleResponse()
 {
     if (this->parser->get().result_int() < firstFinalStatus) {
-        this->beginResponse();
+        this->skipResponse();
         return;
     }
     const EndpointResponseMetadata info = this->codec.inspect(this->parser->get());
@@ -185,7 +211,7 @@
             this->failRequest();
             return;
         }
-        this->beginResponse();
+        this->skipResponse();
         return;
     }
     CallOutcome outcome;
@@ -208,6 +234,7 @@
 void EndpointConnection::finish(const CallOutcome &outcome, const EndpointResponseMetadata &info, bool reusable)
 {
     const auto self = this->shared_from_this();
+    this->updateMemory(0);
     if (reusable) {
         this->state = State::Idle;
         this->idleSince = this->clock.now();
@@ -245,6 +272,7 @@
 void EndpointConnection::close()
 {
     this->state = State::Closed;
+    this->updateMemory(0);
     this->timer.cancel();
     boost::system::error_code ignored;
     this->socket.close(ignored);
--- a/Source/gateway/endpointconnection.h
+++ b/Source/gateway/endpointconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codecs.h"
+#include "gateway/responsememory.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,7 +14,8 @@
 
 /**
  * A connection to an endpoint with at most one request in flight. It reads at all times, so that it detects unsolicited
- * bytes and a close by the endpoint also while it is idle. Responses that belong to an earlier request are skipped.
+ * bytes and a close by the endpoint also while it is idle. Responses that belong to an earlier request are skipped. An
+ * endpoint that sends without end loses the connection.
  * Thread safety: none; used on the thread of the request loop.
  */
 class EndpointConnection : public std::enable_shared_from_this<EndpointConnection>
@@ -37,7 +39,12 @@
         virtual void closedWhileIdle(const std::shared_ptr<EndpointConnection> &connection) = 0;
     };
 
-    EndpointConnection(boost::asio::io_context &io, const Clock &clock, const EndpointCodec &codec, Owner &owner);
+    /// @p memory is shared by all connections.
+    EndpointConnection(boost::asio::io_context &io,
+                       const Clock &clock,
+                       const EndpointCodec &codec,
+                       std::shared_ptr<ResponseMemory> memory,
+                       Owner &owner);
 
     /// Connects to @p address and calls connected(), or connectFailed() on an error or after @p timeout. Precondition:
     /// called once.
@@ -65,11 +72,16 @@
     void failRequest();
     void finish(const CallOutcome &outcome, const EndpointResponseMetadata &info, bool reusable);
     void beginResponse();
+    /// Prepares for the next response after one that is not the reply to the request.
+    void skipResponse();
+    /// Records the size of the incomplete response. Returns false if it must be given up.
+    bool updateMemory(std::size_t bytes);
     void updateKeepAlive(const HttpResponseMessage &message);
 
     boost::asio::ip::tcp::socket socket;
     const Clock &clock;
     const EndpointCodec &codec;
+    std::shared_ptr<ResponseMemory> memory;
     Owner &owner;
     boost::asio::steady_timer timer;
     boost::beast::flat_buffer buffer;
@@ -79,6 +91,10 @@
     bool writing = false;
     /// A response to an earlier request was skipped; more such responses may follow.
     bool skippedStaleResponse = false;
+    /// Interim and stale responses since the request was sent.
+    int skippedResponses = 0;
+    /// Bytes of the incomplete response that are counted in memory.
+    std::size_t responseBytes = 0;
     bool isHeadRequest = false;
     HttpRequestMessage message;
     std::string attemptId;
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -128,7 +128,8 @@
         return;
     }
     Owner &owner = *this;
-    const auto connection = std::make_shared<EndpointConnection>(this->io, this->clock, this->codec, owner);
+    const auto connection
+        = std::make_shared<EndpointConnection>(this->io, this->clock, this->codec, this->responseMemory, owner);
     connections.connecting[connection.get()] = connection;
     this->endpointByConnection[connection.get()] = call.endpoint->record.id;
     this->counters.counter("lycheewall_endpoint_connects_total").add();
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -81,6 +81,8 @@
     TimerService &timers;
     Counters &counters;
     const EndpointCodec &codec;
+    /// Connections may outlive the pool in handlers of the event loop.
+    std::shared_ptr<ResponseMemory> responseMemory = std::make_shared<ResponseMemory>();
     std::unordered_map<EndpointId, EndpointConnections> connectionsByEndpoint;
     std::unordered_map<EndpointConnection *, EndpointId> endpointByConnection;
 };
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -5,6 +5,7 @@
 #include "runtime/asiotimerservice.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 
 namespace Lycheewall
 {
@@ -240,6 +241,59 @@
     BOOST_TEST(this->server->connections == 2);
 }
 
+// Guards against a response that looks complete although the endpoint closed the connection before its end, in its head
+// or in its body.
+BOOST_FIXTURE_TEST_CASE(truncatedResponseIsLost, Fixture)
+{
+    const std::string whole = makeResponse("1", "body");
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        this->serve([&](int) { return whole.substr(0, length); });
+        this->server->closeAfterResponse = true;
+        this->endpoint->record.id = EndpointId("cut-at-" + std::to_string(length));
+        BOOST_TEST((this->call("1").result == CallResult::Lost), whole.substr(0, length));
+    }
+}
+
+// Guards against the same without a length, where only the end of the connection ends the response.
+BOOST_FIXTURE_TEST_CASE(truncatedHeadWithoutLengthIsLost, Fixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nServer: any\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        this->serve([&](int) { return head.substr(0, length); });
+        this->server->closeAfterResponse = true;
+        this->endpoint->record.id = EndpointId("cut-at-" + std::to_string(length));
+        BOOST_TEST((this->call("1").result == CallResult::Lost), head.substr(0, length));
+    }
+}
+
+// Guards against an endpoint that sends without end, in a head, a body, a chunk or between responses: it must neither
+// exhaust the memory nor be read until the deadline.
+BOOST_FIXTURE_TEST_CASE(endlessResponseIsLost, Fixture)
+{
+    constexpr std::size_t manyBytes = 6U * 1024 * 1024;
+    std::string interimResponses;
+    std::string staleResponses;
+    for (int count = 0; count < 1000; ++count) {
+        interimResponses += "HTTP/1.1 100 Continue\r\n\r\n";
+        staleResponses += makeResponse("earlier", "");
+    }
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::map<std::string, std::string> responses {
+        { "head", "HTTP/1.1 200 OK\r\nX: " + std::string(manyBytes, 'x') },
+        { "body", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + std::string(manyBytes, 'x') },
+        { "body with length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n" },
+        { "chunk extension", chunkedHead + "1;" + std::string(manyBytes, 'x') },
+        { "trailer", chunkedHead + "0\r\nX: " + std::string(manyBytes, 'x') },
+        { "interim responses", interimResponses },
+        { "stale responses", staleResponses },
+    };
+    for (const auto &[name, bytes] : responses) {
+        this->serve([&, text = bytes](int) { return text; });
+        this->endpoint->record.id = EndpointId(name);
+        BOOST_TEST((this->call("1").result == CallResult::Lost), name);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
