Forwarding: Believe endpoints that leave or want no requests for a time

An endpoint that leaves says so in all its responses, and one that turns a request away with 503 may name a time without requests. Neither was read: after such a response requests went on until the feed said 'draining', and an endpoint that had asked for a pause got the next request at once.

Change: the three forms (with the rate limit) are decoded once into an EndpointStatement, kept with the process that made it, and asked in one place, EndpointChooser::choose(), which every path that sends goes through. Requests that wait for a connection are withdrawn as not sent and go elsewhere. After a backoff an endpoint is used by a slope: one request, then twice as many with each response. A response applies to the process that sent it, not to the latest one under its id.

--- a/Source/core/refusal.cpp
+++ b/Source/core/refusal.cpp
@@ -31,7 +31,7 @@
     "deadline-exceeded",
     "endpoint-unavailable",
     "endpoint-shed",
-    "endpoint-rate-limited",
+    "endpoint-throttled",
     "endpoint-draining",
     "endpoint-cold",
     "endpoint-connection-cap",
--- a/Source/core/refusal.h
+++ b/Source/core/refusal.h
@@ -31,7 +31,7 @@
     DeadlineExceeded,
     EndpointUnavailable,
     EndpointShed,
-    EndpointRateLimited,
+    EndpointThrottled,
     EndpointDraining,
     EndpointCold,
     EndpointConnectionCap,
--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -48,9 +48,8 @@
         if (!this->endpoints.isAvailable(*endpoint) || contains(criteria.excluded, endpoint->record.id)) {
             continue;
         }
-        const EndpointRateLimit &rateLimit = endpoint->rateLimit;
         const double share = this->endpoints.fleetShare();
-        if (!rateLimit.canSend(share, now) || rateLimit.fillLevel(share, now) < criteria.minRateFillLevel) {
+        if (!endpoint->acceptsRequest(share, now) || endpoint->fillLevel(share, now) < criteria.minFillLevel) {
             continue;
         }
         const double endpointCost
@@ -88,14 +87,14 @@
     return result;
 }
 
-bool EndpointChooser::isRateLimited(const ServiceId &service) const
+bool EndpointChooser::isThrottled(const ServiceId &service) const
 {
     bool isAnyAvailable = false;
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
         if (!this->endpoints.isAvailable(*endpoint)) {
             continue;
         }
-        if (!endpoint->rateLimit.isLimited()) {
+        if (!endpoint->isThrottled()) {
             return false;
         }
         isAnyAvailable = true;
@@ -103,27 +102,27 @@
     return isAnyAvailable;
 }
 
-Duration EndpointChooser::rateWaitTime(const ServiceId &service, TimePoint now) const
+Duration EndpointChooser::throttleWaitTime(const ServiceId &service, TimePoint now) const
 {
-    if (!this->isRateLimited(service)) {
+    if (!this->isThrottled(service)) {
         return Duration::zero();
     }
     Duration shortest = Duration::max();
     for (const EndpointPtr &endpoint : this->availableEndpoints(service)) {
-        shortest = std::min(shortest, endpoint->rateLimit.waitTime(this->endpoints.fleetShare(), now));
+        shortest = std::min(shortest, endpoint->throttleWaitTime(this->endpoints.fleetShare(), now));
     }
     return shortest;
 }
 
-double EndpointChooser::rateFillLevel(const ServiceId &service, TimePoint now) const
+double EndpointChooser::throttleFillLevel(const ServiceId &service, TimePoint now) const
 {
-    if (!this->isRateLimited(service)) {
+    if (!this->isThrottled(service)) {
         return 1;
     }
     const std::vector<EndpointPtr> available = this->availableEndpoints(service);
     const double sum = std::accumulate(
         available.begin(), available.end(), 0.0, [this, now](double total, const EndpointPtr &endpoint) {
-            return total + endpoint->rateLimit.fillLevel(this->endpoints.fleetShare(), now);
+            return total + endpoint->fillLevel(this->endpoints.fleetShare(), now);
         });
     return sum / static_cast<double>(available.size());
 }
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -16,8 +16,8 @@
     Duration typicalLatency {};
     /// Endpoints that earlier attempts of the request were sent to.
     std::vector<EndpointId> excluded;
-    /// Fill level (see EndpointRateLimit) that an endpoint with a rate limit must have.
-    double minRateFillLevel = 0;
+    /// Fill level (see ServiceEndpoint::fillLevel()) that an endpoint must have.
+    double minFillLevel = 0;
 };
 
 /**
@@ -41,16 +41,16 @@
     std::optional<Duration>
     lowestEstimatedLatency(const ServiceId &service, Duration typicalLatency, TimePoint now) const;
 
-    /// Time until an available endpoint of the service takes another request of this instance under the rate limits
-    /// that the endpoints name; zero if one takes it now or none is available.
-    Duration rateWaitTime(const ServiceId &service, TimePoint now) const;
+    /// Time until an available endpoint of the service takes another request of this instance, if all of them have
+    /// asked for fewer; zero if one takes it now or none is available.
+    Duration throttleWaitTime(const ServiceId &service, TimePoint now) const;
 
-    /// Mean fill level (see EndpointRateLimit) of the available endpoints of the service; 1 if one of them has no rate
-    /// limit, or none is available.
-    double rateFillLevel(const ServiceId &service, TimePoint now) const;
+    /// Mean fill level (see ServiceEndpoint) of the available endpoints of the service; 1 if one of them is not
+    /// throttled, or none is available.
+    double throttleFillLevel(const ServiceId &service, TimePoint now) const;
 
-    /// True if all available endpoints of the service name a rate limit.
-    bool isRateLimited(const ServiceId &service) const;
+    /// True if all available endpoints of the service have asked for fewer requests.
+    bool isThrottled(const ServiceId &service) const;
 
     /// True if the service has an available endpoint in this zone that is neither suspect nor ejected.
     bool hasHealthyLocalEndpoint(const ServiceId &service, TimePoint now) const;
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -23,6 +23,26 @@
 
 }
 
+bool ServiceEndpoint::isThrottled() const
+{
+    return this->rateLimit.isLimited() || this->backoff.isActive();
+}
+
+bool ServiceEndpoint::acceptsRequest(double fleetShare, TimePoint now) const
+{
+    return this->rateLimit.canSend(fleetShare, now) && this->backoff.canSend(this->stats.inFlight(), now);
+}
+
+Duration ServiceEndpoint::throttleWaitTime(double fleetShare, TimePoint now) const
+{
+    return std::max(this->rateLimit.waitTime(fleetShare, now), this->backoff.waitTime(this->stats.inFlight(), now));
+}
+
+double ServiceEndpoint::fillLevel(double fleetShare, TimePoint now) const
+{
+    return this->backoff.canSend(this->stats.inFlight(), now) ? this->rateLimit.fillLevel(fleetShare, now) : 0;
+}
+
 void EndpointSet::addOrUpdate(const EndpointRecord &record, TimePoint now)
 {
     const EndpointPtr existing = this->find(record.id);
@@ -72,7 +92,8 @@
 
 bool EndpointSet::isAvailable(const ServiceEndpoint &endpoint) const
 {
-    return endpoint.registered && !endpoint.record.draining && this->evacuatedZones.count(endpoint.record.zone) == 0;
+    return endpoint.registered && !endpoint.record.draining && !endpoint.leaving
+        && this->evacuatedZones.count(endpoint.record.zone) == 0;
 }
 
 std::set<ZoneId> EndpointSet::availableZones(const ServiceId &service) const
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "forwarding/endpointbackoff.h"
 #include "forwarding/endpointratelimit.h"
 #include "forwarding/endpointstats.h"
 #include "forwarding/routetable.h"
@@ -35,9 +36,24 @@
     EndpointRecord record;
     EndpointStats stats;
     EndpointRateLimit rateLimit;
+    EndpointBackoff backoff;
+    /// True once the endpoint process has said in a response that it shuts down.
+    bool leaving = false;
     TimePoint coldUntil;
     /// False once the entry was removed. Requests in flight may still hold the object.
     bool registered = true;
+
+    /// True if the endpoint has asked for fewer requests, by a rate limit or a backoff.
+    bool isThrottled() const;
+
+    /// True if the endpoint takes a request now. @p fleetShare is this instance's share of fleet-wide limits.
+    bool acceptsRequest(double fleetShare, TimePoint now) const;
+
+    /// Time until acceptsRequest() can become true; zero if it is.
+    Duration throttleWaitTime(double fleetShare, TimePoint now) const;
+
+    /// See EndpointRateLimit::fillLevel(); 0 while the backoff allows no request.
+    double fillLevel(double fleetShare, TimePoint now) const;
 };
 using EndpointPtr = std::shared_ptr<ServiceEndpoint>;
 
@@ -67,7 +83,8 @@
     /// Returns nullptr if no endpoint is registered under @p id.
     EndpointPtr find(const EndpointId &id) const;
 
-    /// True if new requests may go to the endpoint: it is registered, not draining, and its zone is not evacuated.
+    /// True if new requests may go to the endpoint: it is registered, not draining or leaving, and its zone is not
+    /// evacuated.
     bool isAvailable(const ServiceEndpoint &endpoint) const;
 
     /// Zones with an available endpoint of the service.
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -50,7 +50,7 @@
 {
     const ShardSelection selection = selectShards(this->context, this->request);
     if (selection.retryAfter) {
-        this->refuseRateLimited(*selection.retryAfter);
+        this->refuseThrottled(*selection.retryAfter);
         return;
     }
     this->startRelay(selection.skipped);
@@ -66,10 +66,10 @@
     }
 }
 
-void FanoutExchange::refuseRateLimited(Duration retryAfter)
+void FanoutExchange::refuseThrottled(Duration retryAfter)
 {
     ServiceResult result;
-    result.reason = Refusal::EndpointRateLimited;
+    result.reason = Refusal::EndpointThrottled;
     result.retryAfter = retryAfter;
     this->context.counters.countRefusal(result.reason);
     this->context.requestLog.write(*this->request.request,
@@ -106,8 +106,8 @@
     for (std::size_t shard = 0; shard < shards.size(); ++shard) {
         const bool hasLocalEndpoint = this->context.chooser.hasHealthyLocalEndpoint(shards[shard], now);
         // This instance has a share of its own of the rate that the endpoints take.
-        const bool isRateLimited = this->context.chooser.isRateLimited(shards[shard]);
-        if (skipped.count(shard) == 0 && !hasLocalEndpoint && !isRateLimited) {
+        const bool isThrottled = this->context.chooser.isThrottled(shards[shard]);
+        if (skipped.count(shard) == 0 && !hasLocalEndpoint && !isThrottled) {
             remoteShards.push_back(shards[shard]);
         }
     }
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -44,7 +44,7 @@
     bool isCallInFlight(std::size_t shard) const;
     bool canHedgeShard(std::size_t shard) const;
     std::size_t shardIndexOf(const ServiceId &service) const;
-    void refuseRateLimited(Duration retryAfter);
+    void refuseThrottled(Duration retryAfter);
     void startTimers();
     void handleShardResult(std::size_t shard, const ServiceResult &result);
     void setShardState(std::size_t shard, ShardState state);
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -21,7 +21,7 @@
 /// A hedge is timed so that this fraction of the responses to it would arrive before the latency objective.
 constexpr double hedgeResponseQuantile = 0.95;
 /// An endpoint with a rate limit gets a hedge only above this fill level: the rate that it takes is for first attempts.
-constexpr double minRateFillLevelForHedge = 0.5;
+constexpr double minFillLevelForHedge = 0.5;
 /// Interval at which a hedge is tried again if no endpoint was suitable or the retry budget was exhausted.
 constexpr Duration hedgeRetryInterval = Milliseconds(8);
 /// No attempt is sent if less time remains before the deadline.
@@ -116,10 +116,10 @@
 
 void ServiceCall::finishUnsent()
 {
-    const Duration wait = this->context.chooser.rateWaitTime(this->service, this->context.clock.now());
+    const Duration wait = this->context.chooser.throttleWaitTime(this->service, this->context.clock.now());
     this->lastResult.reason = Refusal::EndpointUnavailable;
     if (wait > Duration::zero()) {
-        this->lastResult.reason = Refusal::EndpointRateLimited;
+        this->lastResult.reason = Refusal::EndpointThrottled;
         this->lastResult.retryAfter = wait;
     }
     this->finish(this->lastResult);
@@ -159,9 +159,9 @@
     if (this->request.deadline - now < minRemainingTime || this->history->sent >= this->request.maxAttempts()) {
         return false;
     }
-    const double minRateFillLevel = kind == AttemptKind::Hedge ? minRateFillLevelForHedge : 0;
+    const double minFillLevel = kind == AttemptKind::Hedge ? minFillLevelForHedge : 0;
     const EndpointPtr endpoint = this->context.chooser.choose(
-        { this->service, this->expectedLatency, this->excludedEndpoints(), minRateFillLevel }, now);
+        { this->service, this->expectedLatency, this->excludedEndpoints(), minFillLevel }, now);
     if (!endpoint) {
         return false;
     }
@@ -251,6 +251,13 @@
         stats.requestRejected(attempt.token, now);
         return;
     case CallResult::NotSent:
+        // The endpoint has asked for fewer requests while this one waited for a connection; it has not failed.
+        if (attempt.endpoint->leaving || attempt.endpoint->backoff.isWaiting(now)) {
+            stats.requestCancelled(attempt.token, now);
+            return;
+        }
+        stats.requestFailed(attempt.token, now);
+        return;
     case CallResult::Lost:
         stats.requestFailed(attempt.token, now);
         return;
--- a/Source/forwarding/shardselection.cpp
+++ b/Source/forwarding/shardselection.cpp
@@ -32,7 +32,7 @@
 {
     std::multimap<Duration, std::size_t> exhausted;
     for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
-        const Duration wait = chooser.rateWaitTime(route.shards[shard], now);
+        const Duration wait = chooser.throttleWaitTime(route.shards[shard], now);
         if (wait > Duration::zero()) {
             exhausted.emplace(wait, shard);
         }
@@ -53,7 +53,7 @@
 {
     std::multimap<double, std::size_t> scarce;
     for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
-        const double level = chooser.rateFillLevel(route.shards[shard], now);
+        const double level = chooser.throttleFillLevel(route.shards[shard], now);
         if (level < scarceFillLevel) {
             scarce.emplace(level, shard);
         }
--- a/Source/gateway/codecs.h
+++ b/Source/gateway/codecs.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "forwarding/endpointstatement.h"
 #include "forwarding/messages.h"
 
 #include <boost/beast/http/message.hpp>
@@ -38,7 +39,7 @@
     std::optional<LoadReport> load;
     /// Remaining warm-up time of the endpoint; std::nullopt if the endpoint sent none.
     std::optional<Duration> remainingWarmup;
-    RateLimitStatement rateLimit;
+    EndpointStatement statement;
 };
 
 /**
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace Lycheewall
 {
@@ -18,6 +19,8 @@
 /// A non-idempotent request is not sent on a connection that was idle for longer: the endpoint may be closing it at
 /// that moment, and then it is unknown whether the request ran.
 constexpr Duration maximumNonIdempotentIdle = Milliseconds(500);
+/// A backoff is extended by a random time of up to this, and at most twice the time that the endpoint named.
+constexpr Duration maxBackoffSpread = Milliseconds(500);
 
 Log &logger()
 {
@@ -25,6 +28,11 @@
     return log;
 }
 
+std::string describe(const ServiceEndpoint &endpoint)
+{
+    return "Endpoint " + endpoint.record.id.value() + " of " + endpoint.record.service.value();
+}
+
 }
 
 class EndpointConnectionPool::PooledCall : public OutgoingCall, public std::enable_shared_from_this<PooledCall>
@@ -65,11 +73,13 @@
                                                const Clock &poolClock,
                                                TimerService &timerService,
                                                Counters &poolCounters,
+                                               Random &randomNumbers,
                                                const EndpointCodec &endpointCodec)
     : io(ioContext)
     , clock(poolClock)
     , timers(timerService)
     , counters(poolCounters)
+    , random(randomNumbers)
     , codec(endpointCodec)
 {
 }
@@ -224,54 +234,96 @@
     }
     const bool hasResponded = outcome.result == CallResult::Answered || outcome.result == CallResult::NotRun;
     if (hasResponded) {
-        this->updateEndpoint(connections, info, call->sentAt);
+        this->updateEndpoint(connections, *call, outcome, info);
     }
     this->dispatchQueued(connections);
     call->finish(outcome);
 }
 
 void EndpointConnectionPool::updateEndpoint(EndpointConnections &connections,
-                                            const EndpointResponseMetadata &info,
-                                            TimePoint sentAt)
+                                            const PooledCall &call,
+                                            const CallOutcome &outcome,
+                                            const EndpointResponseMetadata &info)
 {
-    const EndpointPtr endpoint = connections.endpoint.lock();
-    if (!endpoint) {
-        return;
-    }
+    // Not the latest endpoint of these connections: another process may have been registered under the same id since.
+    ServiceEndpoint &endpoint = *call.call.endpoint;
     const TimePoint now = this->clock.now();
     if (info.load) {
-        endpoint->stats.updateLoad(*info.load, now);
+        endpoint.stats.updateLoad(*info.load, now);
     }
     if (info.remainingWarmup) {
-        endpoint->coldUntil = now + *info.remainingWarmup;
+        endpoint.coldUntil = now + *info.remainingWarmup;
+    }
+    for (const std::string &field : info.statement.malformedFields) {
+        this->counters.counter("lycheewall_endpoint_bad_statements_total").add();
+        logger().warn(describe(endpoint) + " has sent an invalid value of " + field + "; it is ignored.");
+    }
+    this->updateRateLimit(endpoint, info.statement.rateLimit, call.sentAt);
+    this->updateBackoff(endpoint, outcome, info.statement.retryAfter, call.sentAt);
+    this->updateLeaving(endpoint, info.statement.isLeaving);
+    if (endpoint.leaving || endpoint.backoff.isWaiting(now)) {
+        this->failQueuedCalls(connections);
     }
-    this->updateRateLimit(*endpoint, info.rateLimit, sentAt);
 }
 
 void EndpointConnectionPool::updateRateLimit(ServiceEndpoint &endpoint,
                                              const RateLimitStatement &statement,
                                              TimePoint sentAt)
 {
-    const std::string name = "Endpoint " + endpoint.record.id.value() + " of " + endpoint.record.service.value();
-    if (statement.isMalformed) {
-        this->counters.counter("lycheewall_endpoint_bad_limits_total").add();
-        logger().warn(name + " names a rate limit that is not a number; it is ignored.");
-        return;
-    }
     switch (endpoint.rateLimit.apply(statement, sentAt, this->clock.now())) {
     case EndpointRateLimit::Change::Began:
         this->counters.counter("lycheewall_endpoint_limits_total").add();
-        logger().info(name + " takes at most " + std::to_string(endpoint.rateLimit.requestsPerSecond())
+        logger().info(describe(endpoint) + " takes at most " + std::to_string(endpoint.rateLimit.requestsPerSecond())
                       + " requests per second from all instances.");
         return;
     case EndpointRateLimit::Change::Ended:
-        logger().info(name + " names no rate limit any more.");
+        logger().info(describe(endpoint) + " names no rate limit any more.");
         return;
     case EndpointRateLimit::Change::None:
         return;
     }
 }
 
+void EndpointConnectionPool::updateBackoff(ServiceEndpoint &endpoint,
+                                           const CallOutcome &outcome,
+                                           std::optional<Duration> retryAfter,
+                                           TimePoint sentAt)
+{
+    const bool wasActive = endpoint.backoff.isActive();
+    if (retryAfter) {
+        // The random part keeps the instances from returning at the same moment.
+        const Duration spread = fromSeconds(
+            this->random.uniformReal() * std::min(fractionalSeconds(maxBackoffSpread), fractionalSeconds(*retryAfter)));
+        endpoint.backoff.start(*retryAfter + spread, this->clock.now());
+    } else if (outcome.result == CallResult::Answered) {
+        endpoint.backoff.requestServed(sentAt);
+    }
+    if (!wasActive && endpoint.backoff.isActive()) {
+        this->counters.counter("lycheewall_endpoint_backoffs_total").add();
+        logger().info(describe(endpoint) + " wants no requests of this instance for "
+                      + std::to_string(toMilliseconds(*retryAfter)) + " ms.");
+    } else if (wasActive && !endpoint.backoff.isActive()) {
+        logger().info(describe(endpoint) + " is used as before its backoff.");
+    }
+}
+
+void EndpointConnectionPool::updateLeaving(ServiceEndpoint &endpoint, bool isLeaving)
+{
+    if (!isLeaving || endpoint.leaving) {
+        return;
+    }
+    endpoint.leaving = true;
+    this->counters.counter("lycheewall_endpoint_leaving_total").add();
+    logger().info(describe(endpoint) + " says that it shuts down and gets no new requests.");
+}
+
+void EndpointConnectionPool::failQueuedCalls(EndpointConnections &connections)
+{
+    for (const CallPtr &call : std::exchange(connections.queued, {})) {
+        this->postFailure(call);
+    }
+}
+
 void EndpointConnectionPool::closedWhileIdle(const ConnectionPtr &connection)
 {
     EndpointConnections &connections = this->connectionsOf(connection);
@@ -310,7 +362,8 @@
     for (auto entry = this->connectionsByEndpoint.begin(); entry != this->connectionsByEndpoint.end();) {
         EndpointConnections &connections = entry->second;
         const EndpointPtr endpoint = connections.endpoint.lock();
-        const bool acceptsRequests = endpoint && endpoint->registered && !endpoint->record.draining;
+        const bool acceptsRequests
+            = endpoint && endpoint->registered && !endpoint->record.draining && !endpoint->leaving;
         for (auto place = connections.idle.begin(); place != connections.idle.end();) {
             const ConnectionPtr connection = *place;
             if (acceptsRequests && connection->isUsable(now)) {
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/counters.h"
+#include "core/random.h"
 #include "core/timerservice.h"
 #include "gateway/endpointconnection.h"
 
@@ -23,6 +24,7 @@
                            const Clock &clock,
                            TimerService &timers,
                            Counters &counters,
+                           Random &random,
                            const EndpointCodec &codec);
     ~EndpointConnectionPool() override;
 
@@ -69,9 +71,19 @@
     void openConnection(EndpointConnections &connections, const EndpointCall &call);
     void cancelCall(const CallPtr &call, Duration gracePeriod);
     void postFailure(const CallPtr &call);
-    /// Applies what the response to a request that was sent at @p sentAt says about its endpoint.
-    void updateEndpoint(EndpointConnections &connections, const EndpointResponseMetadata &info, TimePoint sentAt);
+    /// Applies what the response to @p call says about its endpoint.
+    void updateEndpoint(EndpointConnections &connections,
+                        const PooledCall &call,
+                        const CallOutcome &outcome,
+                        const EndpointResponseMetadata &info);
     void updateRateLimit(ServiceEndpoint &endpoint, const RateLimitStatement &statement, TimePoint sentAt);
+    void updateBackoff(ServiceEndpoint &endpoint,
+                       const CallOutcome &outcome,
+                       std::optional<Duration> retryAfter,
+                       TimePoint sentAt);
+    void updateLeaving(ServiceEndpoint &endpoint, bool isLeaving);
+    /// Ends the calls that wait for a connection, as not sent, so that they are sent to other endpoints.
+    void failQueuedCalls(EndpointConnections &connections);
     void unregister(const ConnectionPtr &connection);
     /// Removes the connection from the pool and closes it.
     void discard(const ConnectionPtr &connection);
@@ -80,6 +92,7 @@
     const Clock &clock;
     TimerService &timers;
     Counters &counters;
+    Random &random;
     const EndpointCodec &codec;
     /// Connections may outlive the pool in handlers of the event loop.
     std::shared_ptr<ResponseMemory> responseMemory = std::make_shared<ResponseMemory>();
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -64,7 +64,7 @@
     , timers(io)
     , random(randomSeed())
     , chooser(endpoints, settings.zone, random)
-    , pool(io, clock, timers, counters, codecs.endpoints)
+    , pool(io, clock, timers, counters, random, codecs.endpoints)
     , retryBudget(settings.retryLimits, clock)
     , quota(clock)
     , requestLog(clock)
--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -181,6 +181,18 @@
     BOOST_TEST(this->responses[0].shards.size() == 1U);
 }
 
+// Guards against relayed shards that are sent to an endpoint that leaves or wants no requests.
+BOOST_AUTO_TEST_CASE(relayedShardAvoidsEndpointThatWantsNone)
+{
+    this->endpoints.find(EndpointId("s1a"))->leaving = true;
+    this->endpoints.find(EndpointId("s2a"))->backoff.start(std::chrono::seconds(60), this->clock.now());
+    const auto pending = this->sendRequest();
+    this->server.handleRequest(this->sender.lastPayload());
+    BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
+    BOOST_TEST(this->call(0).call.endpoint->record.id.value() == "s1b");
+    BOOST_TEST(this->call(1).call.endpoint->record.id.value() == "s2b");
+}
+
 // Guards against more attempts per shard than the route allows: the requesting instance makes the last attempt.
 BOOST_AUTO_TEST_CASE(reservesLastAttemptForRequestingInstance)
 {
--- a/Tests/forwarding/endpointratelimittest.cpp
+++ b/Tests/forwarding/endpointratelimittest.cpp
@@ -153,7 +153,7 @@
     this->limit("s1b", 4);
     this->start();
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointRateLimited));
+    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointThrottled));
     BOOST_TEST(this->replies[0].notRun);
     BOOST_TEST(this->replies[0].retryAfter.has_value());
     BOOST_TEST((*this->replies[0].retryAfter == Milliseconds(250)));
@@ -168,7 +168,7 @@
     this->start();
     BOOST_TEST(this->endpointSender.calls.empty());
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointRateLimited));
+    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointThrottled));
     BOOST_TEST(this->replies[0].notRun);
     BOOST_TEST((*this->replies[0].retryAfter >= Milliseconds(500)));
 }
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -36,7 +36,11 @@
         }
         info.notRun = message.count("Not-Run") > 0;
         if (message.count("Limit") > 0) {
-            info.rateLimit.requestsPerSecond = std::stod(std::string(message["Limit"]));
+            info.statement.rateLimit.requestsPerSecond = std::stod(std::string(message["Limit"]));
+        }
+        info.statement.isLeaving = message.count("Leaving") > 0;
+        if (message.count("Retry-After") > 0) {
+            info.statement.retryAfter = fromSeconds(std::stod(std::string(message["Retry-After"])));
         }
         return info;
     }
@@ -89,8 +93,9 @@
     BootTimeClock clock;
     AsioTimerService timers { io };
     Counters counters;
+    Random random { 1 };
     TestEndpointCodec codec;
-    EndpointConnectionPool pool { io, clock, timers, counters, codec };
+    EndpointConnectionPool pool { io, clock, timers, counters, random, codec };
     EndpointPtr endpoint = std::make_shared<ServiceEndpoint>();
     std::unique_ptr<RawHttpServer> server;
     std::vector<CallOutcome> outcomes;
@@ -131,6 +136,42 @@
     BOOST_TEST(!this->endpoint->rateLimit.isLimited());
 }
 
+// Guards against requests that wait for a connection and are sent after the endpoint has said that it wants none.
+BOOST_FIXTURE_TEST_CASE(queuedCallsAvoidEndpointThatWantsNone, Fixture)
+{
+    this->connectionLimit = 1;
+    for (const char *field : { "Leaving: 1", "Retry-After: 30" }) {
+        this->outcomes.clear();
+        this->serve([field](int) {
+            return "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n" + std::string(field)
+                + "\r\n\r\n";
+        });
+        this->endpoint = std::make_shared<ServiceEndpoint>();
+        this->endpoint->record.id = EndpointId(field);
+        this->endpoint->record.address = this->server->address();
+        const auto first = this->start("1");
+        const auto queued = this->start("1");
+        BOOST_REQUIRE(runUntil(this->io, [&] { return this->outcomes.size() == 2; }));
+        BOOST_TEST(this->server->requests == 1);
+        BOOST_TEST((this->outcomes[0].result == CallResult::NotRun));
+        BOOST_TEST((this->outcomes[1].result == CallResult::NotSent));
+    }
+}
+
+// Guards against a process that is excluded because of what the one that ran under its id before has said.
+BOOST_FIXTURE_TEST_CASE(statementAppliesToProcessThatMadeIt, Fixture)
+{
+    this->serve([](int) { return "HTTP/1.1 200 OK\r\nId: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n"; });
+    const EndpointPtr earlier = this->endpoint;
+    const auto started = this->start("1");
+    this->endpoint = std::make_shared<ServiceEndpoint>();
+    this->endpoint->record = earlier->record;
+    const auto next = this->start("2");
+    BOOST_REQUIRE(runUntil(this->io, [&] { return this->outcomes.size() == 1; }));
+    BOOST_TEST(earlier->leaving);
+    BOOST_TEST(!this->endpoint->leaving);
+}
+
 // Guards against opening more connections than the endpoint accepts from this instance.
 BOOST_FIXTURE_TEST_CASE(respectsConnectionLimit, Fixture)
 {
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -194,7 +194,7 @@
     const auto parse = [](const char *text) {
         HttpResponseMessage message(http::status::ok, 11);
         message.set(Names::Header::serverLimit, text);
-        return PlatformEndpointCodec().inspect(message).rateLimit;
+        return PlatformEndpointCodec().inspect(message).statement.rateLimit;
     };
     BOOST_TEST(parse("31.9").requestsPerSecond.value() == 31.9);
     BOOST_TEST(parse("0").requestsPerSecond.value() == 0);
@@ -204,11 +204,37 @@
         BOOST_TEST(!statement.requestsPerSecond, text);
     }
     const RateLimitStatement absent
-        = PlatformEndpointCodec().inspect(HttpResponseMessage(http::status::ok, 11)).rateLimit;
+        = PlatformEndpointCodec().inspect(HttpResponseMessage(http::status::ok, 11)).statement.rateLimit;
     BOOST_TEST(!absent.isMalformed);
     BOOST_TEST(!absent.requestsPerSecond);
 }
 
+// Guards against a shutdown or a backoff that is misread; dates and negative values are reported as malformed.
+BOOST_AUTO_TEST_CASE(parsesLeavingAndRetryAfter)
+{
+    const auto parse = [](const char *field, const char *text, http::status status) {
+        HttpResponseMessage message(status, 11);
+        message.set(field, text);
+        return PlatformEndpointCodec().inspect(message).statement;
+    };
+    const auto busy = http::status::service_unavailable;
+    BOOST_TEST(parse(Names::Header::serverLeaving, "1", http::status::ok).isLeaving);
+    BOOST_TEST((parse(Names::Header::retryAfter, "1.5", busy).retryAfter == Milliseconds(1500)));
+    BOOST_TEST((parse(Names::Header::retryAfter, "0", busy).retryAfter == Duration::zero()));
+    BOOST_TEST((parse(Names::Header::retryAfter, "1e30", busy).retryAfter == std::chrono::hours(24)));
+    BOOST_TEST(!parse(Names::Header::retryAfter, "1.5", http::status::too_many_requests).retryAfter);
+    for (const char *text : { "", "-1", "soon", "Sat, 05 Dec 2026 10:00:00 GMT", "nan", "1e999" }) {
+        const EndpointStatement statement = parse(Names::Header::retryAfter, text, busy);
+        BOOST_TEST(!statement.retryAfter, text);
+        BOOST_TEST(statement.malformedFields.size() == 1U, text);
+    }
+    for (const char *text : { "", "0", "true", "11" }) {
+        const EndpointStatement statement = parse(Names::Header::serverLeaving, text, http::status::ok);
+        BOOST_TEST(!statement.isLeaving, text);
+        BOOST_TEST(statement.malformedFields.size() == 1U, text);
+    }
+}
+
 // Guards against a status that states "not run" to the caller for a request that may have run, and the reverse.
 BOOST_AUTO_TEST_CASE(statusTellsWhetherRequestHasRun)
 {
