Tests: Add a soak of real instances whose endpoints ask for less

Instances are paused, killed and restarted by signals in two series that overlap, the store goes away. Endpoints name rate limits, want no requests for a time, and leave. The checker sees only what callers and endpoints saw: LIMIT, DRAIN, BUDGET (Retry-After, attempts per shard), TWICE, REFUSED, MIXED, LOST, late replies, processes that end by themselves.

Not yet in it: the loopback proxy (delay, reset, one-way cut, silence), several zones and with them relays, changes of the configuration, organisations.

--- /dev/null
+++ b/Tests/soak/endpointstandin.cpp
@@ -0,0 +1,135 @@
+#include "endpointstandin.h"
+
+#include <functional>
+#include <iomanip>
+#include <sstream>
+
+namespace Soak
+{
+
+namespace
+{
+
+/// Share of the requests that are turned away while the endpoint wants none, and mean time of work.
+constexpr double meanWorkMs = 12;
+/// One in this many requests takes ten times as long.
+constexpr int tailOneIn = 50;
+constexpr std::size_t recordBytes = 16;
+constexpr std::size_t recordsPerPart = 4;
+
+}
+
+EndpointStandin::EndpointStandin(boost::asio::io_context &context,
+                                 Observations &allObservations,
+                                 std::string id,
+                                 std::string serviceName,
+                                 std::vector<StatementSpan> statementSpans,
+                                 unsigned seed)
+    : io(context)
+    , observations(allObservations)
+    , endpointId(std::move(id))
+    , service(std::move(serviceName))
+    , spans(std::move(statementSpans))
+    , random(seed)
+    , server(context)
+    , port(0)
+{
+    this->server.requestHandler
+        = [this](const Standins::ConnectionPointer &connection, const Standins::HttpRequest &request) {
+              this->handle(connection, request);
+          };
+    this->port = this->server.listen(0);
+}
+
+const std::string &EndpointStandin::id() const
+{
+    return this->endpointId;
+}
+
+std::string EndpointStandin::entry() const
+{
+    const nlohmann::json entry { { "Service", this->service },
+                                 { "Address", "127.0.0.1:" + std::to_string(this->port) },
+                                 { "Zone", "z" },
+                                 { "Version", "v1" },
+                                 { "Slots", 8 },
+                                 { "State", "ready" },
+                                 { "WarmupLeftMs", 0 },
+                                 { "Sequence", 1 },
+                                 { "born", 1700000000123 } };
+    return entry.dump();
+}
+
+std::string EndpointStandin::stampOf(const std::string &attemptId, const std::string &endpoint)
+{
+    return attemptId + "." + endpoint;
+}
+
+std::string EndpointStandin::bodyOf(const std::string &stamp)
+{
+    std::ostringstream body;
+    for (std::size_t record = 0; record < recordsPerPart; ++record) {
+        body << std::hex << std::setfill('0') << std::setw(recordBytes)
+             << std::hash<std::string>()(stamp + std::to_string(record));
+    }
+    return body.str();
+}
+
+const StatementSpan *EndpointStandin::currentSpan(Statement::Kind kind) const
+{
+    const double now = elapsedSeconds();
+    for (const StatementSpan &span : this->spans) {
+        if (span.kind == kind && now >= span.from && now < span.until) {
+            return &span;
+        }
+    }
+    return nullptr;
+}
+
+void EndpointStandin::addStatements(Standins::HttpResponse &response, const std::string &attemptId, bool isRefusal)
+{
+    const auto say = [&](Statement::Kind kind, double value, const char *field, const std::string &text) {
+        response.set(field, text);
+        this->observations.record(Statement { elapsedSeconds(), instanceOf(attemptId), this->endpointId, kind, value });
+    };
+    if (const StatementSpan *limit = this->currentSpan(Statement::Kind::RateLimit)) {
+        say(Statement::Kind::RateLimit, limit->value, "Server-Limit", std::to_string(limit->value));
+    }
+    if (this->currentSpan(Statement::Kind::Leaving) != nullptr) {
+        say(Statement::Kind::Leaving, 0, "Server-Leaving", "1");
+    }
+    const StatementSpan *backoff = this->currentSpan(Statement::Kind::Backoff);
+    if (backoff != nullptr && isRefusal) {
+        say(Statement::Kind::Backoff, backoff->value, "Retry-After", std::to_string(backoff->value));
+    }
+}
+
+void EndpointStandin::handle(const Standins::ConnectionPointer &connection, const Standins::HttpRequest &request)
+{
+    const std::string attemptId(request["X-Lycheewall-Attempt-Id"]);
+    const bool isTarget = request["X-Lycheewall-Target-Instance"] == this->endpointId;
+    const bool isRefusal = !isTarget || this->currentSpan(Statement::Kind::Backoff) != nullptr;
+    this->observations.record(Arrival { elapsedSeconds(), attemptId, this->endpointId, this->service, !isRefusal });
+    if (isRefusal) {
+        Standins::HttpResponse refusal = Standins::textResponse(isTarget ? 503 : 421, "");
+        refusal.set("X-Lycheewall-Attempt-Id", attemptId);
+        refusal.set("X-Lycheewall-Not-Executed", "1");
+        this->addStatements(refusal, attemptId, true);
+        connection->reply(std::move(refusal));
+        return;
+    }
+    std::exponential_distribution<double> work(1 / meanWorkMs);
+    const bool isTail = std::uniform_int_distribution<int>(1, tailOneIn)(this->random) == 1;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->io);
+    timer->expires_after(std::chrono::microseconds(static_cast<int>(1000 * work(this->random) * (isTail ? 10 : 1))));
+    timer->async_wait([this, timer, connection, attemptId](const boost::system::error_code &) {
+        const std::string stamp = stampOf(attemptId, this->endpointId);
+        Standins::HttpResponse response = Standins::textResponse(200, bodyOf(stamp));
+        response.set("X-Lycheewall-Attempt-Id", attemptId);
+        response.set("X-Lycheewall-Server-Stamp", stamp);
+        this->addStatements(response, attemptId, false);
+        connection->reply(std::move(response));
+    });
+}
+
+}
--- /dev/null
+++ b/Tests/soak/soakfleet.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "observations.h"
+#include "process.h"
+
+#include <atomic>
+#include <mutex>
+#include <random>
+
+namespace Soak
+{
+
+/// The instances under test: one lycheewall-platformd each, on a loopback address of its own.
+class SoakFleet
+{
+public:
+    /// @p network is the second byte of the loopback addresses, so that several runs do not meet.
+    SoakFleet(std::string program, int instances, int network, std::string storeAddress, std::string folder);
+
+    int size() const;
+    std::string callerAddress(int instance) const;
+    /// Thread safety: any thread.
+    void start(int instance);
+
+    /// Waits until all instances are ready; false if one is not within ten seconds.
+    bool waitUntilReady();
+
+    /// Disturbs @p instance once, in a way that @p random selects: pauses it, kills it or stops and restarts it. Thread
+    /// safety: any thread, one at a time for each instance.
+    void disturb(int instance, std::mt19937 &random, Observations &observations);
+
+    /// False if an instance has ended by itself.
+    bool areAllRunning();
+
+private:
+    std::string address(int instance, int port) const;
+    std::string settings(int instance) const;
+
+    std::string program;
+    int network;
+    std::string storeAddress;
+    std::string folder;
+    std::vector<Integration::Process> processes;
+    /// The settings file is named in the environment, which all threads share.
+    std::mutex startMutex;
+};
+
+/// Sends requests to the instances until @p stop is set, over connections that it keeps while they last.
+void runCaller(const SoakFleet &fleet, Observations &observations, unsigned seed, const std::atomic<bool> &stop);
+
+}
--- /dev/null
+++ b/Tests/soak/storestandin.cpp
@@ -0,0 +1,91 @@
+#include "storestandin.h"
+
+#include <openssl/evp.h>
+
+namespace Soak
+{
+
+namespace
+{
+
+constexpr int revision = 100;
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+std::string encodeBase64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                     reinterpret_cast<const unsigned char *>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+}
+
+StoreStandin::StoreStandin(boost::asio::io_context &context)
+    : io(context)
+    , server(context)
+    , port(0)
+{
+    this->server.requestHandler
+        = [this](const Standins::ConnectionPointer &connection, const Standins::HttpRequest &request) {
+              this->handle(connection, request);
+          };
+    this->port = this->server.listen(0);
+}
+
+void StoreStandin::set(const std::string &key, const std::string &value)
+{
+    this->items[key] = value;
+}
+
+std::string StoreStandin::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->port);
+}
+
+void StoreStandin::setDown(bool down)
+{
+    this->isDown = down;
+}
+
+void StoreStandin::handle(const Standins::ConnectionPointer &connection, const Standins::HttpRequest &request)
+{
+    const Standins::RequestTarget target(std::string_view(request.target().data(), request.target().size()));
+    if (this->isDown) {
+        connection->reply(Standins::textResponse(statusUnavailable, "down"));
+    } else if (target.segment(1) == "kv-watch") {
+        this->watch(connection, target.number("WaitTimeoutMs", 0));
+    } else {
+        connection->reply(this->list(target.parameter("Prefix"), target.parameter("after")));
+    }
+}
+
+Standins::HttpResponse StoreStandin::list(const std::string &prefix, const std::string &after) const
+{
+    nlohmann::json listed = nlohmann::json::array();
+    for (const auto &[key, value] : this->items) {
+        if (key.compare(0, prefix.size(), prefix) == 0 && key > after) {
+            listed.push_back({ { "Key", key },
+                               { "Value", encodeBase64(value) },
+                               { "Revision", 1 },
+                               { "Created", 1 },
+                               { "Lease", 0 } });
+        }
+    }
+    return Standins::jsonResponse(statusOk, { { "items", listed }, { "HasMore", false }, { "At", revision } });
+}
+
+void StoreStandin::watch(const Standins::ConnectionPointer &connection, double waitMs)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->io);
+    timer->expires_after(std::chrono::milliseconds(static_cast<int>(waitMs)));
+    timer->async_wait([timer, connection](const boost::system::error_code &) {
+        connection->reply(
+            Standins::jsonResponse(statusOk, { { "events", nlohmann::json::array() }, { "At", revision } }));
+    });
+}
+
+}
