Tests: Let the soak relay, change the configuration and limit an organisation

Odd seeds have four zones, so that some shards are relayed; the statements of endpoints are checked with one zone only, as a relayed shard does not show which instance sent it. New versions of the configuration come 0.1 to 2 s apart. Two organisations with keys, one with a rate: UNASKED and QUOTA are checked too.

--- a/Tests/soak/checker.cpp
+++ b/Tests/soak/checker.cpp
@@ -24,6 +24,9 @@
 constexpr int limitExtra = 5;
 constexpr double drainSeconds = 3;
 constexpr int allowedDuringBackoff = 2;
+constexpr double quotaWindowSeconds = 5;
+constexpr double quotaOverage = 0.25;
+constexpr double quotaTolerance = 20;
 constexpr int allowedLostReplies = 3;
 /// A reply must arrive this long after the caller's deadline at the latest.
 constexpr double replyBoundSeconds = 1.3;
@@ -31,9 +34,9 @@
 class Checker
 {
 public:
-    Checker(const Observations &seen, int shardCount)
+    Checker(const Observations &seen, const CheckedConfiguration &checked)
         : observations(seen)
-        , shards(shardCount)
+        , configuration(checked)
     {
         for (const Arrival &arrival : seen.arrivals) {
             this->arrivalsByAttempt[arrival.attemptId].push_back(&arrival);
@@ -48,6 +51,7 @@
             this->checkReply(attempt);
         }
         this->checkStatements();
+        this->checkOrganisationRate();
         if (this->lostReplies > allowedLostReplies) {
             this->report("LOST", std::to_string(this->lostReplies) + " requests without a reply");
         }
@@ -82,6 +86,10 @@
         std::map<std::string, int> runsByService;
         for (const Arrival *arrival : this->arrivalsOf(attempt.attemptId)) {
             runsByService[arrival->service] += arrival->ran ? 1 : 0;
+            if (arrival->organisation != attempt.organisation || arrival->hasKey) {
+                this->report(
+                    "UNASKED", attempt.attemptId, " of ", attempt.organisation, " ran for ", arrival->organisation);
+            }
         }
         for (const auto &[service, runs] : runsByService) {
             if (runs > maxAttempts) {
@@ -148,7 +156,8 @@
         for (std::size_t record = 0; record < std::min(maxRecords, records.size()); ++record) {
             expected += records[record];
         }
-        const bool isCovered = parts >= minShardRatio * this->shards && parts + attempt.missingParts == this->shards;
+        const bool isCovered = parts >= minShardRatio * this->configuration.shards
+            && parts + attempt.missingParts == this->configuration.shards;
         if (static_cast<int>(services.size()) != parts || !isCovered || attempt.body != expected) {
             this->report("MIXED",
                          attempt.attemptId,
@@ -160,6 +169,31 @@
         }
     }
 
+    /// Requests that were sent within a window and ran.
+    void checkOrganisationRate()
+    {
+        std::vector<double> times;
+        for (const CallerAttempt &attempt : this->observations.attempts) {
+            const auto arrivals = this->arrivalsOf(attempt.attemptId);
+            const bool hasRun
+                = std::any_of(arrivals.begin(), arrivals.end(), [](const Arrival *arrival) { return arrival->ran; });
+            if (hasRun && attempt.organisation == "limited") {
+                times.push_back(attempt.sentAt);
+            }
+        }
+        std::sort(times.begin(), times.end());
+        const double owed
+            = this->configuration.organisationRate * quotaWindowSeconds + this->configuration.organisationBurst;
+        const double allowed = owed * (1 + quotaOverage) + quotaTolerance;
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            const auto last = std::lower_bound(first, times.end(), *first + quotaWindowSeconds);
+            if (static_cast<double>(last - first) > allowed) {
+                this->report("QUOTA", last - first, " requests in 5 s from ", *first);
+                return;
+            }
+        }
+    }
+
     void checkStatements()
     {
         std::map<std::string, std::vector<const Statement *>> limits;
@@ -252,7 +286,7 @@
     }
 
     const Observations &observations;
-    int shards;
+    CheckedConfiguration configuration;
     std::map<std::string, std::vector<const Arrival *>> arrivalsByAttempt;
     std::map<std::string, std::vector<const Arrival *>> arrivalsByEndpoint;
     int lostReplies = 0;
@@ -261,9 +295,9 @@
 
 }
 
-std::vector<std::string> findViolations(const Observations &observations, int shards)
+std::vector<std::string> findViolations(const Observations &observations, const CheckedConfiguration &configuration)
 {
-    return Checker(observations, shards).run();
+    return Checker(observations, configuration).run();
 }
 
 }
--- a/Tests/soak/checker.h
+++ b/Tests/soak/checker.h
@@ -5,8 +5,18 @@
 namespace Soak
 {
 
+/// The part of the configuration that the checker needs.
+struct CheckedConfiguration
+{
+    /// Number of shards of the search route.
+    int shards = 0;
+    /// Requests per second and burst of the organisation "limited".
+    double organisationRate = 0;
+    double organisationBurst = 0;
+};
+
 /// Checks the promises of the platform's pages on what callers and endpoints have seen. Each violation is one line of
-/// text. @p shards is the number of shards of the search route.
-std::vector<std::string> findViolations(const Observations &observations, int shards);
+/// text.
+std::vector<std::string> findViolations(const Observations &observations, const CheckedConfiguration &configuration);
 
 }
--- a/Tests/soak/endpointstandin.cpp
+++ b/Tests/soak/endpointstandin.cpp
@@ -23,12 +23,14 @@
                                  Observations &allObservations,
                                  std::string id,
                                  std::string serviceName,
+                                 std::string zoneName,
                                  std::vector<StatementSpan> statementSpans,
                                  unsigned seed)
     : io(context)
     , observations(allObservations)
     , endpointId(std::move(id))
     , service(std::move(serviceName))
+    , zone(std::move(zoneName))
     , spans(std::move(statementSpans))
     , random(seed)
     , server(context)
@@ -50,7 +52,7 @@
 {
     const nlohmann::json entry { { "Service", this->service },
                                  { "Address", "127.0.0.1:" + std::to_string(this->port) },
-                                 { "Zone", "z" },
+                                 { "Zone", this->zone },
                                  { "Version", "v1" },
                                  { "Slots", 8 },
                                  { "State", "ready" },
@@ -109,7 +111,13 @@
     const std::string attemptId(request["X-Lycheewall-Attempt-Id"]);
     const bool isTarget = request["X-Lycheewall-Target-Instance"] == this->endpointId;
     const bool isRefusal = !isTarget || this->currentSpan(Statement::Kind::Backoff) != nullptr;
-    this->observations.record(Arrival { elapsedSeconds(), attemptId, this->endpointId, this->service, !isRefusal });
+    this->observations.record(Arrival { elapsedSeconds(),
+                                        attemptId,
+                                        this->endpointId,
+                                        this->service,
+                                        !isRefusal,
+                                        std::string(request["X-Lycheewall-Tenant"]),
+                                        request.count("Authorization") > 0 });
     if (isRefusal) {
         Standins::HttpResponse refusal = Standins::textResponse(isTarget ? 503 : 421, "");
         refusal.set("X-Lycheewall-Attempt-Id", attemptId);
--- a/Tests/soak/endpointstandin.h
+++ b/Tests/soak/endpointstandin.h
@@ -27,6 +27,7 @@
                     Observations &observations,
                     std::string id,
                     std::string service,
+                    std::string zone,
                     std::vector<StatementSpan> spans,
                     unsigned seed);
 
@@ -49,6 +50,7 @@
     Observations &observations;
     std::string endpointId;
     std::string service;
+    std::string zone;
     std::vector<StatementSpan> spans;
     std::mt19937 random;
     Standins::HttpServer server;
--- a/Tests/soak/observations.h
+++ b/Tests/soak/observations.h
@@ -21,6 +21,9 @@
     std::string endpoint;
     std::string service;
     bool ran = false;
+    /// The organisation that the instance has named, and whether the caller's key was passed on.
+    std::string organisation;
+    bool hasKey = false;
 };
 
 /// What an endpoint said in a response, and to which instance.
@@ -43,6 +46,7 @@
     std::string attemptId;
     int instance = 0;
     bool isIdempotent = true;
+    std::string organisation;
     int status = 0;
     std::string partStamps;
     int missingParts = 0;
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -26,10 +26,13 @@
 
 constexpr int shardCount = 4;
 constexpr int endpointsPerShard = 3;
+/// Requests per second and burst of the organisation "limited".
+constexpr double limitedOrganisationRate = 40;
+constexpr double limitedOrganisationBurst = 40;
 /// Faults begin after the fleet has served for this long.
 constexpr double calmSeconds = 2;
 
-std::string configuration()
+std::string configuration(int version)
 {
     nlohmann::json shards = nlohmann::json::array();
     nlohmann::json services = nlohmann::json::array();
@@ -41,19 +44,22 @@
     const nlohmann::json search { { "Name", "search" },         { "Host", "soak.example" }, { "Prefix", "/search/" },
                                   { "Kind", "idempotent" },     { "TimeoutMs", 800 },       { "TargetLatencyMs", 100 },
                                   { "FanoutServices", shards }, { "MaxAttempts", 2 },       { "TopK", 6 },
-                                  { "MinShardRatio", 0.75 },    { "Public", true } };
+                                  { "MinShardRatio", 0.75 } };
     const nlohmann::json record { { "Name", "record" },         { "Host", "soak.example" }, { "Prefix", "/record/" },
                                   { "Kind", "non_idempotent" }, { "TimeoutMs", 800 },       { "TargetLatencyMs", 100 },
-                                  { "Service", "records" },     { "MaxAttempts", 2 },       { "Public", true } };
-    const nlohmann::json limits {
-        { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 262144 }, { "HeaderTimeoutMs", 3000 }, { "IdleTimeoutMs", 15000 }
-    };
-    return nlohmann::json {
-        { "Version", 7 },
-        { "Routes", nlohmann::json::array({ search, record }) },
-        { "Services", services },
-        { "Limits", limits }
-    }.dump();
+                                  { "Service", "records" },     { "MaxAttempts", 2 } };
+    nlohmann::json limited { { "Name", "limited" },
+                             { "RatePerS", limitedOrganisationRate },
+                             { "Burst", limitedOrganisationBurst } };
+    limited["ApiKeys"] = nlohmann::json::array({ keyOf("limited") });
+    nlohmann::json unlimited { { "Name", "unlimited" } };
+    unlimited["ApiKeys"] = nlohmann::json::array({ keyOf("unlimited") });
+    nlohmann::json result;
+    result["Version"] = version;
+    result["Routes"] = nlohmann::json::array({ search, record });
+    result["Services"] = services;
+    result["Tenants"] = nlohmann::json::array({ limited, unlimited });
+    return result.dump();
 }
 
 /// At most one statement of each kind, so that the checker can tell them apart.
@@ -110,20 +116,38 @@
     boost::asio::post(io, [&store] { store.setDown(false); });
 }
 
+/// Publishes new versions of the configuration, at times in quick succession.
+void changeConfiguration(boost::asio::io_context &io, StoreStandin &store, unsigned seed, double until)
+{
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> pause(0.1, 2);
+    for (int version = 2; elapsedSeconds() < until; ++version) {
+        std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
+        boost::asio::post(io, [&store, version] { store.set("op/config", configuration(version)); });
+    }
+}
+
 /// The back ends and the store, which run in a thread of their own.
 struct Surroundings
 {
-    Surroundings(Observations &observations, std::mt19937 &random)
+    Surroundings(Observations &observations, std::mt19937 &random, int zones)
         : store(io)
     {
-        this->store.set("op/config", configuration());
+        this->store.set("op/config", configuration(1));
         for (int service = 0; service <= shardCount; ++service) {
             const bool isShard = service < shardCount;
             const std::string name = isShard ? "shard-" + std::to_string(service) : "records";
             for (int number = 0; number < endpointsPerShard; ++number) {
                 const std::string id = name + "-" + std::to_string(number);
-                this->endpoints.push_back(std::make_unique<EndpointStandin>(
-                    this->io, observations, id, name, drawSpans(random), static_cast<unsigned>(random())));
+                // Relayed shards do not show which instance has sent them, so that statements could not be checked.
+                auto spans = zones == 1 ? drawSpans(random) : std::vector<StatementSpan>();
+                this->endpoints.push_back(std::make_unique<EndpointStandin>(this->io,
+                                                                            observations,
+                                                                            id,
+                                                                            name,
+                                                                            zoneOf(service + number, zones),
+                                                                            std::move(spans),
+                                                                            static_cast<unsigned>(random())));
                 this->store.set("servers/" + id, this->endpoints.back()->entry());
             }
         }
@@ -154,9 +178,10 @@
     }
     std::this_thread::sleep_for(std::chrono::duration<double>(calmSeconds));
     std::thread storeThread([&] { disturbStore(surroundings.io, surroundings.store, seed, until); });
+    std::thread operatorThread([&] { changeConfiguration(surroundings.io, surroundings.store, seed, until); });
     std::thread evenThread([&] { disturbInstances(fleet, observations, 2 * seed, 0, until); });
     std::thread oddThread([&] { disturbInstances(fleet, observations, 2 * seed + 1, 1, until); });
-    for (std::thread *thread : { &storeThread, &evenThread, &oddThread }) {
+    for (std::thread *thread : { &storeThread, &operatorThread, &evenThread, &oddThread }) {
         thread->join();
     }
     stop = true;
@@ -173,11 +198,15 @@
     std::filesystem::create_directories(folder);
     std::mt19937 random(seed);
     Observations observations;
-    Surroundings surroundings(observations, random);
+    // With many zones, some shards have no endpoint in the zone of an instance and are relayed.
+    constexpr int manyZones = 4;
+    const int zones = seed % 2 == 0 ? 1 : manyZones;
+    Surroundings surroundings(observations, random, zones);
     constexpr int firstNetwork = 20;
     constexpr int networkCount = 200;
     SoakFleet fleet(FLAGS_program,
                     FLAGS_instances,
+                    zones,
                     firstNetwork + static_cast<int>(seed) % networkCount,
                     surroundings.store.address(),
                     folder);
@@ -189,7 +218,8 @@
         return false;
     }
     disturbAndCall(fleet, surroundings, observations, seed);
-    std::vector<std::string> violations = findViolations(observations, shardCount);
+    std::vector<std::string> violations
+        = findViolations(observations, { shardCount, limitedOrganisationRate, limitedOrganisationBurst });
     if (!fleet.areAllRunning()) {
         violations.emplace_back("FAULT: an instance has ended by itself");
     }
--- a/Tests/soak/soakfleet.cpp
+++ b/Tests/soak/soakfleet.cpp
@@ -72,6 +72,7 @@
     request.set(http::field::host, "soak.example");
     request.set("X-Lycheewall-Attempt-Id", attempt.attemptId);
     request.set("X-Lycheewall-Deadline-Ms", std::to_string(callerDeadlineMs));
+    request.set(http::field::authorization, "Token " + keyOf(attempt.organisation));
     request.body() = attempt.isIdempotent ? "" : "record";
     request.prepare_payload();
     return request;
@@ -93,9 +94,24 @@
 
 }
 
-SoakFleet::SoakFleet(
-    std::string testedProgram, int instances, int networkNumber, std::string store, std::string workFolder)
+std::string zoneOf(int number, int zones)
+{
+    return "z" + std::to_string(number % zones);
+}
+
+std::string keyOf(const std::string &organisation)
+{
+    return "key-of-" + organisation;
+}
+
+SoakFleet::SoakFleet(std::string testedProgram,
+                     int instances,
+                     int zoneCount,
+                     int networkNumber,
+                     std::string store,
+                     std::string workFolder)
     : program(std::move(testedProgram))
+    , zones(zoneCount)
     , network(networkNumber)
     , storeAddress(std::move(store))
     , folder(std::move(workFolder))
@@ -125,11 +141,11 @@
         return name + ": \"" + value + "\"\n";
     };
     return line("NodeName", "instance-" + std::to_string(instance)) + line("Ip", this->address(instance, 0))
-        + line("Zone", "z") + "ListenAddresses:\n  " + line("Front", this->address(instance, callerPort)) + "  "
-        + line("Ready", this->address(instance, readyPort)) + "  "
-        + line("directory", this->address(instance, directoryPort)) + "InternalPortRange: [" + std::to_string(peerPort)
-        + ", " + std::to_string(peerPort + 9) + "]\nSeedNodes: [\"" + this->address(0, 1) + "\", \""
-        + this->address(1, 1) + "\"]\nBounds:\n  RetryBudgetRatio: 0.2\n"
+        + line("Zone", zoneOf(instance, this->zones)) + "ListenAddresses:\n  "
+        + line("Front", this->address(instance, callerPort)) + "  " + line("Ready", this->address(instance, readyPort))
+        + "  " + line("directory", this->address(instance, directoryPort)) + "InternalPortRange: ["
+        + std::to_string(peerPort) + ", " + std::to_string(peerPort + 9) + "]\nSeedNodes: [\"" + this->address(0, 1)
+        + "\", \"" + this->address(1, 1) + "\"]\nBounds:\n  RetryBudgetRatio: 0.2\n"
         + "  BudgetSlack: 56\n  GracePeriodS: 6\nplatform:\n  " + line("Address", this->storeAddress);
 }
 
@@ -216,6 +232,7 @@
         attempt.instance = instance;
         attempt.attemptId = std::to_string(instance) + "-" + std::to_string(seed) + "-" + std::to_string(number);
         attempt.isIdempotent = percent(random) <= 85;
+        attempt.organisation = percent(random) <= 50 ? "limited" : "unlimited";
         const auto response = connection->exchange(makeRequest(attempt));
         attempt.endedAt = elapsedSeconds();
         if (response) {
--- a/Tests/soak/soakfleet.h
+++ b/Tests/soak/soakfleet.h
@@ -15,7 +15,7 @@
 {
 public:
     /// @p network is the second byte of the loopback addresses, so that several runs do not meet.
-    SoakFleet(std::string program, int instances, int network, std::string storeAddress, std::string folder);
+    SoakFleet(std::string program, int instances, int zones, int network, std::string storeAddress, std::string folder);
 
     int size() const;
     std::string callerAddress(int instance) const;
@@ -37,6 +37,7 @@
     std::string settings(int instance) const;
 
     std::string program;
+    int zones;
     int network;
     std::string storeAddress;
     std::string folder;
@@ -45,6 +46,12 @@
     std::mutex startMutex;
 };
 
+/// The availability zone of an instance or endpoint, by its number.
+std::string zoneOf(int number, int zones);
+
+/// The API key of an organisation.
+std::string keyOf(const std::string &organisation);
+
 /// Sends requests to the instances until @p stop is set, over connections that it keeps while they last.
 void runCaller(const SoakFleet &fleet, Observations &observations, unsigned seed, const std::atomic<bool> &stop);
 
--- a/Tests/soak/storestandin.h
+++ b/Tests/soak/storestandin.h
@@ -7,13 +7,13 @@
 namespace Soak
 {
 
-/// The platform's store with fixed content: lists and watches without changes. It can be down. Thread safety: only the
-/// thread of its io_context.
+/// The platform's store: lists and watches. It can be down. Thread safety: only the thread of its io_context.
 class StoreStandin
 {
 public:
     explicit StoreStandin(boost::asio::io_context &io);
 
+    /// Writes an item and completes the watches that wait for a change.
     void set(const std::string &key, const std::string &value);
     std::string address() const;
 
@@ -23,10 +23,28 @@
 private:
     void handle(const Standins::ConnectionPointer &connection, const Standins::HttpRequest &request);
     Standins::HttpResponse list(const std::string &prefix, const std::string &after) const;
-    void watch(const Standins::ConnectionPointer &connection, double waitMs);
+    void watch(const Standins::ConnectionPointer &connection, int after, double waitMs);
+    /// The response to a watch: the items that were written after revision @p after.
+    Standins::HttpResponse changes(int after) const;
+
+    struct Item
+    {
+        std::string value;
+        int revision = 0;
+    };
+    static nlohmann::json encode(const std::string &key, const Item &item);
+
+    struct Watch
+    {
+        Standins::ConnectionPointer connection;
+        int after = 0;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
 
     boost::asio::io_context &io;
-    std::map<std::string, std::string> items;
+    std::map<std::string, Item> items;
+    int revision = 100;
+    std::vector<Watch> watches;
     bool isDown = false;
     Standins::HttpServer server;
     std::uint16_t port;
