--- a/Tests/forwarding/loadtest.cpp
+++ b/Tests/forwarding/loadtest.cpp
@@ -240,6 +240,19 @@
     BOOST_TEST(result.maxBudgetUsage <= 1);
 }
 
+// Guards against callers of a part of the fleet who exceed what the endpoints take: the shares of idle instances are
+// not theirs. Pattern: limitedShards, with all callers at three of six instances.
+BOOST_AUTO_TEST_CASE(limitedShardsWithIdleInstances)
+{
+    const auto isLimited = [](std::size_t shard, std::size_t) {
+        return shard < 3;
+    };
+    SimulationPlan plan = withRateLimits(loadedCragwallPlan(), 33, isLimited);
+    plan.instancesWithCallers = 3;
+    const SimulationResult result = simulate("limited shards, idle instances", plan);
+    BOOST_TEST(result.maxLimitUsage <= 1);
+}
+
 // Guards against the same in a fleet with few active instances and many shards. Pattern: seven of ten endpoints.
 BOOST_AUTO_TEST_CASE(limitedEndpointsAcrossManyShards)
 {
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -410,7 +410,9 @@
 void SimulatedFleet::scheduleArrivals()
 {
     std::exponential_distribution<double> interval(this->plan.requestsPerSecond);
-    std::uniform_int_distribution<std::size_t> instanceIndex(0, this->plan.instances - 1);
+    const std::size_t used
+        = this->plan.instancesWithCallers == 0 ? this->plan.instances : this->plan.instancesWithCallers;
+    std::uniform_int_distribution<std::size_t> instanceIndex(0, used - 1);
     double arrivalSeconds = 0;
     while ((arrivalSeconds += interval(this->engine)) < this->plan.durationSeconds) {
         const std::size_t instance = instanceIndex(this->engine);
--- a/Tests/forwarding/simulatedfleet.h
+++ b/Tests/forwarding/simulatedfleet.h
@@ -18,6 +18,8 @@
 {
     std::size_t zones = 3;
     std::size_t instances = 6;
+    /// Instances to which callers send their requests; the others are idle. All if 0.
+    std::size_t instancesWithCallers = 0;
     std::size_t shards = 10;
     std::size_t endpointsPerShard = 3;
     int slots = 6;
