Platform: Ignore endpoint entries whose names are no tokens

Before: 14 checks of OddEntriesTest/ignoresNamesThatAreNoTokens fail; after: none. Log lines were safe already: control characters are replaced there.

--- a/Tests/platform/oddentriestest.cpp
+++ b/Tests/platform/oddentriestest.cpp
@@ -10,10 +10,10 @@
 namespace
 {
 
-FeedChange decodeServer(const std::string &value)
+FeedChange decodeServer(const std::string &value, const std::string &id = "i-1")
 {
     FeedEvent event;
-    event.key = "servers/i-1";
+    event.key = "servers/" + id;
     event.value = value;
     return StoreEntryDecoder().decode(event);
 }
@@ -86,6 +86,22 @@
     BOOST_TEST(std::holds_alternative<EndpointUpdate>(decodeServer(serverWith("Address", "\"[::1]:80\""))));
 }
 
+// Guards against an entry whose id ends the header field that names the endpoint, so that the rest of the id becomes a
+// field or a request of its own; and against names that cannot be told apart in a log.
+BOOST_AUTO_TEST_CASE(ignoresNamesThatAreNoTokens)
+{
+    const std::string valid = serverWith("", "");
+    BOOST_TEST(std::holds_alternative<EndpointUpdate>(decodeServer(valid, "i-7f3a91c2")));
+    for (const char *id : { "", "i\r\nX-Lycheewall-Tenant: other", "i 1", "i\t1", "\x7f", "i\xc3\xa9" }) {
+        BOOST_TEST(std::holds_alternative<IgnoredChange>(decodeServer(valid, id)), id);
+    }
+    for (const char *field : { "Service", "Zone" }) {
+        for (const char *name : { "\"\"", "\"a\\nb\"", "\"a b\"", "\"a\\u0000\"" }) {
+            BOOST_TEST(std::holds_alternative<IgnoredChange>(decodeServer(serverWith(field, name))), name);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/soak/endpointstandin.cpp
+++ b/Tests/soak/endpointstandin.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// Share of the requests that are turned away while the endpoint wants none, and mean time of work.
+/// Mean time that an endpoint works on a request.
 constexpr double meanWorkMs = 12;
 /// One in this many requests takes ten times as long.
 constexpr int tailOneIn = 50;
