--- a/Tests/soak/endpointstandin.cpp
+++ b/Tests/soak/endpointstandin.cpp
@@ -48,10 +48,15 @@
     return this->endpointId;
 }
 
-std::string EndpointStandin::entry() const
+std::string EndpointStandin::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->port);
+}
+
+std::string EndpointStandin::entry(const std::string &publishedAddress) const
 {
     const nlohmann::json entry { { "Service", this->service },
-                                 { "Address", "127.0.0.1:" + std::to_string(this->port) },
+                                 { "Address", publishedAddress },
                                  { "Zone", this->zone },
                                  { "Version", "v1" },
                                  { "Slots", 8 },
--- a/Tests/soak/endpointstandin.h
+++ b/Tests/soak/endpointstandin.h
@@ -33,8 +33,11 @@
 
     const std::string &id() const;
 
-    /// The entry in the store.
-    std::string entry() const;
+    /// The address on which the endpoint listens.
+    std::string address() const;
+
+    /// The entry in the store, with the address to which instances connect.
+    std::string entry(const std::string &publishedAddress) const;
 
     /// The signature of the response to an attempt, and its body, which follows from the signature.
     static std::string stampOf(const std::string &attemptId, const std::string &endpoint);
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -1,6 +1,7 @@
 #include "checker.h"
 #include "endpointstandin.h"
 #include "soakfleet.h"
+#include "soakproxy.h"
 #include "storestandin.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -130,27 +131,38 @@
 /// The back ends and the store, which run in a thread of their own.
 struct Surroundings
 {
-    Surroundings(Observations &observations, std::mt19937 &random, int zones)
+    /// With one zone, endpoints make statements. With several, shards are relayed, which does not show which instance
+    /// has sent them, so that statements could not be checked; a proxy disturbs the connections to the endpoints
+    /// instead.
+    Surroundings(Observations &observations, std::mt19937 &random, int zones, const std::string &folder)
         : store(io)
     {
-        this->store.set("op/config", configuration(1));
         for (int service = 0; service <= shardCount; ++service) {
-            const bool isShard = service < shardCount;
-            const std::string name = isShard ? "shard-" + std::to_string(service) : "records";
+            const std::string name = service < shardCount ? "shard-" + std::to_string(service) : "records";
             for (int number = 0; number < endpointsPerShard; ++number) {
-                const std::string id = name + "-" + std::to_string(number);
-                // Relayed shards do not show which instance has sent them, so that statements could not be checked.
                 auto spans = zones == 1 ? drawSpans(random) : std::vector<StatementSpan>();
                 this->endpoints.push_back(std::make_unique<EndpointStandin>(this->io,
                                                                             observations,
-                                                                            id,
+                                                                            name + "-" + std::to_string(number),
                                                                             name,
                                                                             zoneOf(service + number, zones),
                                                                             std::move(spans),
                                                                             static_cast<unsigned>(random())));
-                this->store.set("servers/" + id, this->endpoints.back()->entry());
             }
         }
+        std::vector<std::string> addresses;
+        for (const auto &endpoint : this->endpoints) {
+            addresses.push_back(endpoint->address());
+        }
+        if (zones > 1) {
+            this->proxy = std::make_unique<SoakProxy>(addresses, folder);
+        }
+        this->store.set("op/config", configuration(1));
+        for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+            const EndpointStandin &endpoint = *this->endpoints[index];
+            this->store.set("servers/" + endpoint.id(),
+                            endpoint.entry(this->proxy ? this->proxy->addressOf(index) : endpoint.address()));
+        }
         this->thread = std::thread([this] { this->io.run(); });
     }
 
@@ -164,9 +176,21 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { io.get_executor() };
     StoreStandin store;
     std::vector<std::unique_ptr<EndpointStandin>> endpoints;
+    std::unique_ptr<SoakProxy> proxy;
     std::thread thread;
 };
 
+/// Disturbs the connections to the endpoints in series.
+void disturbConnections(SoakProxy &proxy, unsigned seed, double until)
+{
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> pause(0, 1);
+    while (elapsedSeconds() < until) {
+        std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
+        proxy.disturb(random);
+    }
+}
+
 void disturbAndCall(SoakFleet &fleet, Surroundings &surroundings, Observations &observations, unsigned seed)
 {
     const double until = elapsedSeconds() + FLAGS_seconds;
@@ -181,7 +205,12 @@
     std::thread operatorThread([&] { changeConfiguration(surroundings.io, surroundings.store, seed, until); });
     std::thread evenThread([&] { disturbInstances(fleet, observations, 2 * seed, 0, until); });
     std::thread oddThread([&] { disturbInstances(fleet, observations, 2 * seed + 1, 1, until); });
-    for (std::thread *thread : { &storeThread, &operatorThread, &evenThread, &oddThread }) {
+    std::thread proxyThread([&] {
+        if (surroundings.proxy) {
+            disturbConnections(*surroundings.proxy, seed, until);
+        }
+    });
+    for (std::thread *thread : { &storeThread, &operatorThread, &evenThread, &oddThread, &proxyThread }) {
         thread->join();
     }
     stop = true;
@@ -201,7 +230,7 @@
     // With many zones, some shards have no endpoint in the zone of an instance and are relayed.
     constexpr int manyZones = 4;
     const int zones = seed % 2 == 0 ? 1 : manyZones;
-    Surroundings surroundings(observations, random, zones);
+    Surroundings surroundings(observations, random, zones, folder);
     constexpr int firstNetwork = 20;
     constexpr int networkCount = 200;
     SoakFleet fleet(FLAGS_program,
