--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -135,15 +135,21 @@
         return *this->endpointSender.calls.at(number);
     }
 
-    /// Fills the retry budget of both services.
-    void fillBudget()
+    /// Fills the retry budget of a service, so that the number of attempts is limited by the route alone.
+    void fillBudgetOf(const char *service)
     {
         for (int sent = 0; sent < 100; ++sent) {
-            this->retryBudget.recordFirstAttempt(ServiceId("s1"));
-            this->retryBudget.recordFirstAttempt(ServiceId("s2"));
+            this->retryBudget.recordFirstAttempt(ServiceId(service));
         }
     }
 
+    /// Fills the retry budget of both services.
+    void fillBudget()
+    {
+        this->fillBudgetOf("s1");
+        this->fillBudgetOf("s2");
+    }
+
     ManualClock clock;
     Counters counters;
     Random random { 1 };
--- a/Tests/forwarding/shardrelaytest.cpp
+++ b/Tests/forwarding/shardrelaytest.cpp
@@ -77,9 +77,7 @@
             record.zone = ZoneId("there");
             this->endpoints.addOrUpdate(record, this->clock.now());
         }
-        for (int sent = 0; sent < 100; ++sent) {
-            this->retryBudget.recordFirstAttempt(ServiceId("far1"));
-        }
+        this->fillBudgetOf("far1");
     }
 
     int attemptsAt(const std::string &service) const
@@ -144,9 +142,7 @@
     this->respondFromLocalShards();
     this->clock.advance(Milliseconds(30));
     BOOST_TEST(this->endpointSender.calls.size() == 2U);
-    for (int sent = 0; sent < 100; ++sent) {
-        this->retryBudget.recordFirstAttempt(ServiceId("far1"));
-    }
+    this->fillBudgetOf("far1");
     this->clock.advance(Milliseconds(30));
     BOOST_TEST(this->relay.timeouts == 1);
     BOOST_REQUIRE(this->endpointSender.calls.size() == 3U);
@@ -162,9 +158,7 @@
     second.service = ServiceId("far1");
     second.zone = ZoneId("there");
     this->endpoints.addOrUpdate(second, this->clock.now());
-    for (int sent = 0; sent < 100; ++sent) {
-        this->retryBudget.recordFirstAttempt(ServiceId("far1"));
-    }
+    this->fillBudgetOf("far1");
     this->start();
     this->respondFromLocalShards();
     this->clock.advance(Milliseconds(60));
@@ -178,9 +172,7 @@
 // shard any more.
 BOOST_AUTO_TEST_CASE(refusesWhenNoResponseIsPending)
 {
-    for (int sent = 0; sent < 100; ++sent) {
-        this->retryBudget.recordFirstAttempt(ServiceId("far1"));
-    }
+    this->fillBudgetOf("far1");
     this->start();
     this->respondFromLocalShards();
     this->clock.advance(Milliseconds(60));
@@ -208,9 +200,7 @@
 BOOST_AUTO_TEST_CASE(lateRelayResponseReplacesDirectResponses)
 {
     this->fillBudget();
-    for (int sent = 0; sent < 100; ++sent) {
-        this->retryBudget.recordFirstAttempt(ServiceId("far1"));
-    }
+    this->fillBudgetOf("far1");
     this->start();
     this->clock.advance(Milliseconds(60));
     this->respondFromLocalShards();
