--- a/Tests/soak/soakfleet.cpp
+++ b/Tests/soak/soakfleet.cpp
@@ -178,7 +178,6 @@
     std::uniform_real_distribution<double> duration(0.2, 1.5);
     Integration::Process &process = this->processes[static_cast<std::size_t>(instance)];
     const double from = elapsedSeconds();
-    double recovery = joinSeconds;
     switch (std::uniform_int_distribution<int>(Pause, Restart)(random)) {
     case Pause:
         process.signal(SIGSTOP);
@@ -197,7 +196,7 @@
         this->start(instance);
         break;
     }
-    observations.record(InstanceFault { instance, from, elapsedSeconds() + recovery });
+    observations.record(InstanceFault { instance, from, elapsedSeconds() + joinSeconds });
 }
 
 bool SoakFleet::areAllRunning()
