Membership: Take an instance that leaves as leaving for good

Callers saw: nothing on real links, which keep their order.

Cause: a periodic message that was sent before "leaving" arrives after it. The instance counts as ready until its next message 500 ms later, and its successor does not ask.

Change: a message of the same process that is not "leaving" is ignored after "leaving". A new process counts as usual.

Shown by: MembershipTest/leavingIsFinalForAProcess, fails before.

--- a/Source/membership/peertable.cpp
+++ b/Source/membership/peertable.cpp
@@ -5,6 +5,18 @@
 namespace Lycheewall
 {
 
+namespace
+{
+
+/// True if @p message was sent before @p newest but has arrived later: a process that leaves does not become ready.
+bool isOvertaken(const std::optional<Gossip> &newest, const Gossip &message)
+{
+    return newest && newest->incarnation == message.incarnation && newest->state == InstanceState::Leaving
+        && message.state != InstanceState::Leaving;
+}
+
+}
+
 PeerTable::PeerTable(const Clock &timeSource, InstanceId selfId)
     : clock(timeSource)
     , self(std::move(selfId))
@@ -71,6 +83,10 @@
     if (entry == this->peerById.end()) {
         return;
     }
+    if (isOvertaken(entry->second.said, message)) {
+        this->note(entry->second);
+        return;
+    }
     // The message states everything that is known of a peer, so it replaces what an earlier incarnation said.
     this->dropClaims(peer, entry->second);
     this->note(entry->second);
--- a/Tests/membership/membershiptest.cpp
+++ b/Tests/membership/membershiptest.cpp
@@ -148,6 +148,21 @@
     BOOST_TEST(table.peers.ready().size() == 2U);
 }
 
+// Guards against an instance that counts as ready after it has said that it leaves, because an earlier message arrives
+// late: its resources would have no owner until its next message.
+BOOST_AUTO_TEST_CASE(leavingIsFinalForAProcess)
+{
+    Table table;
+    Gossip leaving = readyGossip("a", {});
+    leaving.state = InstanceState::Leaving;
+    table.peers.gossip(one, leaving);
+    table.peers.gossip(one, readyGossip("a", { resource }));
+    BOOST_TEST((table.peers.health(one) == PeerHealth::Leaving));
+    BOOST_TEST(!table.peers.mayOwn(one));
+    table.peers.gossip(one, readyGossip("b", {}));
+    BOOST_TEST(table.peers.mayOwn(one));
+}
+
 BOOST_AUTO_TEST_CASE(newestVersionAndItsPeer)
 {
     Table table;
