Forwarding: Apply what endpoints say of themselves in one module

What a statement does to an endpoint (rate limit, backoff with its random part, leaving, log lines, counters) stood in the connection pool, which has nothing else to do with it. It moves to EndpointStatementHandler, which needs no sockets. The question whether an endpoint wants no request at all stood twice and is now ServiceEndpoint::wantsNoRequests().

Behaviour as before; tests of forwarding, gateway and fleet pass.

--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -33,6 +33,11 @@
     return this->rateLimit.canSend(fleetShare, now) && this->backoff.canSend(this->stats.inFlight(), now);
 }
 
+bool ServiceEndpoint::wantsNoRequests(TimePoint now) const
+{
+    return this->leaving || this->backoff.isWaiting(now);
+}
+
 Duration ServiceEndpoint::throttleWaitTime(double fleetShare, TimePoint now) const
 {
     return std::max(this->rateLimit.waitTime(fleetShare, now), this->backoff.waitTime(this->stats.inFlight(), now));
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -49,6 +49,9 @@
     /// True if the endpoint takes a request now. @p fleetShare is this instance's share of fleet-wide limits.
     bool acceptsRequest(double fleetShare, TimePoint now) const;
 
+    /// True if the endpoint wants no requests at all now: it shuts down, or it has turned one away and named a time.
+    bool wantsNoRequests(TimePoint now) const;
+
     /// Time until acceptsRequest() can become true; zero if it is.
     Duration throttleWaitTime(double fleetShare, TimePoint now) const;
 
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -1,6 +1,5 @@
 #include "gateway/endpointconnectionpool.h"
 
-#include "core/log.h"
 #include "runtime/socketaddress.h"
 
 #include <algorithm>
@@ -19,20 +18,6 @@
 /// A non-idempotent request is not sent on a connection that was idle for longer: the endpoint may be closing it at
 /// that moment, and then it is unknown whether the request ran.
 constexpr Duration maximumNonIdempotentIdle = Milliseconds(500);
-/// A backoff is extended by a random time of up to this, and at most twice the time that the endpoint named.
-constexpr Duration maxBackoffSpread = Milliseconds(500);
-
-Log &logger()
-{
-    static Log &log = Log::component("endpoint");
-    return log;
-}
-
-std::string describe(const ServiceEndpoint &endpoint)
-{
-    return "Endpoint " + endpoint.record.id.value() + " of " + endpoint.record.service.value();
-}
-
 }
 
 class EndpointConnectionPool::PooledCall : public OutgoingCall, public std::enable_shared_from_this<PooledCall>
@@ -73,13 +58,13 @@
                                                const Clock &poolClock,
                                                TimerService &timerService,
                                                Counters &poolCounters,
-                                               Random &randomNumbers,
+                                               EndpointStatementHandler &endpointStatementHandler,
                                                const EndpointCodec &endpointCodec)
     : io(ioContext)
     , clock(poolClock)
     , timers(timerService)
     , counters(poolCounters)
-    , random(randomNumbers)
+    , statementHandler(endpointStatementHandler)
     , codec(endpointCodec)
 {
 }
@@ -254,69 +239,12 @@
     if (info.remainingWarmup) {
         endpoint.coldUntil = now + *info.remainingWarmup;
     }
-    for (const std::string &field : info.statement.malformedFields) {
-        this->counters.counter("lycheewall_endpoint_bad_statements_total").add();
-        logger().warn(describe(endpoint) + " has sent an invalid value of " + field + "; it is ignored.");
-    }
-    this->updateRateLimit(endpoint, info.statement.rateLimit, call.sentAt);
-    this->updateBackoff(endpoint, outcome, info.statement.retryAfter, call.sentAt);
-    this->updateLeaving(endpoint, info.statement.isLeaving);
-    if (endpoint.leaving || endpoint.backoff.isWaiting(now)) {
+    this->statementHandler.apply(endpoint, info.statement, call.sentAt, outcome.result == CallResult::Answered);
+    if (endpoint.wantsNoRequests(now)) {
         this->failQueuedCalls(connections);
     }
 }
 
-void EndpointConnectionPool::updateRateLimit(ServiceEndpoint &endpoint,
-                                             const RateLimitStatement &statement,
-                                             TimePoint sentAt)
-{
-    switch (endpoint.rateLimit.apply(statement, sentAt, this->clock.now())) {
-    case EndpointRateLimit::Change::Began:
-        this->counters.counter("lycheewall_endpoint_limits_total").add();
-        logger().info(describe(endpoint) + " takes at most " + std::to_string(endpoint.rateLimit.requestsPerSecond())
-                      + " requests per second from all instances.");
-        return;
-    case EndpointRateLimit::Change::Ended:
-        logger().info(describe(endpoint) + " names no rate limit any more.");
-        return;
-    case EndpointRateLimit::Change::None:
-        return;
-    }
-}
-
-void EndpointConnectionPool::updateBackoff(ServiceEndpoint &endpoint,
-                                           const CallOutcome &outcome,
-                                           std::optional<Duration> retryAfter,
-                                           TimePoint sentAt)
-{
-    const bool wasActive = endpoint.backoff.isActive();
-    if (retryAfter) {
-        // The random part keeps the instances from returning at the same moment.
-        const Duration spread = fromSeconds(
-            this->random.uniformReal() * std::min(fractionalSeconds(maxBackoffSpread), fractionalSeconds(*retryAfter)));
-        endpoint.backoff.start(*retryAfter + spread, this->clock.now());
-    } else if (outcome.result == CallResult::Answered) {
-        endpoint.backoff.requestServed(sentAt);
-    }
-    if (!wasActive && endpoint.backoff.isActive()) {
-        this->counters.counter("lycheewall_endpoint_backoffs_total").add();
-        logger().info(describe(endpoint) + " wants no requests of this instance for "
-                      + std::to_string(toMilliseconds(*retryAfter)) + " ms.");
-    } else if (wasActive && !endpoint.backoff.isActive()) {
-        logger().info(describe(endpoint) + " is used as before its backoff.");
-    }
-}
-
-void EndpointConnectionPool::updateLeaving(ServiceEndpoint &endpoint, bool isLeaving)
-{
-    if (!isLeaving || endpoint.leaving) {
-        return;
-    }
-    endpoint.leaving = true;
-    this->counters.counter("lycheewall_endpoint_leaving_total").add();
-    logger().info(describe(endpoint) + " says that it shuts down and gets no new requests.");
-}
-
 void EndpointConnectionPool::failQueuedCalls(EndpointConnections &connections)
 {
     for (const CallPtr &call : std::exchange(connections.queued, {})) {
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/counters.h"
-#include "core/random.h"
 #include "core/timerservice.h"
+#include "forwarding/endpointstatementhandler.h"
 #include "gateway/endpointconnection.h"
 
 #include <deque>
@@ -24,7 +24,7 @@
                            const Clock &clock,
                            TimerService &timers,
                            Counters &counters,
-                           Random &random,
+                           EndpointStatementHandler &statementHandler,
                            const EndpointCodec &codec);
     ~EndpointConnectionPool() override;
 
@@ -76,12 +76,6 @@
                         const PooledCall &call,
                         const CallOutcome &outcome,
                         const EndpointResponseMetadata &info);
-    void updateRateLimit(ServiceEndpoint &endpoint, const RateLimitStatement &statement, TimePoint sentAt);
-    void updateBackoff(ServiceEndpoint &endpoint,
-                       const CallOutcome &outcome,
-                       std::optional<Duration> retryAfter,
-                       TimePoint sentAt);
-    void updateLeaving(ServiceEndpoint &endpoint, bool isLeaving);
     /// Ends the calls that wait for a connection, as not sent, so that they are sent to other endpoints.
     void failQueuedCalls(EndpointConnections &connections);
     void unregister(const ConnectionPtr &connection);
@@ -92,7 +86,7 @@
     const Clock &clock;
     TimerService &timers;
     Counters &counters;
-    Random &random;
+    EndpointStatementHandler &statementHandler;
     const EndpointCodec &codec;
     /// Connections may outlive the pool in handlers of the event loop.
     std::shared_ptr<ResponseMemory> responseMemory = std::make_shared<ResponseMemory>();
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -92,6 +92,7 @@
     Random random;
     EndpointSet endpoints;
     EndpointChooser chooser;
+    EndpointStatementHandler statementHandler;
     EndpointConnectionPool pool;
     FleetRetryBudget retryBudget;
     LatencyModel latencies;
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -95,7 +95,8 @@
     Counters counters;
     Random random { 1 };
     TestEndpointCodec codec;
-    EndpointConnectionPool pool { io, clock, timers, counters, random, codec };
+    EndpointStatementHandler statementHandler { clock, counters, random };
+    EndpointConnectionPool pool { io, clock, timers, counters, statementHandler, codec };
     EndpointPtr endpoint = std::make_shared<ServiceEndpoint>();
     std::unique_ptr<RawHttpServer> server;
     std::vector<CallOutcome> outcomes;
