Forwarding: Look at the throttling of a shard once

EndpointChooser had three methods that each went over the endpoints of a service, two of them twice a query and shard. They become one, throttling(). The smallest number of shards of a reply was computed in two places with two tolerances; it is now Route::requiredShards(). ServiceCall::hasSent() repeated what the history of attempts says.

One change that operators see: a shard left out because its endpoints have asked for fewer requests was counted and logged as queue-full. It has its own reason now. ThrottledEndpointTest/countsShardLeftOutAsThrottled; before, the counter had no reason at all.

--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -1,7 +1,6 @@
 #include "forwarding/endpointchooser.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace Lycheewall
 {
@@ -76,55 +75,27 @@
     return best;
 }
 
-std::vector<EndpointPtr> EndpointChooser::availableEndpoints(const ServiceId &service) const
+ServiceThrottling EndpointChooser::throttling(const ServiceId &service, TimePoint now) const
 {
-    std::vector<EndpointPtr> result;
-    for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
-        if (this->endpoints.isAvailable(*endpoint)) {
-            result.push_back(endpoint);
-        }
-    }
-    return result;
-}
-
-bool EndpointChooser::isThrottled(const ServiceId &service) const
-{
-    bool isAnyAvailable = false;
+    const double share = this->endpoints.fleetShare();
+    int availableCount = 0;
+    double fillLevelSum = 0;
+    Duration shortestWait = Duration::max();
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
         if (!this->endpoints.isAvailable(*endpoint)) {
             continue;
         }
         if (!endpoint->isThrottled()) {
-            return false;
+            return {};
         }
-        isAnyAvailable = true;
-    }
-    return isAnyAvailable;
-}
-
-Duration EndpointChooser::throttleWaitTime(const ServiceId &service, TimePoint now) const
-{
-    if (!this->isThrottled(service)) {
-        return Duration::zero();
-    }
-    Duration shortest = Duration::max();
-    for (const EndpointPtr &endpoint : this->availableEndpoints(service)) {
-        shortest = std::min(shortest, endpoint->throttleWaitTime(this->endpoints.fleetShare(), now));
+        ++availableCount;
+        fillLevelSum += endpoint->fillLevel(share, now);
+        shortestWait = std::min(shortestWait, endpoint->throttleWaitTime(share, now));
     }
-    return shortest;
-}
-
-double EndpointChooser::throttleFillLevel(const ServiceId &service, TimePoint now) const
-{
-    if (!this->isThrottled(service)) {
-        return 1;
+    if (availableCount == 0) {
+        return {};
     }
-    const std::vector<EndpointPtr> available = this->availableEndpoints(service);
-    const double sum = std::accumulate(
-        available.begin(), available.end(), 0.0, [this, now](double total, const EndpointPtr &endpoint) {
-            return total + endpoint->fillLevel(this->endpoints.fleetShare(), now);
-        });
-    return sum / static_cast<double>(available.size());
+    return { true, shortestWait, fillLevelSum / availableCount };
 }
 
 bool EndpointChooser::hasHealthyLocalEndpoint(const ServiceId &service, TimePoint now) const
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -20,6 +20,17 @@
     double minFillLevel = 0;
 };
 
+/// How far the endpoints of a service have asked for fewer requests.
+struct ServiceThrottling
+{
+    /// True if all available endpoints have asked for fewer requests, and at least one is available.
+    bool isThrottled = false;
+    /// If throttled: the time until an endpoint takes another request of this instance; zero if one takes it now.
+    Duration waitTime {};
+    /// If throttled: mean fill level (see ServiceEndpoint::fillLevel()) of the available endpoints; otherwise 1.
+    double fillLevel = 1;
+};
+
 /**
  * Selects the endpoint with the lowest estimated cost. The cost adds up the estimated latency, the load (own requests
  * and reported load), stalled requests in flight, recent failures, and a penalty for endpoints in another availability
@@ -41,16 +52,8 @@
     std::optional<Duration>
     lowestEstimatedLatency(const ServiceId &service, Duration typicalLatency, TimePoint now) const;
 
-    /// Time until an available endpoint of the service takes another request of this instance, if all of them have
-    /// asked for fewer; zero if one takes it now or none is available.
-    Duration throttleWaitTime(const ServiceId &service, TimePoint now) const;
-
-    /// Mean fill level (see ServiceEndpoint) of the available endpoints of the service; 1 if one of them is not
-    /// throttled, or none is available.
-    double throttleFillLevel(const ServiceId &service, TimePoint now) const;
-
-    /// True if all available endpoints of the service have asked for fewer requests.
-    bool isThrottled(const ServiceId &service) const;
+    /// How far the available endpoints of the service have asked for fewer requests.
+    ServiceThrottling throttling(const ServiceId &service, TimePoint now) const;
 
     /// True if the service has an available endpoint in this zone that is neither suspect nor ejected.
     bool hasHealthyLocalEndpoint(const ServiceId &service, TimePoint now) const;
@@ -62,7 +65,6 @@
     static Duration estimatedLatency(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now);
 
 private:
-    std::vector<EndpointPtr> availableEndpoints(const ServiceId &service) const;
     double cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const;
 
     const EndpointSet &endpoints;
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -2,7 +2,6 @@
 
 #include "forwarding/forwardingtimes.h"
 #include "forwarding/refusalreply.h"
-#include "forwarding/shardselection.h"
 #include "forwarding/topmerge.h"
 
 #include <algorithm>
@@ -17,8 +16,6 @@
 /// of the latency objective after which its responses are not waited for any more.
 constexpr Duration relayHedgeInterval = Milliseconds(10);
 constexpr int relayDeadlineObjectives = 2;
-/// Tolerates rounding errors when shard ratios are compared.
-constexpr double ratioTolerance = 1e-9;
 
 }
 
@@ -55,10 +52,12 @@
     }
     this->startRelay(selection.skipped);
     for (std::size_t shard = 0; shard < this->shardStates.size() && !this->finished; ++shard) {
-        if (selection.skipped.count(shard) > 0) {
-            this->context.counters.counter("lycheewall_forwarding_parts_not_asked_total").add();
+        const auto skipped = selection.skipped.find(shard);
+        if (skipped != selection.skipped.end()) {
+            this->context.counters.counter("lycheewall_forwarding_parts_not_asked_total", refusalCode(skipped->second))
+                .add();
             ServiceResult result;
-            result.reason = Refusal::QueueFull;
+            result.reason = skipped->second;
             this->handleShardResult(shard, result);
         } else if (this->relayedShards.count(shard) == 0) {
             this->startShardCall(shard, false);
@@ -94,7 +93,7 @@
     this->calls[shard] = std::move(call);
 }
 
-void FanoutExchange::startRelay(const std::set<std::size_t> &skipped)
+void FanoutExchange::startRelay(const SkippedShards &skipped)
 {
     // The relaying instance and this one share the route's maximum number of attempts.
     if (this->context.relay == nullptr || this->request.route->maxAttempts < 2) {
@@ -106,7 +105,7 @@
     for (std::size_t shard = 0; shard < shards.size(); ++shard) {
         const bool hasLocalEndpoint = this->context.chooser.hasHealthyLocalEndpoint(shards[shard], now);
         // This instance has a share of its own of the rate that the endpoints take.
-        const bool isThrottled = this->context.chooser.isThrottled(shards[shard]);
+        const bool isThrottled = this->context.chooser.throttling(shards[shard], now).isThrottled;
         if (skipped.count(shard) == 0 && !hasLocalEndpoint && !isThrottled) {
             remoteShards.push_back(shards[shard]);
         }
@@ -214,7 +213,7 @@
 
 bool FanoutExchange::canHedgeShard(std::size_t shard) const
 {
-    const bool wasSent = this->calls[shard] && this->calls[shard]->hasSent();
+    const bool wasSent = this->targets[shard].attempts->sent > 0;
     return this->shardStates[shard] == ShardState::Pending && !this->isCallInFlight(shard) && !wasSent;
 }
 
@@ -313,21 +312,14 @@
     }
 }
 
-bool FanoutExchange::meetsRequiredCoverage(std::size_t shardCount) const
-{
-    const auto shardTotal = static_cast<double>(this->shardResponses.size());
-    return shardCount > 0
-        && static_cast<double>(shardCount) / shardTotal + ratioTolerance >= this->request.route->minShardRatio;
-}
-
 bool FanoutExchange::hasRequiredCoverage() const
 {
-    return this->meetsRequiredCoverage(this->succeededCount);
+    return this->succeededCount >= this->request.route->requiredShards();
 }
 
 bool FanoutExchange::canReachRequiredCoverage() const
 {
-    return this->meetsRequiredCoverage(this->shardResponses.size() - this->failedCount);
+    return this->shardResponses.size() - this->failedCount >= this->request.route->requiredShards();
 }
 
 void FanoutExchange::handleObjective()
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/exchange.h"
 #include "forwarding/servicecall.h"
+#include "forwarding/shardselection.h"
 
 #include <set>
 
@@ -32,7 +33,7 @@
 
     void startShardRequests();
     void startShardCall(std::size_t shard, bool isHedge);
-    void startRelay(const std::set<std::size_t> &skipped);
+    void startRelay(const SkippedShards &skipped);
     void handleRelayResponse(const RelayResponse &response);
     void handleRelayTimeout();
     void hedgeRelayedShards();
@@ -51,8 +52,6 @@
     void replyIfComplete();
     void handleObjective();
     void handleDeadline();
-    /// True if responses of @p shardCount shards reach the coverage that the route requires.
-    bool meetsRequiredCoverage(std::size_t shardCount) const;
     bool hasRequiredCoverage() const;
     bool canReachRequiredCoverage() const;
     void replyMerged();
--- a/Source/forwarding/routetable.cpp
+++ b/Source/forwarding/routetable.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/routetable.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Lycheewall
 {
@@ -8,6 +9,9 @@
 namespace
 {
 
+/// Tolerates rounding errors when the ratio of shards is converted to a number of shards.
+constexpr double shardCountTolerance = 1e-9;
+
 class RouteTableCategory : public std::error_category
 {
 public:
@@ -53,6 +57,12 @@
 
 }
 
+std::size_t Route::requiredShards() const
+{
+    const double required = this->minShardRatio * static_cast<double>(this->shards.size());
+    return static_cast<std::size_t>(std::max(1.0, std::ceil(required - shardCountTolerance)));
+}
+
 std::error_code make_error_code(RouteTableError error)
 {
     static const RouteTableCategory category;
--- a/Source/forwarding/routetable.h
+++ b/Source/forwarding/routetable.h
@@ -54,6 +54,9 @@
     double minShardRatio = 1;
     /// True if callers need no API key.
     bool isPublic = false;
+
+    /// Smallest number of shards whose responses suffice for a reply, at least 1. Precondition: shards is not empty.
+    std::size_t requiredShards() const;
 };
 
 /// Properties that all endpoints of a service share.
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -116,7 +116,7 @@
 
 void ServiceCall::finishUnsent()
 {
-    const Duration wait = this->context.chooser.throttleWaitTime(this->service, this->context.clock.now());
+    const Duration wait = this->context.chooser.throttling(this->service, this->context.clock.now()).waitTime;
     this->lastResult.reason = Refusal::EndpointUnavailable;
     if (wait > Duration::zero()) {
         this->lastResult.reason = Refusal::EndpointThrottled;
@@ -183,7 +183,6 @@
     this->attempts.push_back(attempt);
     this->history->endpoints.push_back(endpoint->record.id);
     ++this->history->sent;
-    ++this->attemptsSent;
     const bool nonIdempotent = this->request.route->idempotency == Idempotency::NonIdempotent;
     const EndpointCall call { endpoint,      this->request.request,  this->request.organisation, this->request.deadline,
                               nonIdempotent, this->connectionLimit() };
@@ -223,7 +222,6 @@
         return;
     }
     if (outcome.result == CallResult::NotSent) {
-        --this->attemptsSent;
         --this->history->sent;
         if (attempt->usesBudget) {
             this->context.retryBudget.refund(this->service);
@@ -252,7 +250,7 @@
         return;
     case CallResult::NotSent:
         // The endpoint has asked for fewer requests while this one waited for a connection; it has not failed.
-        if (attempt.endpoint->leaving || attempt.endpoint->backoff.isWaiting(now)) {
+        if (attempt.endpoint->wantsNoRequests(now)) {
             stats.requestCancelled(attempt.token, now);
             return;
         }
@@ -347,11 +345,6 @@
     return this->finished;
 }
 
-bool ServiceCall::hasSent() const
-{
-    return this->attemptsSent > 0;
-}
-
 std::string ServiceCall::describe() const
 {
     const TimePoint now = this->context.clock.now();
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -91,9 +91,6 @@
     /// True once the result was delivered or the call was cancelled.
     bool isFinished() const;
 
-    /// True if an attempt was sent, so that the request may have reached an endpoint.
-    bool hasSent() const;
-
     /// Text for a log line: for each attempt so far, the endpoint, the time since its start in ms and its state.
     std::string describe() const;
 
@@ -145,8 +142,6 @@
     /// Endpoints of the zone in which another instance may have sent the request.
     std::vector<EndpointId> otherZoneEndpoints;
     bool isHedge = false;
-    /// Attempts of this call alone.
-    int attemptsSent = 0;
     bool finished = false;
     ServiceResult lastResult;
     Subscription hedgeTimer;
--- a/Tests/forwarding/throttledendpointtest.cpp
+++ b/Tests/forwarding/throttledendpointtest.cpp
@@ -156,6 +156,21 @@
     });
 }
 
+// Guards against logs and counters that name a full queue where an endpoint has asked for fewer requests.
+BOOST_AUTO_TEST_CASE(countsShardLeftOutAsThrottled)
+{
+    ThrottledFixture fixture;
+    fixture.routeToShards(0.5);
+    fixture.throttle("backoff", "s2a");
+    fixture.throttle("backoff", "s2b");
+    fixture.start();
+    const auto count = [&fixture](Refusal reason) {
+        return fixture.counters.counter("lycheewall_forwarding_parts_not_asked_total", refusalCode(reason)).value();
+    };
+    BOOST_TEST(count(Refusal::EndpointThrottled) == 1U);
+    BOOST_TEST(count(Refusal::QueueFull) == 0U);
+}
+
 // Guards against an endpoint that counts as failed because requests that waited for a connection to it were withdrawn.
 BOOST_AUTO_TEST_CASE(withdrawnRequestsAreNoFailures)
 {
