Fleet: Share the rate limits of endpoints by the callers' requests

Callers saw: when a shard's endpoints all name a limit, instances with many callers refused queries while the shares of instances with few callers stayed unused.

Cause: even shares of each limit, 1 / number of instances.

Ruled out: shares by the admitted requests of the organisations, which messages carry already: organisations without a limit and public routes are not in them. Passing the limits on: an instance learns them from its first response anyway.

Change: messages between instances state the requests per second of their callers (an average over 2 s). A tenth of a limit is shared evenly, the rest by these rates.

Why it works: all instances divide by the same sum, so the shares add up to one but for the age of the reports (0.5 s against an average over 2 s), and the rule leaves a margin of half the limit.

--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -137,6 +137,7 @@
     message.feedAgeMs = age == Duration::max() ? -1 : toMilliseconds(age);
     message.readsStore = this->context.readsStore();
     message.cpuUsage = this->context.cpuUsage();
+    message.requestsPerSecond = this->context.requestsPerSecond();
     message.requestsAddresses = !this->hasJoined();
     message.usage = this->context.quota.recentUsage();
     message.slowEndpoints = this->context.endpoints.locallySlowEndpoints(this->context.clock.now());
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -64,6 +64,8 @@
         std::function<void()> fleetChanged;
         /// Returns the CPU usage of this instance.
         std::function<CpuUsage()> cpuUsage;
+        /// Returns the requests per second of this instance's callers.
+        std::function<double()> requestsPerSecond;
         /// Returns true while this instance reads the store itself.
         std::function<bool()> readsStore;
     };
--- a/Source/fleet/gossipmessage.cpp
+++ b/Source/fleet/gossipmessage.cpp
@@ -45,6 +45,9 @@
     return list;
 }
 
+/// Request rates are encoded as whole tenths.
+constexpr double rateUnitsPerRequest = 10;
+
 /// CBOR encodes integers in fewer bytes than floating-point numbers.
 std::int64_t toThousandths(double value)
 {
@@ -64,6 +67,9 @@
                 { "p", message.peerAddress },  { "a", message.feedAgeMs } };
     json["m"]
         = Json::array({ toThousandths(message.cpuUsage.availableCores), toThousandths(message.cpuUsage.usedCores) });
+    if (message.requestsPerSecond) {
+        json["m"].push_back(std::llround(rateUnitsPerRequest * *message.requestsPerSecond));
+    }
     if (message.readsStore) {
         json["r"] = true;
     }
@@ -99,6 +105,9 @@
     message.peerAddress = json.at("p").get<std::string>();
     message.feedAgeMs = json.at("a").get<std::int64_t>();
     message.cpuUsage = { fromThousandths(json.at("m").at(0)), fromThousandths(json.at("m").at(1)) };
+    if (json.at("m").size() > 2) {
+        message.requestsPerSecond = json.at("m").at(2).get<std::uint64_t>() / rateUnitsPerRequest;
+    }
     message.readsStore = json.value("r", false);
     message.requestsAddresses = json.value("j", false);
     message.requestsReply = json.value("q", false);
--- a/Source/fleet/gossipmessage.h
+++ b/Source/fleet/gossipmessage.h
@@ -39,6 +39,8 @@
     std::int64_t feedAgeMs = -1;
     bool readsStore = false;
     CpuUsage cpuUsage;
+    /// Requests per second of the instance's callers; std::nullopt if it does not report them.
+    std::optional<double> requestsPerSecond;
     /// Requests a response that lists known peer addresses.
     bool requestsAddresses = false;
     /// Requests a response.
--- a/Source/fleet/membertable.cpp
+++ b/Source/fleet/membertable.cpp
@@ -141,4 +141,16 @@
     return this->members.size() + 1;
 }
 
+std::optional<double> MemberTable::totalRequestRate() const
+{
+    double total = 0;
+    for (const auto &[id, member] : this->members) {
+        if (!member.lastMessage.requestsPerSecond) {
+            return std::nullopt;
+        }
+        total += *member.lastMessage.requestsPerSecond;
+    }
+    return total;
+}
+
 }
--- a/Source/fleet/membertable.h
+++ b/Source/fleet/membertable.h
@@ -69,6 +69,10 @@
     std::size_t liveCount() const;
     std::size_t knownCount() const;
 
+    /// Requests per second of all other instances that may still run, by their last messages; std::nullopt if one of
+    /// them does not report its rate.
+    std::optional<double> totalRequestRate() const;
+
 private:
     Duration unreachableTimeout() const;
     bool isApplicable(const GossipMessage &message, Duration age) const;
--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -47,7 +47,7 @@
         if (!this->endpoints.isAvailable(*endpoint) || contains(criteria.excluded, endpoint->record.id)) {
             continue;
         }
-        const double share = this->endpoints.fleetShare();
+        const double share = this->endpoints.rateLimitShare();
         if (!endpoint->acceptsRequest(share, now) || endpoint->fillLevel(share, now) < criteria.minFillLevel) {
             continue;
         }
@@ -77,7 +77,7 @@
 
 ServiceThrottling EndpointChooser::throttling(const ServiceId &service, TimePoint now) const
 {
-    const double share = this->endpoints.fleetShare();
+    const double share = this->endpoints.rateLimitShare();
     int availableCount = 0;
     double fillLevelSum = 0;
     Duration shortestWait = Duration::max();
--- a/Source/forwarding/endpointratelimit.cpp
+++ b/Source/forwarding/endpointratelimit.cpp
@@ -49,46 +49,46 @@
     return *this->limit;
 }
 
-double EndpointRateLimit::refillRate(double fleetShare) const
+double EndpointRateLimit::refillRate(double share) const
 {
-    return std::max(*this->limit, minRequestsPerSecond) * fleetShare;
+    return std::max(*this->limit, minRequestsPerSecond) * share;
 }
 
-double EndpointRateLimit::capacity(double fleetShare) const
+double EndpointRateLimit::capacity(double share) const
 {
-    return std::max(1.0, burstSeconds * this->refillRate(fleetShare));
+    return std::max(1.0, burstSeconds * this->refillRate(share));
 }
 
-double EndpointRateLimit::availableTokens(double fleetShare, TimePoint now) const
+double EndpointRateLimit::availableTokens(double share, TimePoint now) const
 {
-    const double refilled = fractionalSeconds(now - this->refilledAt) * this->refillRate(fleetShare);
-    return std::min(this->tokens + refilled, this->capacity(fleetShare));
+    const double refilled = fractionalSeconds(now - this->refilledAt) * this->refillRate(share);
+    return std::min(this->tokens + refilled, this->capacity(share));
 }
 
-bool EndpointRateLimit::canSend(double fleetShare, TimePoint now) const
+bool EndpointRateLimit::canSend(double share, TimePoint now) const
 {
-    return !this->limit || this->availableTokens(fleetShare, now) >= 1;
+    return !this->limit || this->availableTokens(share, now) >= 1;
 }
 
-double EndpointRateLimit::fillLevel(double fleetShare, TimePoint now) const
+double EndpointRateLimit::fillLevel(double share, TimePoint now) const
 {
-    return this->limit ? this->availableTokens(fleetShare, now) / this->capacity(fleetShare) : 1;
+    return this->limit ? this->availableTokens(share, now) / this->capacity(share) : 1;
 }
 
-Duration EndpointRateLimit::waitTime(double fleetShare, TimePoint now) const
+Duration EndpointRateLimit::waitTime(double share, TimePoint now) const
 {
-    if (this->canSend(fleetShare, now)) {
+    if (this->canSend(share, now)) {
         return Duration::zero();
     }
-    return fromSeconds((1 - this->availableTokens(fleetShare, now)) / this->refillRate(fleetShare));
+    return fromSeconds((1 - this->availableTokens(share, now)) / this->refillRate(share));
 }
 
-void EndpointRateLimit::take(double fleetShare, TimePoint now)
+void EndpointRateLimit::take(double share, TimePoint now)
 {
     if (!this->limit) {
         return;
     }
-    this->tokens = this->availableTokens(fleetShare, now) - 1;
+    this->tokens = this->availableTokens(share, now) - 1;
     this->refilledAt = now;
 }
 
--- a/Source/forwarding/endpointratelimit.h
+++ b/Source/forwarding/endpointratelimit.h
@@ -36,24 +36,23 @@
     /// The limit of the endpoint over the whole fleet, in requests per second. Precondition: isLimited().
     double requestsPerSecond() const;
 
-    /// True if a request may be sent now. @p fleetShare is this instance's share of fleet-wide limits, above 0 and at
-    /// most 1.
-    bool canSend(double fleetShare, TimePoint now) const;
+    /// True if a request may be sent now. @p share is this instance's share of the limit, above 0 and at most 1.
+    bool canSend(double share, TimePoint now) const;
 
     /// Tokens available now, relative to a full bucket; 1 without a limit.
-    double fillLevel(double fleetShare, TimePoint now) const;
+    double fillLevel(double share, TimePoint now) const;
 
     /// Time until canSend() becomes true if nothing is sent.
-    Duration waitTime(double fleetShare, TimePoint now) const;
+    Duration waitTime(double share, TimePoint now) const;
 
     /// Takes a token for a request that is sent now. Without a limit, nothing is counted.
-    void take(double fleetShare, TimePoint now);
+    void take(double share, TimePoint now);
 
 private:
     /// Tokens per second of this instance.
-    double refillRate(double fleetShare) const;
-    double capacity(double fleetShare) const;
-    double availableTokens(double fleetShare, TimePoint now) const;
+    double refillRate(double share) const;
+    double capacity(double share) const;
+    double availableTokens(double share, TimePoint now) const;
 
     std::optional<double> limit;
     TimePoint namedAt;
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -28,9 +28,9 @@
     return this->rateLimit.isLimited() || this->backoff.isActive();
 }
 
-bool ServiceEndpoint::acceptsRequest(double fleetShare, TimePoint now) const
+bool ServiceEndpoint::acceptsRequest(double rateLimitShare, TimePoint now) const
 {
-    return this->rateLimit.canSend(fleetShare, now) && this->backoff.canSend(this->stats.inFlight(), now);
+    return this->rateLimit.canSend(rateLimitShare, now) && this->backoff.canSend(this->stats.inFlight(), now);
 }
 
 bool ServiceEndpoint::wantsNoRequests(TimePoint now) const
@@ -38,14 +38,14 @@
     return this->leaving || this->backoff.isWaiting(now);
 }
 
-Duration ServiceEndpoint::throttleWaitTime(double fleetShare, TimePoint now) const
+Duration ServiceEndpoint::throttleWaitTime(double rateLimitShare, TimePoint now) const
 {
-    return std::max(this->rateLimit.waitTime(fleetShare, now), this->backoff.waitTime(this->stats.inFlight(), now));
+    return std::max(this->rateLimit.waitTime(rateLimitShare, now), this->backoff.waitTime(this->stats.inFlight(), now));
 }
 
-double ServiceEndpoint::fillLevel(double fleetShare, TimePoint now) const
+double ServiceEndpoint::fillLevel(double rateLimitShare, TimePoint now) const
 {
-    return this->backoff.canSend(this->stats.inFlight(), now) ? this->rateLimit.fillLevel(fleetShare, now) : 0;
+    return this->backoff.canSend(this->stats.inFlight(), now) ? this->rateLimit.fillLevel(rateLimitShare, now) : 0;
 }
 
 void EndpointSet::addOrUpdate(const EndpointRecord &record, TimePoint now)
@@ -127,6 +127,16 @@
     return this->ownFleetShare;
 }
 
+void EndpointSet::setRateLimitShare(double share)
+{
+    this->ownRateLimitShare = share;
+}
+
+double EndpointSet::rateLimitShare() const
+{
+    return this->ownRateLimitShare;
+}
+
 std::vector<SlowEndpoint> EndpointSet::locallySlowEndpoints(TimePoint now) const
 {
     std::vector<SlowEndpoint> slowEndpoints;
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -46,17 +46,17 @@
     /// True if the endpoint has asked for fewer requests, by a rate limit or a backoff.
     bool isThrottled() const;
 
-    /// True if the endpoint takes a request now. @p fleetShare is this instance's share of fleet-wide limits.
-    bool acceptsRequest(double fleetShare, TimePoint now) const;
+    /// True if the endpoint takes a request now. @p rateLimitShare is this instance's share of the rate limits.
+    bool acceptsRequest(double rateLimitShare, TimePoint now) const;
 
     /// True if the endpoint wants no requests at all now: it shuts down, or it has turned one away and named a time.
     bool wantsNoRequests(TimePoint now) const;
 
     /// Time until acceptsRequest() can become true; zero if it is.
-    Duration throttleWaitTime(double fleetShare, TimePoint now) const;
+    Duration throttleWaitTime(double rateLimitShare, TimePoint now) const;
 
     /// See EndpointRateLimit::fillLevel(); 0 while the backoff allows no request.
-    double fillLevel(double fleetShare, TimePoint now) const;
+    double fillLevel(double rateLimitShare, TimePoint now) const;
 };
 using EndpointPtr = std::shared_ptr<ServiceEndpoint>;
 
@@ -95,10 +95,15 @@
 
     std::size_t size() const;
 
-    /// Sets this instance's share of the fleet-wide connection and rate limits of each endpoint, above 0 and at most 1.
+    /// Sets this instance's share of the connections that each endpoint accepts from the whole fleet, above 0 and at
+    /// most 1.
     void setFleetShare(double share);
     double fleetShare() const;
 
+    /// Sets this instance's share of the rate limits that endpoints name for the whole fleet, above 0 and at most 1.
+    void setRateLimitShare(double share);
+    double rateLimitShare() const;
+
     /// Endpoints that this instance has recently observed to be slow, as reports for the other instances. Their number
     /// is bounded.
     std::vector<SlowEndpoint> locallySlowEndpoints(TimePoint now) const;
@@ -112,6 +117,7 @@
     std::unordered_map<ServiceId, std::vector<EndpointPtr>> byService;
     std::set<ZoneId> evacuatedZones;
     double ownFleetShare = 1;
+    double ownRateLimitShare = 1;
 };
 
 }
--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -63,9 +63,15 @@
         done(admitted.error().reply);
         return nullptr;
     }
+    this->admittedRate.record(this->context.clock.now());
     return startExchange(this->context, admitted.value(), std::move(done));
 }
 
+const RequestRate &Forwarder::requestRate() const
+{
+    return this->admittedRate;
+}
+
 ResultOr<AdmittedRequest, Forwarder::RefusalWithDetail> Forwarder::admit(const CallerRequestPtr &request)
 {
     const auto failWith = [](const ForwardReply &reply, std::string detail = "") {
--- a/Source/forwarding/forwarder.h
+++ b/Source/forwarding/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "feed/feedfreshness.h"
 #include "forwarding/exchange.h"
+#include "forwarding/requestrate.h"
 
 namespace Lycheewall
 {
@@ -38,6 +39,9 @@
     /// cancelled first. Returns nullptr if the request was not admitted; @p done has been called then.
     std::shared_ptr<Exchange> forward(const CallerRequestPtr &request, Exchange::ReplyCallback done);
 
+    /// Rate of the requests that were admitted, including those that were refused later.
+    const RequestRate &requestRate() const;
+
 private:
     /// A refusal with log fields that state its cause.
     struct RefusalWithDetail
@@ -54,6 +58,7 @@
     ForwardingContext &context;
     const FeedFreshness &freshness;
     std::shared_ptr<const RouteTable> routeTable;
+    RequestRate admittedRate;
 };
 
 }
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -174,7 +174,7 @@
         return false;
     }
     const auto attempt = std::make_shared<Attempt>();
-    endpoint->rateLimit.take(this->context.endpoints.fleetShare(), now);
+    endpoint->rateLimit.take(this->context.endpoints.rateLimitShare(), now);
     attempt->endpoint = endpoint;
     attempt->usesBudget = usesBudget;
     attempt->startedAt = now;
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -16,6 +16,8 @@
 
 constexpr Duration connectionSweepPeriod = Milliseconds(1000);
 constexpr Duration cpuSamplePeriod = Milliseconds(1000);
+/// As often as the instances report their request rates to each other.
+constexpr Duration rateLimitSharePeriod = Milliseconds(500);
 /// The settings file is also reloaded periodically, because it may change without a SIGHUP.
 constexpr Duration reloadPeriod = std::chrono::seconds(5);
 constexpr Duration counterLogPeriod = std::chrono::seconds(10);
@@ -97,6 +99,7 @@
                } })
     , self(ownInstance(settings))
     , activeInstances(members, self)
+    , rateLimitShare(members)
     , directory(activeInstances)
     , feedServer(clock, timers, replica, freshness)
     , frontContext { clock, counters, forwarder, codecs.callers, requestDurations }
@@ -134,6 +137,7 @@
     this->subscriptions.push_back(
         this->timers.every(connectionSweepPeriod, [this] { this->pool.closeUnusableConnections(); }));
     this->subscriptions.push_back(this->timers.every(cpuSamplePeriod, [this] { this->sampleCpuUsage(); }));
+    this->subscriptions.push_back(this->timers.every(rateLimitSharePeriod, [this] { this->updateRateLimitShare(); }));
     this->subscriptions.push_back(this->timers.every(reloadPeriod, [this] { this->reloadSettings(); }));
     this->subscriptions.push_back(this->timers.every(counterLogPeriod, [this] { this->logCounters(); }));
     return success();
@@ -160,6 +164,7 @@
                                                               this->activeInstances,
                                                               [this] { this->updateFleetShare(); },
                                                               [this] { return this->self.cpuUsage; },
+                                                              [this] { return this->ownRequestsPerSecond(); },
                                                               [this] {
                                                                   return this->reader.readsFromStore();
                                                               } });
@@ -228,10 +233,22 @@
     }
 }
 
+double Gateway::ownRequestsPerSecond() const
+{
+    return this->forwarder.requestRate().perSecond(this->clock.now());
+}
+
+void Gateway::updateRateLimitShare()
+{
+    const double share = this->rateLimitShare.value(this->endpoints.fleetShare(), this->ownRequestsPerSecond());
+    this->endpoints.setRateLimitShare(this->gossip->hasJoined() ? share : std::min(share, maximumShareBeforeJoined));
+}
+
 void Gateway::updateFleetShare()
 {
     const double share = this->activeInstances.ownFleetShare();
     this->endpoints.setFleetShare(this->gossip->hasJoined() ? share : std::min(share, maximumShareBeforeJoined));
+    this->updateRateLimitShare();
     this->retryBudget.setFleetShare(this->endpoints.fleetShare());
     this->quota.setInstanceCounts(this->members.liveCount(), this->members.knownCount());
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "feed/fleetfeedsourcepolicy.h"
 #include "fleet/gossip.h"
 #include "fleet/instancedirectory.h"
+#include "fleet/ratelimitshare.h"
 #include "fleet/relayclient.h"
 #include "fleet/relayserver.h"
 #include "gateway/auxiliarycodec.h"
@@ -69,6 +70,8 @@
     void dispatchDatagram(const std::string &bytes);
     void updateReadiness();
     void updateFleetShare();
+    void updateRateLimitShare();
+    double ownRequestsPerSecond() const;
     void setState(MemberState state);
     void sampleCpuUsage();
     void handleFeedUpdate();
@@ -111,6 +114,7 @@
     FeedReader reader;
     InstanceInfo self;
     ActiveInstanceSet activeInstances;
+    RateLimitShare rateLimitShare;
     InstanceDirectory directory;
     PeerFeedServer feedServer;
     FrontContext frontContext;
--- a/Tests/fleet/fakefleet.h
+++ b/Tests/fleet/fakefleet.h
@@ -56,6 +56,8 @@
         EndpointSet endpoints;
         InstanceInfo own;
         ActiveInstanceSet activeInstances;
+        /// Rate that the node reports.
+        double requestsPerSecond = 0;
         std::unique_ptr<Gossip> gossip;
         std::size_t sentBytes = 0;
         std::size_t crossZoneBytes = 0;
@@ -118,6 +120,7 @@
                                                                   node->activeInstances,
                                                                   [] {},
                                                                   [] { return CpuUsage(); },
+                                                                  [&node = *node] { return node.requestsPerSecond; },
                                                                   [] {
                                                                       return false;
                                                                   } });
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -36,6 +36,7 @@
     message.knownAddresses = { "peer-b" };
     message.readsStore = true;
     message.cpuUsage = { 0.5, 0.125 };
+    message.requestsPerSecond = 12.3;
     const auto decoded = decodeGossipMessage(encodeGossipMessage(message));
     BOOST_REQUIRE(decoded);
     BOOST_TEST((decoded.value().state == MemberState::ShuttingDown));
@@ -47,6 +48,7 @@
     BOOST_TEST(decoded.value().slowEndpoints.at(0).slowness == 4.5);
     BOOST_TEST(decoded.value().cpuUsage.availableCores == 0.5);
     BOOST_TEST(decoded.value().cpuUsage.usedCores == 0.125);
+    BOOST_TEST(decoded.value().requestsPerSecond.value() == 12.3);
     BOOST_TEST((decodeGossipMessage("garbage").error() == GossipMessageError::NotCbor));
     BOOST_TEST((decodeGossipMessage("\xa1\x61v\x01").error() == GossipMessageError::WrongVersion));
     BOOST_TEST((decodeGossipMessage("\xa1\x61v\x02").error() == GossipMessageError::FieldMissing));
--- a/Tests/forwarding/loadtest.cpp
+++ b/Tests/forwarding/loadtest.cpp
@@ -201,6 +201,15 @@
     return plan;
 }
 
+bool isInLimitedShard(std::size_t shard, std::size_t)
+{
+    return shard < 3;
+}
+
+/// Credit of complete replies to as many queries as three shards take that are limited to 33 requests per second and
+/// endpoint, and no other reply.
+constexpr double creditOfCompleteReplies = 99.0 / 180;
+
 /// As cragwallPlan(), with 60 requests per second for each endpoint.
 SimulationPlan loadedCragwallPlan()
 {
@@ -229,28 +238,38 @@
 // lost for it beyond need. Pattern: all endpoints of three shards are in need, and take 99 of 180 requests per second.
 BOOST_AUTO_TEST_CASE(limitedShards)
 {
-    /// Complete replies to as many queries as the limited shards take, and no other reply.
-    constexpr double creditOfCompleteReplies = 99.0 / 180;
-    const auto isLimited = [](std::size_t shard, std::size_t) {
-        return shard < 3;
-    };
-    const SimulationResult result = simulate("limited shards", withRateLimits(loadedCragwallPlan(), 33, isLimited));
+    const SimulationResult result
+        = simulate("limited shards", withRateLimits(loadedCragwallPlan(), 33, &isInLimitedShard));
     BOOST_TEST(result.maxLimitUsage <= 1);
     BOOST_TEST(result.credit >= creditOfCompleteReplies);
     BOOST_TEST(result.maxBudgetUsage <= 1);
 }
 
-// Guards against callers of a part of the fleet who exceed what the endpoints take: the shares of idle instances are
-// not theirs. Pattern: limitedShards, with all callers at three of six instances.
+// Guards against shares of a limit that are left to instances without callers, while those with callers refuse queries.
+// Pattern: limitedShards, with all callers at three of six instances.
 BOOST_AUTO_TEST_CASE(limitedShardsWithIdleInstances)
 {
-    const auto isLimited = [](std::size_t shard, std::size_t) {
-        return shard < 3;
-    };
-    SimulationPlan plan = withRateLimits(loadedCragwallPlan(), 33, isLimited);
+    SimulationPlan plan = withRateLimits(loadedCragwallPlan(), 33, &isInLimitedShard);
     plan.instancesWithCallers = 3;
+    const SimulationResult evenShares = simulate("limited shards, idle instances, even shares", plan);
+    BOOST_TEST(evenShares.maxLimitUsage <= 1);
+    plan.rateGossipInterval = Milliseconds(500);
     const SimulationResult result = simulate("limited shards, idle instances", plan);
     BOOST_TEST(result.maxLimitUsage <= 1);
+    BOOST_TEST(result.credit >= creditOfCompleteReplies);
+}
+
+// Guards against endpoints that get more requests than their limit because the callers move to other instances faster
+// than the shares follow. Pattern: limitedShardsWithIdleInstances, with callers that move to the idle instances at
+// once.
+BOOST_AUTO_TEST_CASE(limitedShardsWhileCallersMove)
+{
+    SimulationPlan plan = withRateLimits(loadedCragwallPlan(), 33, &isInLimitedShard);
+    plan.instancesWithCallers = 3;
+    plan.callersMoveAtSecond = 11;
+    plan.rateGossipInterval = Milliseconds(500);
+    const SimulationResult result = simulate("limited shards, callers move", plan);
+    BOOST_TEST(result.maxLimitUsage <= 1);
 }
 
 // Guards against the same in a fleet with few active instances and many shards. Pattern: seven of ten endpoints.
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -1,5 +1,8 @@
 #include "forwarding/simulatedfleet.h"
 
+#include "fleet/ratelimitshare.h"
+#include "forwarding/requestrate.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -263,6 +266,7 @@
     {
         const double share = 1.0 / static_cast<double>(fleet.plan.instances);
         this->endpoints.setFleetShare(share);
+        this->endpoints.setRateLimitShare(share);
         this->retryBudget.setFleetShare(share);
         for (const auto &server : fleet.servers) {
             this->endpoints.addOrUpdate(server->record, fleet.clock.now());
@@ -280,6 +284,7 @@
     OrganisationQuota quota;
     RequestLog requestLog;
     ForwardingContext context;
+    RequestRate requestRate;
 };
 
 SimulatedFleet::SimulatedFleet(SimulationPlan simulationPlan)
@@ -415,7 +420,8 @@
     std::uniform_int_distribution<std::size_t> instanceIndex(0, used - 1);
     double arrivalSeconds = 0;
     while ((arrivalSeconds += interval(this->engine)) < this->plan.durationSeconds) {
-        const std::size_t instance = instanceIndex(this->engine);
+        const bool haveMoved = this->plan.callersMoveAtSecond > 0 && arrivalSeconds >= this->plan.callersMoveAtSecond;
+        const std::size_t instance = instanceIndex(this->engine) + (haveMoved ? this->plan.instances - used : 0);
         this->arrivals.push_back(
             this->clock.after(fromMilliseconds(arrivalSeconds * 1000), [this, instance] { this->arrive(instance); }));
     }
@@ -434,8 +440,23 @@
     }
 }
 
+void SimulatedFleet::gossipRequestRates()
+{
+    const TimePoint now = this->clock.now();
+    double fleetRate = 0;
+    for (const auto &instance : this->instances) {
+        fleetRate += instance->requestRate.perSecond(now);
+    }
+    for (const auto &instance : this->instances) {
+        const double share
+            = RateLimitShare::byLoad(instance->endpoints.fleetShare(), instance->requestRate.perSecond(now), fleetRate);
+        instance->endpoints.setRateLimitShare(share);
+    }
+}
+
 void SimulatedFleet::arrive(std::size_t instance)
 {
+    this->instances[instance]->requestRate.record(this->clock.now());
     const auto request = std::make_shared<CallerRequest>();
     request->attemptId = std::to_string(this->nextRequest++);
     request->arrivedAt = this->clock.now();
@@ -481,6 +502,10 @@
     if (this->plan.gossipInterval > Duration::zero()) {
         this->gossipTimer = this->clock.every(this->plan.gossipInterval, [this] { this->gossipSlowEndpoints(); });
     }
+    if (this->plan.rateGossipInterval > Duration::zero()) {
+        this->rateGossipTimer
+            = this->clock.every(this->plan.rateGossipInterval, [this] { this->gossipRequestRates(); });
+    }
     this->clock.advance(fromMilliseconds(this->plan.durationSeconds * 1000) + 2 * this->plan.timeout);
     this->result.credit = this->result.requests == 0 ? 0 : this->creditSum / static_cast<double>(this->result.requests);
     this->result.maxBudgetUsage = this->maxBudgetUsage();
--- a/Tests/forwarding/simulatedfleet.h
+++ b/Tests/forwarding/simulatedfleet.h
@@ -20,6 +20,11 @@
     std::size_t instances = 6;
     /// Instances to which callers send their requests; the others are idle. All if 0.
     std::size_t instancesWithCallers = 0;
+    /// From this time on, the callers are at the last instances instead of the first; never if 0.
+    double callersMoveAtSecond = 0;
+    /// Interval at which the instances report their request rates to each other, which determine their shares of the
+    /// endpoints' rate limits; with 0, the shares are even.
+    Duration rateGossipInterval {};
     std::size_t shards = 10;
     std::size_t endpointsPerShard = 3;
     int slots = 6;
@@ -97,6 +102,7 @@
     void scheduleArrivals();
     void arrive(std::size_t instance);
     void gossipSlowEndpoints();
+    void gossipRequestRates();
     void recordReply(double arrivalSeconds, TimePoint arrivedAt, const ForwardReply &reply);
     double elapsedSeconds() const;
     double drawServiceTimeMs();
@@ -113,6 +119,7 @@
     std::vector<std::unique_ptr<Instance>> instances;
     std::vector<Subscription> arrivals;
     Subscription gossipTimer;
+    Subscription rateGossipTimer;
     std::uint64_t nextRequest = 1;
     SimulationResult result;
     double creditSum = 0;
