Forwarding: Return the token of a request that no endpoint takes

Callers saw: a request that is refused because all endpoints have asked for fewer requests uses up the organisation's rate, and so does its retry; an organisation within its rate was refused with 429 for its retries.

Change: OrganisationQuota::refund(), called where the token was taken. Usage that other instances may have been told of stays counted, so the fleet-wide limit cannot be exceeded by it. The request rate that decides the shares still counts the request.

--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -64,7 +64,16 @@
         return nullptr;
     }
     this->admittedRate.record(this->context.clock.now());
-    return startExchange(this->context, admitted.value(), std::move(done));
+    return startExchange(
+        this->context,
+        admitted.value(),
+        [this, organisation = admitted.value().organisation, done = std::move(done)](const ForwardReply &reply) {
+            // The caller will retry, and the organisation's rate counts the requests that endpoints get.
+            if (reply.notRun && reply.refusal == Refusal::EndpointThrottled) {
+                this->context.quota.refund(organisation);
+            }
+            done(reply);
+        });
 }
 
 const RequestRate &Forwarder::requestRate() const
--- a/Source/forwarding/organisationquota.cpp
+++ b/Source/forwarding/organisationquota.cpp
@@ -88,6 +88,21 @@
     return fromSeconds(wait);
 }
 
+void OrganisationQuota::refund(const OrganisationId &organisation)
+{
+    const auto entry = this->buckets.find(organisation);
+    if (entry == this->buckets.end() || entry->second.rate <= 0) {
+        return;
+    }
+    Bucket &bucket = entry->second;
+    this->refill(bucket);
+    bucket.tokens = std::min(bucket.burst, bucket.tokens + 1);
+    // Usage of an earlier window has been reported to the other instances and stays counted.
+    if (bucket.admitted > bucket.admittedAtWindowStart) {
+        --bucket.admitted;
+    }
+}
+
 void OrganisationQuota::recordRemoteUsage(const InstanceId &instance,
                                           std::uint64_t incarnation,
                                           const std::vector<OrganisationUsage> &usage,
--- a/Source/forwarding/organisationquota.h
+++ b/Source/forwarding/organisationquota.h
@@ -45,6 +45,9 @@
     /// retry can be admitted. Requests of organisations without a limit are always admitted.
     std::optional<Duration> throttle(const OrganisationId &organisation);
 
+    /// Returns the token of a request that was admitted but not sent to any endpoint.
+    void refund(const OrganisationId &organisation);
+
     /// Deducts the usage that @p instance reports. For a new incarnation, usage counts from 0 if @p hasJoined is true.
     /// Otherwise this instance has only just started: its bucket does not cover earlier requests, so the first report
     /// is only the baseline for later ones.
--- a/Tests/forwarding/forwardertest.cpp
+++ b/Tests/forwarding/forwardertest.cpp
@@ -121,6 +121,24 @@
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
 }
 
+// Guards against callers who are refused because of their organisation's rate when they retry requests that no endpoint
+// has taken.
+BOOST_AUTO_TEST_CASE(requestsThatNoEndpointTakesDoNotUseTheRate)
+{
+    this->publishTable();
+    this->clock.advance(std::chrono::seconds(1));
+    this->freshness.confirm(this->clock.now());
+    for (const char *endpoint : { "s1a", "s1b" }) {
+        this->endpoints.find(EndpointId(endpoint))->backoff.start(std::chrono::seconds(1), this->clock.now());
+    }
+    for (int attempt = 0; attempt < 100; ++attempt) {
+        BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::EndpointThrottled));
+    }
+    BOOST_TEST(this->quota.recentUsage().empty());
+    this->clock.advance(Milliseconds(1100));
+    BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
+}
+
 // Guards against forwarding a request whose caller does not wait for the reply any more.
 BOOST_AUTO_TEST_CASE(refusesExpiredDeadlines)
 {
