Tests: Let the soak lose a zone, withdraw a key and replace endpoints

In each run an organisation's key is withdrawn; a request that was sent 3 s later or more must not run. With several zones one zone is lost: its instances are killed and its endpoints fall silent. In some runs endpoints leave the store and come back as new starts; nothing may reach them 3 s after they left. SIGHUP is one of the signals, and excuses nothing.

A new start makes no statements now, and the checks of statements end at a new start.

--- a/Tests/soak/checker.cpp
+++ b/Tests/soak/checker.cpp
@@ -52,6 +52,8 @@
         }
         this->checkStatements();
         this->checkOrganisationRate();
+        this->checkWithdrawnKeys();
+        this->checkRemovedEndpoints();
         if (this->lostReplies > allowedLostReplies) {
             this->report("LOST", std::to_string(this->lostReplies) + " requests without a reply");
         }
@@ -194,6 +196,56 @@
         }
     }
 
+    /// A request that was sent too long after its key was withdrawn must not run, whatever happened to the instance.
+    void checkWithdrawnKeys()
+    {
+        for (const KeyWithdrawal &withdrawal : this->observations.withdrawals) {
+            for (const CallerAttempt &attempt : this->observations.attempts) {
+                const bool isLater = attempt.sentAt > withdrawal.at + this->configuration.revocationSeconds;
+                const auto arrivals = this->arrivalsOf(attempt.attemptId);
+                const bool hasRun = std::any_of(
+                    arrivals.begin(), arrivals.end(), [](const Arrival *arrival) { return arrival->ran; });
+                if (isLater && hasRun && attempt.organisation == withdrawal.organisation) {
+                    this->report("CONFIG",
+                                 attempt.attemptId,
+                                 " ran ",
+                                 attempt.sentAt - withdrawal.at,
+                                 " s after its key was withdrawn");
+                }
+            }
+        }
+    }
+
+    void checkRemovedEndpoints()
+    {
+        for (const EndpointRemoval &removal : this->observations.removals) {
+            for (const Arrival *arrival : this->arrivalsByEndpoint[removal.endpoint]) {
+                const bool isLate = arrival->at > removal.from + drainSeconds && arrival->at < removal.until;
+                const double from = removal.from - contactSeconds;
+                if (isLate && !this->wasDisturbed(instanceOf(arrival->attemptId), from, arrival->at)
+                    && !this->wasStoreAway(from, arrival->at)) {
+                    this->report("DRAIN", arrival->attemptId, " reached ", removal.endpoint, ", which is gone");
+                }
+            }
+        }
+    }
+
+    bool wasRestarted(const std::string &endpoint, double from, double until) const
+    {
+        return std::any_of(this->observations.removals.begin(),
+                           this->observations.removals.end(),
+                           [&](const EndpointRemoval &removal) {
+                               return removal.endpoint == endpoint && removal.until >= from && removal.until <= until;
+                           });
+    }
+
+    bool wasStoreAway(double from, double until) const
+    {
+        return std::any_of(this->observations.outages.begin(),
+                           this->observations.outages.end(),
+                           [=](const StoreOutage &outage) { return outage.from < until && outage.until > from; });
+    }
+
     void checkStatements()
     {
         std::map<std::string, std::vector<const Statement *>> limits;
@@ -227,7 +279,8 @@
             const bool isInTime = arrival->at > statement.at + reactionSeconds && arrival->at < until;
             count += isInTime && instanceOf(arrival->attemptId) == statement.instance ? 1 : 0;
         }
-        if (count > allowedDuringBackoff && !this->wasDisturbed(statement.instance, statement.at, until)) {
+        if (count > allowedDuringBackoff && !this->wasDisturbed(statement.instance, statement.at, until)
+            && !this->wasRestarted(statement.endpoint, statement.at, until)) {
             this->report("BUDGET",
                          count,
                          " requests from instance ",
@@ -246,7 +299,8 @@
         for (const Arrival *arrival : this->arrivalsByEndpoint[statement.endpoint]) {
             const bool isOwn = instanceOf(arrival->attemptId) == statement.instance;
             if (isOwn && arrival->at > statement.at + drainSeconds
-                && !this->wasDisturbed(statement.instance, statement.at, arrival->at)) {
+                && !this->wasDisturbed(statement.instance, statement.at, arrival->at)
+                && !this->wasRestarted(statement.endpoint, statement.at, arrival->at)) {
                 this->report("DRAIN", arrival->attemptId, " reached ", statement.endpoint, ", which leaves");
                 return;
             }
--- a/Tests/soak/endpointstandin.cpp
+++ b/Tests/soak/endpointstandin.cpp
@@ -23,14 +23,14 @@
                                  Observations &allObservations,
                                  std::string id,
                                  std::string serviceName,
-                                 std::string zoneName,
+                                 std::string endpointZone,
                                  std::vector<StatementSpan> statementSpans,
                                  unsigned seed)
     : io(context)
     , observations(allObservations)
     , endpointId(std::move(id))
     , service(std::move(serviceName))
-    , zone(std::move(zoneName))
+    , zoneName(std::move(endpointZone))
     , spans(std::move(statementSpans))
     , random(seed)
     , server(context)
@@ -53,20 +53,31 @@
     return "127.0.0.1:" + std::to_string(this->port);
 }
 
-std::string EndpointStandin::entry(const std::string &publishedAddress) const
+const std::string &EndpointStandin::zone() const
 {
+    return this->zoneName;
+}
+
+std::string EndpointStandin::entry(const std::string &publishedAddress, int start) const
+{
+    constexpr std::int64_t firstStartMs = 1700000000123;
     const nlohmann::json entry { { "Service", this->service },
                                  { "Address", publishedAddress },
-                                 { "Zone", this->zone },
+                                 { "Zone", this->zoneName },
                                  { "Version", "v1" },
                                  { "Slots", 8 },
                                  { "State", "ready" },
                                  { "WarmupLeftMs", 0 },
                                  { "Sequence", 1 },
-                                 { "born", 1700000000123 } };
+                                 { "born", firstStartMs + start } };
     return entry.dump();
 }
 
+void EndpointStandin::restart()
+{
+    this->spans.clear();
+}
+
 std::string EndpointStandin::stampOf(const std::string &attemptId, const std::string &endpoint)
 {
     return attemptId + "." + endpoint;
--- a/Tests/soak/endpointstandin.h
+++ b/Tests/soak/endpointstandin.h
@@ -36,8 +36,14 @@
     /// The address on which the endpoint listens.
     std::string address() const;
 
-    /// The entry in the store, with the address to which instances connect.
-    std::string entry(const std::string &publishedAddress) const;
+    const std::string &zone() const;
+
+    /// The entry in the store, with the address to which instances connect. @p start tells the starts of the endpoint
+    /// apart.
+    std::string entry(const std::string &publishedAddress, int start = 0) const;
+
+    /// Makes no more statements, as a new start of the endpoint knows nothing of those of the earlier one.
+    void restart();
 
     /// The signature of the response to an attempt, and its body, which follows from the signature.
     static std::string stampOf(const std::string &attemptId, const std::string &endpoint);
@@ -53,7 +59,7 @@
     Observations &observations;
     std::string endpointId;
     std::string service;
-    std::string zone;
+    std::string zoneName;
     std::vector<StatementSpan> spans;
     std::mt19937 random;
     Standins::HttpServer server;
--- a/Tests/soak/observations.cpp
+++ b/Tests/soak/observations.cpp
@@ -11,26 +11,37 @@
 
 void Observations::record(const Arrival &arrival)
 {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    this->arrivals.push_back(arrival);
+    this->append(this->arrivals, arrival);
 }
 
 void Observations::record(const Statement &statement)
 {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    this->statements.push_back(statement);
+    this->append(this->statements, statement);
 }
 
 void Observations::record(const CallerAttempt &attempt)
 {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    this->attempts.push_back(attempt);
+    this->append(this->attempts, attempt);
 }
 
 void Observations::record(const InstanceFault &fault)
 {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    this->faults.push_back(fault);
+    this->append(this->faults, fault);
+}
+
+void Observations::record(const KeyWithdrawal &withdrawal)
+{
+    this->append(this->withdrawals, withdrawal);
+}
+
+void Observations::record(const StoreOutage &outage)
+{
+    this->append(this->outages, outage);
+}
+
+void Observations::record(const EndpointRemoval &removal)
+{
+    this->append(this->removals, removal);
 }
 
 int instanceOf(const std::string &attemptId)
--- a/Tests/soak/observations.h
+++ b/Tests/soak/observations.h
@@ -61,6 +61,28 @@
     double until = 0;
 };
 
+/// The operator has withdrawn the key of an organisation for good.
+struct KeyWithdrawal
+{
+    std::string organisation;
+    double at = 0;
+};
+
+/// A time in which the store answered no call.
+struct StoreOutage
+{
+    double from = 0;
+    double until = 0;
+};
+
+/// A time in which an endpoint was not in the store; at its end, the endpoint has started again.
+struct EndpointRemoval
+{
+    std::string endpoint;
+    double from = 0;
+    double until = 0;
+};
+
 /// All that callers, endpoints and the operator have seen. Thread safety: the record functions may be called from any
 /// thread; read the lists after all threads have ended.
 class Observations
@@ -70,13 +92,25 @@
     void record(const Statement &statement);
     void record(const CallerAttempt &attempt);
     void record(const InstanceFault &fault);
+    void record(const KeyWithdrawal &withdrawal);
+    void record(const StoreOutage &outage);
+    void record(const EndpointRemoval &removal);
 
     std::vector<Arrival> arrivals;
     std::vector<Statement> statements;
     std::vector<CallerAttempt> attempts;
     std::vector<InstanceFault> faults;
+    std::vector<KeyWithdrawal> withdrawals;
+    std::vector<StoreOutage> outages;
+    std::vector<EndpointRemoval> removals;
 
 private:
+    template<typename Item> void append(std::vector<Item> &list, const Item &item)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        list.push_back(item);
+    }
+
     std::mutex mutex;
 };
 
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <filesystem>
+#include <future>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <thread>
@@ -32,8 +33,11 @@
 constexpr double limitedOrganisationBurst = 40;
 /// Faults begin after the fleet has served for this long.
 constexpr double calmSeconds = 2;
+/// With this number of zones, some shards have no endpoint in the zone of an instance and are relayed.
+constexpr int manyZones = 4;
 
-std::string configuration(int version)
+/// What the operator publishes; without the key of the organisation "withdrawn" once that has been withdrawn.
+std::string configuration(int version, bool isKeyWithdrawn)
 {
     nlohmann::json shards = nlohmann::json::array();
     nlohmann::json services = nlohmann::json::array();
@@ -55,11 +59,13 @@
     limited["ApiKeys"] = nlohmann::json::array({ keyOf("limited") });
     nlohmann::json unlimited { { "Name", "unlimited" } };
     unlimited["ApiKeys"] = nlohmann::json::array({ keyOf("unlimited") });
+    nlohmann::json withdrawn { { "Name", "withdrawn" } };
+    withdrawn["ApiKeys"] = isKeyWithdrawn ? nlohmann::json::array() : nlohmann::json::array({ keyOf("withdrawn") });
     nlohmann::json result;
     result["Version"] = version;
     result["Routes"] = nlohmann::json::array({ search, record });
     result["Services"] = services;
-    result["Tenants"] = nlohmann::json::array({ limited, unlimited });
+    result["Tenants"] = nlohmann::json::array({ limited, unlimited, withdrawn });
     return result.dump();
 }
 
@@ -103,31 +109,6 @@
     }
 }
 
-/// Takes the store away for some time, at most once every few seconds.
-void disturbStore(boost::asio::io_context &io, StoreStandin &store, unsigned seed, double until)
-{
-    std::mt19937 random(seed);
-    std::uniform_real_distribution<double> pause(1, 4);
-    while (elapsedSeconds() + pause.max() < until) {
-        std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
-        boost::asio::post(io, [&store] { store.setDown(true); });
-        std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
-        boost::asio::post(io, [&store] { store.setDown(false); });
-    }
-    boost::asio::post(io, [&store] { store.setDown(false); });
-}
-
-/// Publishes new versions of the configuration, at times in quick succession.
-void changeConfiguration(boost::asio::io_context &io, StoreStandin &store, unsigned seed, double until)
-{
-    std::mt19937 random(seed);
-    std::uniform_real_distribution<double> pause(0.1, 2);
-    for (int version = 2; elapsedSeconds() < until; ++version) {
-        std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
-        boost::asio::post(io, [&store, version] { store.set("op/config", configuration(version)); });
-    }
-}
-
 /// The back ends and the store, which run in a thread of their own.
 struct Surroundings
 {
@@ -157,11 +138,9 @@
         if (zones > 1) {
             this->proxy = std::make_unique<SoakProxy>(addresses, folder);
         }
-        this->store.set("op/config", configuration(1));
+        this->store.set("op/config", configuration(1, false));
         for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
-            const EndpointStandin &endpoint = *this->endpoints[index];
-            this->store.set("servers/" + endpoint.id(),
-                            endpoint.entry(this->proxy ? this->proxy->addressOf(index) : endpoint.address()));
+            this->store.set("servers/" + this->endpoints[index]->id(), this->entryOf(index, 0));
         }
         this->thread = std::thread([this] { this->io.run(); });
     }
@@ -172,6 +151,24 @@
         this->thread.join();
     }
 
+    /// The entry of an endpoint in the store, for its start with this number.
+    std::string entryOf(std::size_t index, int start) const
+    {
+        const EndpointStandin &endpoint = *this->endpoints[index];
+        return endpoint.entry(this->proxy ? this->proxy->addressOf(index) : endpoint.address(), start);
+    }
+
+    /// Changes the store and returns after it has accepted the change. Thread safety: any thread but that of the store.
+    void inStore(const std::function<void(StoreStandin &)> &change)
+    {
+        std::promise<void> done;
+        boost::asio::post(this->io, [&] {
+            change(this->store);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     boost::asio::io_context io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { io.get_executor() };
     StoreStandin store;
@@ -180,42 +177,132 @@
     std::thread thread;
 };
 
+void sleepFor(double seconds)
+{
+    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+}
+
+/// Takes the store away for some time, at most once every few seconds.
+void disturbStore(Surroundings &surroundings, Observations &observations, unsigned seed, double until)
+{
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> pause(1, 4);
+    while (elapsedSeconds() + pause.max() < until) {
+        sleepFor(pause(random));
+        const double from = elapsedSeconds();
+        surroundings.inStore([](StoreStandin &store) { store.setDown(true); });
+        sleepFor(pause(random));
+        surroundings.inStore([](StoreStandin &store) { store.setDown(false); });
+        observations.record(StoreOutage { from, elapsedSeconds() });
+    }
+}
+
+/// Publishes new versions of the configuration, at times in quick succession. At some moment, a key is withdrawn.
+void changeConfiguration(Surroundings &surroundings, Observations &observations, unsigned seed, double until)
+{
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> pause(0.1, 2);
+    std::uniform_real_distribution<double> withdrawalDelay(1, 5);
+    const double withdrawalAt = elapsedSeconds() + withdrawalDelay(random);
+    bool isKeyWithdrawn = false;
+    for (int version = 2; elapsedSeconds() < until; ++version) {
+        sleepFor(pause(random));
+        const bool isWithdrawal = !isKeyWithdrawn && elapsedSeconds() >= withdrawalAt;
+        isKeyWithdrawn = isKeyWithdrawn || isWithdrawal;
+        const std::string value = configuration(version, isKeyWithdrawn);
+        surroundings.inStore([&value](StoreStandin &store) { store.set("op/config", value); });
+        if (isWithdrawal) {
+            observations.record(KeyWithdrawal { "withdrawn", elapsedSeconds() });
+        }
+    }
+}
+
+/// Removes endpoints from the store, one after the other, and registers each again as a new start some seconds later.
+void replaceEndpoints(Surroundings &surroundings, Observations &observations, unsigned seed, double until)
+{
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> absence(3, 6);
+    for (int start = 1; elapsedSeconds() < until; ++start) {
+        const std::size_t index = random() % surroundings.endpoints.size();
+        const std::string id = surroundings.endpoints[index]->id();
+        surroundings.inStore([&id](StoreStandin &store) { store.erase("servers/" + id); });
+        const double from = elapsedSeconds();
+        sleepFor(absence(random));
+        // The instances may use the endpoint from the moment at which it is written.
+        observations.record(EndpointRemoval { id, from, elapsedSeconds() });
+        const std::string entry = surroundings.entryOf(index, start);
+        surroundings.inStore([&](StoreStandin &store) {
+            surroundings.endpoints[index]->restart();
+            store.set("servers/" + id, entry);
+        });
+    }
+}
+
 /// Disturbs the connections to the endpoints in series.
 void disturbConnections(SoakProxy &proxy, unsigned seed, double until)
 {
     std::mt19937 random(seed);
     std::uniform_real_distribution<double> pause(0, 1);
     while (elapsedSeconds() < until) {
-        std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
+        sleepFor(pause(random));
         proxy.disturb(random);
     }
 }
 
+/// Lets a zone lose power once: its instances are killed and its endpoints fall silent. The zone of the instance that
+/// is never disturbed is spared.
+void loseZone(SoakFleet &fleet, Surroundings &surroundings, Observations &observations, unsigned seed)
+{
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> duration(1, 3);
+    sleepFor(duration(random));
+    std::string zone = zoneOf(static_cast<int>(random() % manyZones), manyZones);
+    if (zone == zoneOf(fleet.size() - 1, manyZones)) {
+        zone = zoneOf(fleet.size(), manyZones);
+    }
+    const auto forEachEndpoint = [&](void (SoakProxy::*change)(std::size_t)) {
+        for (std::size_t index = 0; index < surroundings.endpoints.size(); ++index) {
+            if (surroundings.endpoints[index]->zone() == zone) {
+                (*surroundings.proxy.*change)(index);
+            }
+        }
+    };
+    forEachEndpoint(&SoakProxy::silence);
+    fleet.loseZone(zone, duration(random), observations);
+    forEachEndpoint(&SoakProxy::heal);
+}
+
 void disturbAndCall(SoakFleet &fleet, Surroundings &surroundings, Observations &observations, unsigned seed)
 {
     const double until = elapsedSeconds() + FLAGS_seconds;
     std::atomic<bool> stop = false;
-    std::vector<std::thread> threads;
+    std::vector<std::thread> callers;
     for (int caller = 0; caller < FLAGS_callers; ++caller) {
-        threads.emplace_back(
+        callers.emplace_back(
             [&, caller] { runCaller(fleet, observations, 1000 * seed + static_cast<unsigned>(caller), stop); });
     }
-    std::this_thread::sleep_for(std::chrono::duration<double>(calmSeconds));
-    std::thread storeThread([&] { disturbStore(surroundings.io, surroundings.store, seed, until); });
-    std::thread operatorThread([&] { changeConfiguration(surroundings.io, surroundings.store, seed, until); });
-    std::thread evenThread([&] { disturbInstances(fleet, observations, 2 * seed, 0, until); });
-    std::thread oddThread([&] { disturbInstances(fleet, observations, 2 * seed + 1, 1, until); });
-    std::thread proxyThread([&] {
-        if (surroundings.proxy) {
-            disturbConnections(*surroundings.proxy, seed, until);
-        }
-    });
-    for (std::thread *thread : { &storeThread, &operatorThread, &evenThread, &oddThread, &proxyThread }) {
-        thread->join();
+    sleepFor(calmSeconds);
+    std::vector<std::thread> faults;
+    // Whether an endpoint that has left the store still gets requests can be checked only while the store answers, and
+    // without relays, which do not show which instance has sent a request.
+    if (!surroundings.proxy && seed % 4 == 2) {
+        faults.emplace_back([&] { replaceEndpoints(surroundings, observations, seed, until); });
+    } else {
+        faults.emplace_back([&] { disturbStore(surroundings, observations, seed, until); });
+    }
+    faults.emplace_back([&] { changeConfiguration(surroundings, observations, seed, until); });
+    faults.emplace_back([&] { disturbInstances(fleet, observations, 2 * seed, 0, until); });
+    faults.emplace_back([&] { disturbInstances(fleet, observations, 2 * seed + 1, 1, until); });
+    if (surroundings.proxy) {
+        faults.emplace_back([&] { disturbConnections(*surroundings.proxy, seed, until); });
+        faults.emplace_back([&] { loseZone(fleet, surroundings, observations, seed); });
+    }
+    for (std::thread &fault : faults) {
+        fault.join();
     }
     stop = true;
-    for (std::thread &thread : threads) {
-        thread.join();
+    for (std::thread &caller : callers) {
+        caller.join();
     }
 }
 
@@ -227,8 +314,6 @@
     std::filesystem::create_directories(folder);
     std::mt19937 random(seed);
     Observations observations;
-    // With many zones, some shards have no endpoint in the zone of an instance and are relayed.
-    constexpr int manyZones = 4;
     const int zones = seed % 2 == 0 ? 1 : manyZones;
     Surroundings surroundings(observations, random, zones, folder);
     constexpr int firstNetwork = 20;
@@ -247,8 +332,8 @@
         return false;
     }
     disturbAndCall(fleet, surroundings, observations, seed);
-    std::vector<std::string> violations
-        = findViolations(observations, { shardCount, limitedOrganisationRate, limitedOrganisationBurst });
+    std::vector<std::string> violations = findViolations(
+        observations, { shardCount, limitedOrganisationRate, limitedOrganisationBurst, revocationMs / 1000.0 });
     if (!fleet.areAllRunning()) {
         violations.emplace_back("FAULT: an instance has ended by itself");
     }
--- a/Tests/soak/soakfleet.cpp
+++ b/Tests/soak/soakfleet.cpp
@@ -31,6 +31,8 @@
 constexpr double joinSeconds = 4;
 constexpr std::chrono::seconds shutdownBound { 8 };
 
+const std::vector<std::string> organisations { "limited", "unlimited", "withdrawn" };
+
 /// A connection of a caller to one instance.
 class CallerConnection
 {
@@ -116,6 +118,7 @@
     , storeAddress(std::move(store))
     , folder(std::move(workFolder))
     , processes(static_cast<std::size_t>(instances))
+    , processMutexes(static_cast<std::size_t>(instances))
 {
 }
 
@@ -146,7 +149,8 @@
         + "  " + line("directory", this->address(instance, directoryPort)) + "InternalPortRange: ["
         + std::to_string(peerPort) + ", " + std::to_string(peerPort + 9) + "]\nSeedNodes: [\"" + this->address(0, 1)
         + "\", \"" + this->address(1, 1) + "\"]\nBounds:\n  RetryBudgetRatio: 0.2\n"
-        + "  BudgetSlack: 56\n  GracePeriodS: 6\nplatform:\n  " + line("Address", this->storeAddress);
+        + "  BudgetSlack: 56\n  GracePeriodS: 6\n" + "  StrictRevocation: true\n  RevocationMs: "
+        + std::to_string(revocationMs) + "\nplatform:\n  " + line("Address", this->storeAddress);
 }
 
 void SoakFleet::start(int instance)
@@ -174,11 +178,16 @@
 
 void SoakFleet::disturb(int instance, std::mt19937 &random, Observations &observations)
 {
-    enum Action { Pause, Kill, Restart };
+    enum Action { Pause, Kill, Restart, Reload };
     std::uniform_real_distribution<double> duration(0.2, 1.5);
+    const std::lock_guard<std::mutex> lock(this->processMutexes[static_cast<std::size_t>(instance)]);
     Integration::Process &process = this->processes[static_cast<std::size_t>(instance)];
     const double from = elapsedSeconds();
-    switch (std::uniform_int_distribution<int>(Pause, Restart)(random)) {
+    switch (std::uniform_int_distribution<int>(Pause, Reload)(random)) {
+    case Reload:
+        // Not a fault: nothing may be lost.
+        process.signal(SIGHUP);
+        return;
     case Pause:
         process.signal(SIGSTOP);
         sleepSeconds(duration(random));
@@ -199,6 +208,28 @@
     observations.record(InstanceFault { instance, from, elapsedSeconds() + joinSeconds });
 }
 
+void SoakFleet::loseZone(const std::string &zone, double seconds, Observations &observations)
+{
+    std::vector<std::unique_lock<std::mutex>> locks;
+    std::vector<int> lost;
+    for (int instance = 0; instance < this->size(); ++instance) {
+        if (zoneOf(instance, this->zones) == zone) {
+            locks.emplace_back(this->processMutexes[static_cast<std::size_t>(instance)]);
+            lost.push_back(instance);
+        }
+    }
+    const double from = elapsedSeconds();
+    for (const int instance : lost) {
+        this->processes[static_cast<std::size_t>(instance)].signal(SIGKILL);
+    }
+    sleepSeconds(seconds);
+    for (const int instance : lost) {
+        this->processes[static_cast<std::size_t>(instance)].wait(shutdownBound);
+        this->start(instance);
+        observations.record(InstanceFault { instance, from, elapsedSeconds() + joinSeconds });
+    }
+}
+
 bool SoakFleet::areAllRunning()
 {
     bool running = true;
@@ -231,7 +262,7 @@
         attempt.instance = instance;
         attempt.attemptId = std::to_string(instance) + "-" + std::to_string(seed) + "-" + std::to_string(number);
         attempt.isIdempotent = percent(random) <= 85;
-        attempt.organisation = percent(random) <= 50 ? "limited" : "unlimited";
+        attempt.organisation = organisations[random() % organisations.size()];
         const auto response = connection->exchange(makeRequest(attempt));
         attempt.endedAt = elapsedSeconds();
         if (response) {
--- a/Tests/soak/soakfleet.h
+++ b/Tests/soak/soakfleet.h
@@ -4,12 +4,16 @@
 #include "process.h"
 
 #include <atomic>
+#include <deque>
 #include <mutex>
 #include <random>
 
 namespace Soak
 {
 
+/// A key that was withdrawn is not accepted any more after this time.
+constexpr int revocationMs = 3000;
+
 /// The instances under test: one lycheewall-platformd each, on a loopback address of its own.
 class SoakFleet
 {
@@ -25,10 +29,13 @@
     /// Waits until all instances are ready; false if one is not within ten seconds.
     bool waitUntilReady();
 
-    /// Disturbs @p instance once, in a way that @p random selects: pauses it, kills it or stops and restarts it. Thread
-    /// safety: any thread, one at a time for each instance.
+    /// Disturbs @p instance once, in a way that @p random selects: pauses it, kills it, stops and restarts it, or lets
+    /// it reload its settings. Thread safety: any thread.
     void disturb(int instance, std::mt19937 &random, Observations &observations);
 
+    /// Kills all instances of @p zone and starts them again after @p seconds. Thread safety: any thread.
+    void loseZone(const std::string &zone, double seconds, Observations &observations);
+
     /// False if an instance has ended by itself.
     bool areAllRunning();
 
@@ -42,6 +49,8 @@
     std::string storeAddress;
     std::string folder;
     std::vector<Integration::Process> processes;
+    /// One for each process.
+    std::deque<std::mutex> processMutexes;
     /// The settings file is named in the environment, which all threads share.
     std::mutex startMutex;
 };
--- a/Tests/soak/soakproxy.cpp
+++ b/Tests/soak/soakproxy.cpp
@@ -65,7 +65,7 @@
     return "127.0.0.1:" + this->ports.at(target);
 }
 
-void SoakProxy::command(const std::string &text)
+void SoakProxy::command(const std::string &text) const
 {
     boost::asio::io_context io;
     Tcp::socket socket(io);
@@ -82,6 +82,16 @@
     }
 }
 
+void SoakProxy::silence(std::size_t target)
+{
+    this->command("/" + this->ports.at(target) + "/silence");
+}
+
+void SoakProxy::heal(std::size_t target)
+{
+    this->command("/" + this->ports.at(target) + "/heal");
+}
+
 void SoakProxy::disturb(std::mt19937 &random)
 {
     constexpr std::array<const char *, 6> faults { "delay?ms=200",          "cut",  "silence", "oneway?direction=up",
--- a/Tests/soak/soakproxy.h
+++ b/Tests/soak/soakproxy.h
@@ -8,8 +8,7 @@
 namespace Soak
 {
 
-/// The fault proxy between the instances and the endpoints, as a process of its own. Thread safety: one thread at a
-/// time.
+/// The fault proxy between the instances and the endpoints, as a process of its own. Thread safety: any thread.
 class SoakProxy
 {
 public:
@@ -23,8 +22,12 @@
     /// connections, or drops the data of one direction.
     void disturb(std::mt19937 &random);
 
+    /// Lets no data through to the target with this index, or lets them through again.
+    void silence(std::size_t target);
+    void heal(std::size_t target);
+
 private:
-    void command(const std::string &text);
+    void command(const std::string &text) const;
 
     Integration::Process process;
     std::uint16_t controlPort = 0;
--- a/Tests/soak/storestandin.cpp
+++ b/Tests/soak/storestandin.cpp
@@ -38,6 +38,19 @@
 void StoreStandin::set(const std::string &key, const std::string &value)
 {
     this->items[key] = { value, ++this->revision };
+    this->removedAt.erase(key);
+    this->completeWatches();
+}
+
+void StoreStandin::erase(const std::string &key)
+{
+    this->items.erase(key);
+    this->removedAt[key] = ++this->revision;
+    this->completeWatches();
+}
+
+void StoreStandin::completeWatches()
+{
     // The handlers of the cancelled timers reply.
     for (const Watch &watch : this->watches) {
         watch.timer->cancel();
@@ -95,6 +108,11 @@
             events.push_back(encode(key, item));
         }
     }
+    for (const auto &[key, removedRevision] : this->removedAt) {
+        if (removedRevision > after) {
+            events.push_back({ { "Key", key }, { "Revision", removedRevision }, { "Deleted", true } });
+        }
+    }
     return Standins::jsonResponse(statusOk, { { "events", events }, { "At", this->revision } });
 }
 
--- a/Tests/soak/storestandin.h
+++ b/Tests/soak/storestandin.h
@@ -15,12 +15,15 @@
 
     /// Writes an item and completes the watches that wait for a change.
     void set(const std::string &key, const std::string &value);
+    /// Removes an item and completes the watches that wait for a change.
+    void erase(const std::string &key);
     std::string address() const;
 
     /// While down, every call gets 503.
     void setDown(bool down);
 
 private:
+    void completeWatches();
     void handle(const Standins::ConnectionPointer &connection, const Standins::HttpRequest &request);
     Standins::HttpResponse list(const std::string &prefix, const std::string &after) const;
     void watch(const Standins::ConnectionPointer &connection, int after, double waitMs);
@@ -43,6 +46,8 @@
 
     boost::asio::io_context &io;
     std::map<std::string, Item> items;
+    /// Revisions at which items were removed.
+    std::map<std::string, int> removedAt;
     int revision = 100;
     std::vector<Watch> watches;
     bool isDown = false;
