--- a/Source/gateway/datagramsocket.cpp
+++ b/Source/gateway/datagramsocket.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::size_t maximumDatagramSize = std::size_t { 64 } * 1024;
+constexpr std::size_t maxDatagramSize = std::size_t { 64 } * 1024;
 
 }
 
@@ -47,7 +47,7 @@
     : socket(io)
     , counters(socketCounters)
     , receive(std::move(callback))
-    , buffer(maximumDatagramSize)
+    , buffer(maxDatagramSize)
 {
 }
 
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -17,7 +17,7 @@
 constexpr Duration connectTimeout = Milliseconds(250);
 /// A non-idempotent request is not sent on a connection that was idle for longer: the endpoint may be closing it at
 /// that moment, and then it is unknown whether the request ran.
-constexpr Duration maximumNonIdempotentIdle = Milliseconds(500);
+constexpr Duration maxNonIdempotentIdle = Milliseconds(500);
 }
 
 class EndpointConnectionPool::PooledCall : public OutgoingCall, public std::enable_shared_from_this<PooledCall>
@@ -100,7 +100,7 @@
     const TimePoint now = this->clock.now();
     while (!connections.idle.empty()) {
         ConnectionPtr connection = connections.idle.back();
-        if (nonIdempotent && connection->idleTime(now) > maximumNonIdempotentIdle) {
+        if (nonIdempotent && connection->idleTime(now) > maxNonIdempotentIdle) {
             return nullptr;
         }
         connections.idle.pop_back();
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 /// Upper bound of the fleet share, for connection limits and the retry budget, until the other instances had time to
 /// respond. A new instance that knows no other one would otherwise use the full connection limit of each endpoint, and
 /// endpoints would reset its connections.
-constexpr double maximumShareBeforeJoined = 1.0 / 8;
+constexpr double maxShareBeforeJoined = 1.0 / 8;
 /// The fleet share is updated this long after the start, when Gossip::hasJoined() has become true.
 constexpr Duration joinDelay = Milliseconds(2100);
 constexpr Duration shutdownCheckPeriod = Milliseconds(50);
@@ -242,13 +242,13 @@
 void Gateway::updateRateLimitShare()
 {
     const double share = this->rateLimitShare.value(this->endpoints.fleetShare(), this->ownRequestsPerSecond());
-    this->endpoints.setRateLimitShare(this->gossip->hasJoined() ? share : std::min(share, maximumShareBeforeJoined));
+    this->endpoints.setRateLimitShare(this->gossip->hasJoined() ? share : std::min(share, maxShareBeforeJoined));
 }
 
 void Gateway::updateFleetShare()
 {
     const double share = this->activeInstances.ownFleetShare();
-    this->endpoints.setFleetShare(this->gossip->hasJoined() ? share : std::min(share, maximumShareBeforeJoined));
+    this->endpoints.setFleetShare(this->gossip->hasJoined() ? share : std::min(share, maxShareBeforeJoined));
     this->updateRateLimitShare();
     this->retryBudget.setFleetShare(this->endpoints.fleetShare());
     this->quota.setInstanceCounts(this->members.liveCount(), this->members.knownCount());
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds listTimeout { 1500 };
 /// Added to the wait of a watch: time for the network round trip.
 constexpr std::chrono::milliseconds roundTripAllowance { 500 };
-constexpr Duration maximumWait = std::chrono::seconds(5);
+constexpr Duration maxWatchTimeout = std::chrono::seconds(5);
 /// A watch gets a response without changes when the replica became fresher by this much.
 constexpr Duration minimumFreshnessGain = Milliseconds(300);
 constexpr int statusGone = 410;
@@ -111,13 +111,13 @@
         });
 }
 
-void PeerFeedSource::watch(Revision after, Duration wait, std::function<void(Result<FeedBatch>)> done)
+void PeerFeedSource::watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done)
 {
-    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+    const auto timeoutMs = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
     const std::string target
-        = std::string(watchTarget) + std::to_string(after) + "&wait=" + std::to_string(waitMs.count());
+        = std::string(watchTarget) + std::to_string(after) + "&wait=" + std::to_string(timeoutMs.count());
     this->client.get(
-        target, waitMs + roundTripAllowance, [done = std::move(done)](const Result<HttpClientResponse> &response) {
+        target, timeoutMs + roundTripAllowance, [done = std::move(done)](const Result<HttpClientResponse> &response) {
             done(parseBatch(response));
         });
 }
@@ -149,16 +149,16 @@
         return;
     }
     unsigned long long after = 0;
-    long waitMs = 0;
-    if (std::sscanf(target.c_str(), "/feed/watch?after=%llu&wait=%ld", &after, &waitMs) != 2) {
+    long timeoutMs = 0;
+    if (std::sscanf(target.c_str(), "/feed/watch?after=%llu&wait=%ld", &after, &timeoutMs) != 2) {
         respond({ statusNotFound, "text/plain", "unknown" });
         return;
     }
-    const Duration wait = std::min<Duration>(Milliseconds(std::max(0L, waitMs)), maximumWait);
-    this->watch(after, wait, std::move(respond));
+    const Duration timeout = std::min<Duration>(Milliseconds(std::max(0L, timeoutMs)), maxWatchTimeout);
+    this->watch(after, timeout, std::move(respond));
 }
 
-void PeerFeedServer::watch(Revision after, Duration wait, AuxiliaryServer::Respond respond)
+void PeerFeedServer::watch(Revision after, Duration timeout, AuxiliaryServer::Respond respond)
 {
     PendingWatch pending;
     pending.after = after;
@@ -166,12 +166,12 @@
     pending.confirmedUntil = this->freshness.confirmedUntil();
     pending.respond = std::move(respond);
     const auto changes = this->replica.changesAfter(after);
-    if (!changes || !changes.value().empty() || wait == Duration::zero()) {
+    if (!changes || !changes.value().empty() || timeout == Duration::zero()) {
         this->respondTo(pending);
         return;
     }
     const std::uint64_t id = this->nextWatchId++;
-    pending.timer = this->timers.after(wait, [this, id] {
+    pending.timer = this->timers.after(timeout, [this, id] {
         const auto entry = this->pendingWatches.find(id);
         if (entry != this->pendingWatches.end()) {
             const PendingWatch expired = std::move(entry->second);
--- a/Source/gateway/peerfeed.h
+++ b/Source/gateway/peerfeed.h
@@ -22,7 +22,7 @@
     PeerFeedSource(boost::asio::io_context &io, const std::string &address);
 
     void list(const std::string &afterKey, std::function<void(Result<FeedPage>)> done) override;
-    void watch(Revision after, Duration wait, std::function<void(Result<FeedBatch>)> done) override;
+    void watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done) override;
     void cancel() override;
 
 private:
@@ -62,7 +62,7 @@
         Subscription timer;
     };
 
-    void watch(Revision after, Duration wait, AuxiliaryServer::Respond respond);
+    void watch(Revision after, Duration timeout, AuxiliaryServer::Respond respond);
     bool hasUpdate(const PendingWatch &pending) const;
     void respondTo(const PendingWatch &pending) const;
 
--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -118,7 +118,7 @@
 }
 
 // Guards against endpoints that keep working on a request after the caller has disconnected.
-BOOST_AUTO_TEST_CASE(cancellationReleasesEndpoints)
+BOOST_AUTO_TEST_CASE(cancellationStopsEndpoints)
 {
     auto pending = this->sendRequest();
     this->server.handleRequest(this->sender.lastPayload());
--- a/Tests/forwarding/quotatest.cpp
+++ b/Tests/forwarding/quotatest.cpp
@@ -196,7 +196,7 @@
 }
 
 // Guards against an exceeded limit while the usage of the other instances is reported late.
-BOOST_AUTO_TEST_CASE(limitHoldsWithSlowExchange)
+BOOST_AUTO_TEST_CASE(limitHoldsWhileUsageIsReportedLate)
 {
     Scenario scenario;
     scenario.requestsPerSecond = 400;
--- a/Tests/forwarding/shardrelaytest.cpp
+++ b/Tests/forwarding/shardrelaytest.cpp
@@ -186,7 +186,7 @@
 
 // Guards against relayed shards that cannot be hedged for lack of retry budget: the requesting instance records their
 // first attempts, which fill the budget.
-BOOST_AUTO_TEST_CASE(requestingInstanceEarnsRetryBudget)
+BOOST_AUTO_TEST_CASE(relayedFirstAttemptsFillRetryBudget)
 {
     for (int sent = 0; sent < 8; ++sent) {
         this->start();
