--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -334,8 +334,8 @@
     disturbAndCall(fleet, surroundings, observations, seed);
     std::vector<std::string> violations = findViolations(
         observations, { shardCount, limitedOrganisationRate, limitedOrganisationBurst, revocationMs / 1000.0 });
-    if (!fleet.areAllRunning()) {
-        violations.emplace_back("FAULT: an instance has ended by itself");
+    for (const std::string &ended : fleet.findEndedInstances()) {
+        violations.push_back("FAULT: " + ended);
     }
     const auto served = std::count_if(observations.attempts.begin(),
                                       observations.attempts.end(),
--- a/Tests/soak/soakfleet.cpp
+++ b/Tests/soak/soakfleet.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <optional>
 #include <sys/time.h>
 #include <thread>
@@ -30,6 +31,7 @@
 /// A restarted instance has joined the others after this time.
 constexpr double joinSeconds = 4;
 constexpr std::chrono::seconds shutdownBound { 8 };
+constexpr std::chrono::seconds startBound { 10 };
 
 const std::vector<std::string> organisations { "limited", "unlimited", "withdrawn" };
 
@@ -89,6 +91,14 @@
     attempt.body = response.body();
 }
 
+/// Size of a file; 0 if it does not exist.
+std::uintmax_t sizeOf(const std::string &path)
+{
+    std::error_code error;
+    const std::uintmax_t size = std::filesystem::file_size(path, error);
+    return error ? 0 : size;
+}
+
 void sleepSeconds(double seconds)
 {
     std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
@@ -119,6 +129,7 @@
     , folder(std::move(workFolder))
     , processes(static_cast<std::size_t>(instances))
     , processMutexes(static_cast<std::size_t>(instances))
+    , logSizeAtStart(static_cast<std::size_t>(instances))
 {
 }
 
@@ -155,21 +166,32 @@
 
 void SoakFleet::start(int instance)
 {
-    const std::string name = this->folder + "/instance-" + std::to_string(instance);
-    Integration::writeFile(name + ".yaml", this->settings(instance));
+    const std::string settingsFile = this->folder + "/instance-" + std::to_string(instance) + ".yaml";
+    Integration::writeFile(settingsFile, this->settings(instance));
+    const auto index = static_cast<std::size_t>(instance);
+    this->logSizeAtStart[index] = sizeOf(this->logFile(instance));
     const std::lock_guard<std::mutex> lock(this->startMutex);
-    ::setenv("LYCHEEWALL_CONFIG", (name + ".yaml").c_str(), 1);
-    this->processes[static_cast<std::size_t>(instance)] = Integration::Process(this->program, {}, name + ".log");
+    ::setenv("LYCHEEWALL_CONFIG", settingsFile.c_str(), 1);
+    this->processes[index] = Integration::Process(this->program, {}, this->logFile(instance));
+}
+
+std::string SoakFleet::logFile(int instance) const
+{
+    return this->folder + "/instance-" + std::to_string(instance) + ".log";
+}
+
+bool SoakFleet::hasLogged(int instance) const
+{
+    return sizeOf(this->logFile(instance)) > this->logSizeAtStart[static_cast<std::size_t>(instance)];
 }
 
 bool SoakFleet::waitUntilReady()
 {
     for (int instance = 0; instance < this->size(); ++instance) {
-        const std::string log = this->folder + "/instance-" + std::to_string(instance) + ".log";
-        const auto isReady = [&log] {
-            return Integration::readFile(log).find("Ready to serve requests") != std::string::npos;
+        const auto isReady = [this, instance] {
+            return Integration::readFile(this->logFile(instance)).find("Ready to serve requests") != std::string::npos;
         };
-        if (!Integration::waitFor(isReady, std::chrono::seconds(10))) {
+        if (!Integration::waitFor(isReady, startBound)) {
             return false;
         }
     }
@@ -186,6 +208,7 @@
     switch (std::uniform_int_distribution<int>(Pause, Reload)(random)) {
     case Reload:
         // Not a fault: nothing may be lost.
+        Integration::waitFor([&] { return this->hasLogged(instance); }, startBound);
         process.signal(SIGHUP);
         return;
     case Pause:
@@ -230,13 +253,18 @@
     }
 }
 
-bool SoakFleet::areAllRunning()
+std::vector<std::string> SoakFleet::findEndedInstances()
 {
-    bool running = true;
-    for (Integration::Process &process : this->processes) {
-        running = process.alive() && running;
+    std::vector<std::string> ended;
+    for (int instance = 0; instance < this->size(); ++instance) {
+        Integration::Process &process = this->processes[static_cast<std::size_t>(instance)];
+        const int status = process.wait(std::chrono::milliseconds(0));
+        if (status >= 0) {
+            ended.push_back("instance-" + std::to_string(instance) + " has ended by itself with status "
+                            + std::to_string(status));
+        }
     }
-    return running;
+    return ended;
 }
 
 void runCaller(const SoakFleet &fleet, Observations &observations, unsigned seed, const std::atomic<bool> &stop)
--- a/Tests/soak/soakfleet.h
+++ b/Tests/soak/soakfleet.h
@@ -36,10 +36,15 @@
     /// Kills all instances of @p zone and starts them again after @p seconds. Thread safety: any thread.
     void loseZone(const std::string &zone, double seconds, Observations &observations);
 
-    /// False if an instance has ended by itself.
-    bool areAllRunning();
+    /// One line of text for each instance that has ended by itself. Precondition: all threads that disturb instances
+    /// have ended.
+    std::vector<std::string> findEndedInstances();
 
 private:
+    std::string logFile(int instance) const;
+    /// True once the present process of the instance has written to its log. Before, it may not have reached main(),
+    /// and SIGHUP ends any program there.
+    bool hasLogged(int instance) const;
     std::string address(int instance, int port) const;
     std::string settings(int instance) const;
 
@@ -51,6 +56,8 @@
     std::vector<Integration::Process> processes;
     /// One for each process.
     std::deque<std::mutex> processMutexes;
+    /// Size of the log when the present process was started.
+    std::vector<std::uintmax_t> logSizeAtStart;
     /// The settings file is named in the environment, which all threads share.
     std::mutex startMutex;
 };
