Forwarding: Log an endpoint's invalid values once

Change: the endpoint remembers which of its fields have been logged; the counter still counts each response.

Shown by: EndpointStatementHandlerTest/invalidValueIsLoggedOncePerEndpointAndField, whose first check fails before. The second test holds before and after: begin and end of each form are logged once.

--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -39,6 +39,8 @@
     EndpointBackoff backoff;
     /// True once the endpoint process has said in a response that it shuts down.
     bool leaving = false;
+    /// Names of header fields whose invalid values have been logged.
+    std::set<std::string> loggedInvalidFields;
     TimePoint coldUntil;
     /// False once the entry was removed. Requests in flight may still hold the object.
     bool registered = true;
--- a/Source/forwarding/endpointstatementhandler.cpp
+++ b/Source/forwarding/endpointstatementhandler.cpp
@@ -42,7 +42,9 @@
 {
     for (const std::string &field : statement.malformedFields) {
         this->counters.counter("lycheewall_endpoint_bad_statements_total").add();
-        logger().warn(describe(endpoint) + " has sent an invalid value of " + field + "; it is ignored.");
+        if (endpoint.loggedInvalidFields.insert(field).second) {
+            logger().warn(describe(endpoint) + " has sent an invalid value of " + field + "; it is ignored.");
+        }
     }
     this->applyRateLimit(endpoint, statement.rateLimit, sentAt);
     if (statement.retryAfter) {
