--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -113,8 +113,8 @@
 struct Surroundings
 {
     /// With one zone, endpoints make statements. With several, shards are relayed, which does not show which instance
-    /// has sent them, so that statements could not be checked; a proxy disturbs the connections to the endpoints
-    /// instead.
+    /// has sent them, so that statements could not be checked; a proxy disturbs the connections to the endpoints and
+    /// the store instead.
     Surroundings(Observations &observations, std::mt19937 &random, int zones, const std::string &folder)
         : store(io)
     {
@@ -135,6 +135,7 @@
         for (const auto &endpoint : this->endpoints) {
             addresses.push_back(endpoint->address());
         }
+        addresses.push_back(this->store.address());
         if (zones > 1) {
             this->proxy = std::make_unique<SoakProxy>(addresses, folder);
         }
@@ -158,6 +159,12 @@
         return endpoint.entry(this->proxy ? this->proxy->addressOf(index) : endpoint.address(), start);
     }
 
+    /// The address under which the instances reach the store.
+    std::string storeAddress() const
+    {
+        return this->proxy ? this->proxy->addressOf(this->endpoints.size()) : this->store.address();
+    }
+
     /// Changes the store and returns after it has accepted the change. Thread safety: any thread but that of the store.
     void inStore(const std::function<void(StoreStandin &)> &change)
     {
@@ -238,7 +245,7 @@
     }
 }
 
-/// Disturbs the connections to the endpoints in series.
+/// Disturbs the connections to the endpoints and the store in series.
 void disturbConnections(SoakProxy &proxy, unsigned seed, double until)
 {
     std::mt19937 random(seed);
@@ -322,7 +329,7 @@
                     FLAGS_instances,
                     zones,
                     firstNetwork + static_cast<int>(seed) % networkCount,
-                    surroundings.store.address(),
+                    surroundings.storeAddress(),
                     folder);
     for (int instance = 0; instance < fleet.size(); ++instance) {
         fleet.start(instance);
--- a/Tests/soak/soakproxy.h
+++ b/Tests/soak/soakproxy.h
@@ -8,7 +8,8 @@
 namespace Soak
 {
 
-/// The fault proxy between the instances and the endpoints, as a process of its own. Thread safety: any thread.
+/// The fault proxy between the instances and the endpoints and the store, as a process of its own. Thread safety: any
+/// thread.
 class SoakProxy
 {
 public:
