--- a/Source/fleet/gossipmessage.cpp
+++ b/Source/fleet/gossipmessage.cpp
@@ -106,7 +106,7 @@
     message.feedAgeMs = json.at("a").get<std::int64_t>();
     message.cpuUsage = { fromThousandths(json.at("m").at(0)), fromThousandths(json.at("m").at(1)) };
     if (json.at("m").size() > 2) {
-        message.requestsPerSecond = json.at("m").at(2).get<std::uint64_t>() / rateUnitsPerRequest;
+        message.requestsPerSecond = static_cast<double>(json.at("m").at(2).get<std::uint64_t>()) / rateUnitsPerRequest;
     }
     message.readsStore = json.value("r", false);
     message.requestsAddresses = json.value("j", false);
