Feed: Limit responses between instances and send only latest changes

Cause: a read between instances had 0.9 s in all, and its response held each change since the reader's revision, up to 400 complete configurations. A reader that fell behind requested more with each attempt and began anew after each. The history also held up to 400 times the size of the configuration in memory.

Ruled out: the choice of the source. The logs show time-outs from the store and from five instances in turn.

Change: the replica keeps the latest change of each entry. Responses and pages end after about 128 KiB; an incomplete one does not confirm freshness. A response has to make progress (0.5 s a part, 5 s in all) instead of ending within 0.9 s. A listing in several pages counts as confirmed at its first page. When a zone's leader does not respond, its instances ask a deputy first.

--- a/Source/feed/feedevent.h
+++ b/Source/feed/feedevent.h
@@ -41,6 +41,8 @@
     Revision revision = 0;
     /// As in FeedPage.
     Duration age {};
+    /// True if the source has later changes, which did not fit into the response.
+    bool hasMore = false;
 };
 
 }
--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -98,6 +98,7 @@
         this->listing.started = true;
         // Later pages may hold newer entries; the watch delivers the changes since the first page.
         this->listing.revision = page.value().revision;
+        this->listing.confirmedUntil = startedAt - page.value().age;
     }
     this->listing.items.insert(this->listing.items.end(), page.value().items.begin(), page.value().items.end());
     if (page.value().hasMore && !page.value().items.empty()) {
@@ -113,7 +114,7 @@
     }
     this->needsListing = false;
     this->handleSuccess();
-    this->confirm(startedAt - page.value().age);
+    this->confirm(complete.confirmedUntil);
     this->context.replica.replace(complete.items, complete.revision);
     this->context.updated();
     this->scheduleRead(Duration::zero());
@@ -148,12 +149,17 @@
         return;
     }
     this->handleSuccess();
-    if (!this->usingStore) {
+    // While the source has later changes, its age says nothing about this replica.
+    if (!this->usingStore && !batch.value().hasMore) {
         this->confirm(startedAt - batch.value().age);
     }
     this->context.replica.apply(batch.value());
     this->confirmCheckedRevision();
     this->context.updated();
+    if (batch.value().hasMore) {
+        this->scheduleRead(Duration::zero());
+        return;
+    }
     const bool returnedEarly = this->context.clock.now() - startedAt < this->settings.coalescingDelay;
     const bool isDelayed = returnedEarly || !batch.value().events.empty();
     this->scheduleRead(isDelayed ? this->settings.coalescingDelay : Duration::zero());
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -105,6 +105,8 @@
     {
         std::vector<FeedEvent> items;
         Revision revision = 0;
+        /// Time up to which the first page holds all changes.
+        TimePoint confirmedUntil;
         bool started = false;
     };
     /// A revision of the store that the replica may not have reached yet, and the time when the check was started.
--- a/Source/feed/feedreplica.cpp
+++ b/Source/feed/feedreplica.cpp
@@ -1,7 +1,6 @@
 #include "feed/feedreplica.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Lycheewall
 {
@@ -9,8 +8,13 @@
 namespace
 {
 
-/// Number of changes kept for the other instances that read from this one.
-constexpr std::size_t historyLength = 400;
+/// Number of removals kept for the other instances that read from this one.
+constexpr std::size_t maxRemovals = 4000;
+
+std::size_t sizeInBytes(const FeedEvent &event)
+{
+    return event.key.size() + event.value.size();
+}
 
 }
 
@@ -25,24 +29,42 @@
     if (existing != this->entries.end() && existing->second.revision >= event.revision) {
         return;
     }
-    if (event.deleted) {
-        if (existing == this->entries.end()) {
-            return;
-        }
-        this->entries.erase(existing);
-    } else {
-        this->entries[event.key] = event;
+    const bool wasPresent = existing != this->entries.end() && !existing->second.deleted;
+    this->store(event);
+    if (this->listener && (wasPresent || !event.deleted)) {
+        this->listener(event);
     }
-    this->history.push_back(event);
-    if (this->history.size() > historyLength) {
-        this->historyStart = std::max(this->historyStart, this->history.front().revision);
-        this->history.pop_front();
+}
+
+void FeedReplica::store(const FeedEvent &event)
+{
+    FeedEvent &entry = this->entries[event.key];
+    this->byRevision.erase({ entry.revision, event.key });
+    this->removals.erase({ entry.revision, event.key });
+    entry = event;
+    this->byRevision.emplace(event.revision, event.key);
+    if (event.deleted) {
+        this->removals.emplace(event.revision, event.key);
+        this->forgetOldRemovals();
     }
-    if (this->listener) {
-        this->listener(event);
+}
+
+void FeedReplica::forgetOldRemovals()
+{
+    while (this->removals.size() > maxRemovals) {
+        const auto oldest = *this->removals.begin();
+        this->historyStart = std::max(this->historyStart, oldest.first);
+        this->forgetRemoval(oldest);
     }
 }
 
+void FeedReplica::forgetRemoval(const std::pair<Revision, std::string> &removal)
+{
+    this->removals.erase(removal);
+    this->byRevision.erase(removal);
+    this->entries.erase(removal.second);
+}
+
 void FeedReplica::apply(const FeedBatch &batch)
 {
     for (const FeedEvent &event : batch.events) {
@@ -61,19 +83,23 @@
         listedKeys.insert(item.key);
         this->applyEvent(item);
     }
-    std::vector<FeedEvent> removals;
+    std::vector<FeedEvent> missing;
     for (const auto &[key, entry] : this->entries) {
-        if (listedKeys.count(key) == 0 && entry.revision <= listedRevision) {
-            removals.push_back({ key, {}, listedRevision, true });
+        if (!entry.deleted && listedKeys.count(key) == 0 && entry.revision <= listedRevision) {
+            missing.push_back({ key, {}, listedRevision, true });
         }
     }
-    for (const FeedEvent &event : removals) {
-        // The entry may have the revision of the listing itself; a removal must have a newer revision to be applied.
-        this->entries[event.key].revision = std::min(this->entries[event.key].revision, listedRevision - 1);
-        this->applyEvent(event);
+    for (const FeedEvent &event : missing) {
+        this->store(event);
+        if (this->listener) {
+            this->listener(event);
+        }
+    }
+    // A listing does not name the entries that were added and removed since the previous one, so other instances cannot
+    // resume from an earlier revision.
+    while (!this->removals.empty()) {
+        this->forgetRemoval(std::pair<Revision, std::string>(*this->removals.begin()));
     }
-    // The order of the changes within a listing is unknown, so other instances cannot resume from a revision inside it.
-    this->history.clear();
     this->currentRevision = std::max(this->currentRevision, listedRevision);
     this->historyStart = this->currentRevision;
     this->initialised = true;
@@ -89,26 +115,61 @@
     return this->currentRevision;
 }
 
-Result<std::vector<FeedEvent>> FeedReplica::changesAfter(Revision after) const
+Result<FeedBatch> FeedReplica::changesAfter(Revision after, std::size_t maxBytes) const
 {
     if (!this->initialised || after < this->historyStart) {
         return make_error_code(FeedError::HistoryCompacted);
     }
-    std::vector<FeedEvent> changes;
-    for (const FeedEvent &event : this->history) {
-        if (event.revision > after) {
-            changes.push_back(event);
+    FeedBatch batch;
+    batch.revision = this->currentRevision;
+    std::size_t bytes = 0;
+    for (auto change = this->byRevision.lower_bound({ after + 1, {} }); change != this->byRevision.end(); ++change) {
+        const FeedEvent &event = this->entries.at(change->second);
+        bytes += sizeInBytes(event);
+        // The changes of one revision stay together, because the reader resumes after a whole revision.
+        const bool startsRevision = batch.events.empty() || batch.events.back().revision != event.revision;
+        if (bytes > maxBytes && startsRevision && !batch.events.empty()) {
+            batch.revision = batch.events.back().revision;
+            batch.hasMore = true;
+            break;
         }
+        batch.events.push_back(event);
     }
-    return changes;
+    return batch;
+}
+
+bool FeedReplica::hasChangesAfter(Revision after) const
+{
+    return !this->initialised || after < this->historyStart
+        || this->byRevision.lower_bound({ after + 1, {} }) != this->byRevision.end();
+}
+
+FeedPage FeedReplica::listAfter(const std::string &afterKey, std::size_t maxBytes) const
+{
+    FeedPage page;
+    page.revision = this->currentRevision;
+    std::size_t bytes = 0;
+    for (auto entry = this->entries.upper_bound(afterKey); entry != this->entries.end(); ++entry) {
+        if (entry->second.deleted) {
+            continue;
+        }
+        bytes += sizeInBytes(entry->second);
+        if (bytes > maxBytes && !page.items.empty()) {
+            page.hasMore = true;
+            break;
+        }
+        page.items.push_back(entry->second);
+    }
+    return page;
 }
 
 std::vector<FeedEvent> FeedReplica::items() const
 {
     std::vector<FeedEvent> result;
-    result.reserve(this->entries.size());
     for (const auto &[key, entry] : this->entries) {
-        result.push_back(entry);
+        if (!entry.deleted) {
+            result.push_back(entry);
+        }
     }
     return result;
 }
--- a/Source/feed/fleetfeedsourcepolicy.cpp
+++ b/Source/feed/fleetfeedsourcepolicy.cpp
@@ -19,6 +19,11 @@
         && member.lastMessage.state == MemberState::Ready;
 }
 
+/// In a large fleet: instances of the own zone that are asked before the store's reader, the leader and its deputy.
+constexpr std::size_t maxZonePeers = 2;
+/// In a large fleet: maximum number of instances to choose from.
+constexpr std::size_t maxCandidates = 8;
+
 bool isPreferredPeer(const Member *left, const Member *right)
 {
     if (left->lastMessage.readsStore != right->lastMessage.readsStore) {
@@ -51,39 +56,76 @@
     return readersAhead < maxStoreReaders;
 }
 
-const Member *FleetFeedSourcePolicy::zoneLeader() const
+std::vector<const Member *> FleetFeedSourcePolicy::zonePeers() const
 {
-    if (!this->members.isLargeFleet()) {
-        return nullptr;
+    std::vector<const Member *> peers;
+    const auto entry = this->members.liveMembersByZone().find(this->zone);
+    if (entry == this->members.liveMembersByZone().end()) {
+        return peers;
     }
-    const Member *leader = nullptr;
-    for (const Member *member : this->members.liveMembers()) {
-        if (member->lastMessage.zone != this->zone || !isReadyAndFresh(*member)) {
-            continue;
+    for (const Member *member : entry->second) {
+        if (isReadyAndFresh(*member) && (member->lastMessage.readsStore || member->lastMessage.instance < this->self)) {
+            peers.push_back(member);
         }
-        if (member->lastMessage.readsStore) {
-            return member;
-        }
-        if (leader == nullptr && member->lastMessage.instance < this->self) {
-            leader = member;
+    }
+    const std::size_t count = std::min(maxZonePeers, peers.size());
+    std::partial_sort(peers.begin(),
+                      peers.begin() + static_cast<std::ptrdiff_t>(count),
+                      peers.end(),
+                      [](const Member *left, const Member *right) {
+                          if (left->lastMessage.readsStore != right->lastMessage.readsStore) {
+                              return left->lastMessage.readsStore;
+                          }
+                          return left->lastMessage.instance < right->lastMessage.instance;
+                      });
+    peers.resize(count);
+    return peers;
+}
+
+std::vector<const Member *> FleetFeedSourcePolicy::largeFleetCandidates() const
+{
+    std::vector<const Member *> result = this->zonePeers();
+    std::vector<const Member *> others;
+    for (const Member *member : this->members.liveMembers()) {
+        if (isReadyAndFresh(*member) && std::find(result.begin(), result.end(), member) == result.end()) {
+            others.push_back(member);
         }
     }
-    return leader;
+    const std::hash<std::string> hash;
+    const auto rank = [this, &hash](const Member *member) {
+        return hash(this->self.value() + ' ' + member->lastMessage.instance.value());
+    };
+    const std::size_t count = std::min(maxCandidates - result.size(), others.size());
+    // After the store's reader, each instance has an order of its own, so that not all turn to the same one.
+    std::partial_sort(others.begin(),
+                      others.begin() + static_cast<std::ptrdiff_t>(count),
+                      others.end(),
+                      [&rank](const Member *left, const Member *right) {
+                          if (left->lastMessage.readsStore != right->lastMessage.readsStore) {
+                              return left->lastMessage.readsStore;
+                          }
+                          return rank(left) < rank(right);
+                      });
+    result.insert(result.end(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
+    return result;
 }
 
-std::vector<FeedPeer> FleetFeedSourcePolicy::candidatePeers()
+std::vector<const Member *> FleetFeedSourcePolicy::smallFleetCandidates() const
 {
-    std::vector<const Member *> candidates;
+    std::vector<const Member *> result;
     for (const Member *member : this->members.liveMembers()) {
         if (isReadyAndFresh(*member)) {
-            candidates.push_back(member);
+            result.push_back(member);
         }
     }
-    std::stable_sort(candidates.begin(), candidates.end(), &isPreferredPeer);
-    const auto zoneLeaderEntry = std::find(candidates.begin(), candidates.end(), this->zoneLeader());
-    if (zoneLeaderEntry != candidates.end()) {
-        std::rotate(candidates.begin(), zoneLeaderEntry, zoneLeaderEntry + 1);
-    }
+    std::stable_sort(result.begin(), result.end(), &isPreferredPeer);
+    return result;
+}
+
+std::vector<FeedPeer> FleetFeedSourcePolicy::candidatePeers()
+{
+    const std::vector<const Member *> candidates
+        = this->members.isLargeFleet() ? this->largeFleetCandidates() : this->smallFleetCandidates();
     std::vector<FeedPeer> result;
     for (const Member *member : candidates) {
         std::shared_ptr<FeedSource> &source = this->sources[member->lastMessage.peerAddress];
--- a/Source/feed/fleetfeedsourcepolicy.h
+++ b/Source/feed/fleetfeedsourcepolicy.h
@@ -13,7 +13,7 @@
  * time, because calls to the store are billed: the one with the lowest id among the ready instances with fresh data. An
  * instance that sees no such reader reads the store itself. In a large fleet, one instance of each availability zone
  * reads from the store's reader and the others in the zone read from that instance, because traffic between zones is
- * expensive.
+ * expensive. If that fails, they read from the instance that would replace it.
  * Thread safety: none; used on the thread of the request loop.
  */
 class FleetFeedSourcePolicy : public FeedSourcePolicy
@@ -28,9 +28,13 @@
     std::vector<FeedPeer> candidatePeers() override;
 
 private:
-    /// The instance of this zone that the others in the zone read from; nullptr if it is this instance or the fleet is
-    /// not large.
-    const Member *zoneLeader() const;
+    /// The instances of this zone that this one reads from: the zone's leader, which has the lowest id, and a deputy
+    /// with the next one. Empty if this instance has the lowest id.
+    std::vector<const Member *> zonePeers() const;
+
+    /// Instances with fresh feed data, best first.
+    std::vector<const Member *> largeFleetCandidates() const;
+    std::vector<const Member *> smallFleetCandidates() const;
 
     const MemberTable &members;
     InstanceId self;
--- a/Source/gateway/httpclient.cpp
+++ b/Source/gateway/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace Lycheewall
 {
@@ -18,6 +19,11 @@
 namespace
 {
 
+/// Longest pause between two parts of a response. The time for the whole response is not limited as strictly, because
+/// the link or either process may be slow.
+constexpr std::chrono::milliseconds progressTimeout { 500 };
+/// Time for the whole response after its first part.
+constexpr std::chrono::seconds transferTimeout { 5 };
 constexpr std::uint64_t responseBodyLimit = std::uint64_t { 64 } * 1024 * 1024;
 
 std::error_code toFeedError(const beast::error_code &error)
@@ -56,6 +62,7 @@
         this->message.version(11);
         this->message.set(http::field::host, this->client.address);
         this->parser.body_limit(responseBodyLimit);
+        this->parser.eager(true);
     }
 
     void connect(const asio::ip::tcp::endpoint &endpoint)
@@ -87,16 +94,30 @@
 private:
     void read()
     {
-        http::async_read(this->connection->stream,
-                         this->connection->buffer,
-                         this->parser,
-                         [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-                             if (error) {
-                                 self->fail(error);
-                                 return;
-                             }
-                             self->succeed();
-                         });
+        http::async_read_some(this->connection->stream,
+                              this->connection->buffer,
+                              this->parser,
+                              [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                                  self->handleRead(error);
+                              });
+    }
+
+    void handleRead(const beast::error_code &error)
+    {
+        if (error) {
+            this->fail(error);
+            return;
+        }
+        if (this->parser.is_done()) {
+            this->succeed();
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        if (!this->transferDeadline) {
+            this->transferDeadline = now + transferTimeout;
+        }
+        this->connection->stream.expires_at(std::min(now + progressTimeout, *this->transferDeadline));
+        this->read();
     }
 
     void succeed()
@@ -131,6 +152,8 @@
     Callback done;
     http::request<http::empty_body> message;
     http::response_parser<http::string_body> parser;
+    /// Set when the first part of the response has arrived.
+    std::optional<std::chrono::steady_clock::time_point> transferDeadline;
 };
 
 HttpClient::HttpClient(asio::io_context &ioContext, std::string remoteAddress)
--- a/Source/gateway/httpclient.h
+++ b/Source/gateway/httpclient.h
@@ -30,8 +30,9 @@
 
     HttpClient(boost::asio::io_context &io, std::string address);
 
-    /// Sends a GET request for @p target. @p timeout limits the time until the response is complete, including the
-    /// connection setup. @p done is called once, never from within get(). Precondition: no request is in flight.
+    /// Sends a GET request for @p target. @p timeout limits the time until the response begins to arrive, including the
+    /// connection setup; then it has to make progress until it is complete. @p done is called once, never from within
+    /// get(). Precondition: no request is in flight.
     void get(const std::string &target, std::chrono::milliseconds timeout, Callback done);
 
     /// Cancels the request in flight, if any; its callback gets FeedError::Unreachable.
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace Lycheewall
 {
@@ -13,16 +14,21 @@
 
 using Json = nlohmann::json;
 
-constexpr std::string_view listTarget = "/feed/list";
+constexpr std::string_view listTarget = "/feed/list?after=";
 constexpr std::string_view watchTarget = "/feed/watch?after=";
+/// Time until a page begins to arrive.
 constexpr std::chrono::milliseconds listTimeout { 1500 };
-/// Added to the wait of a watch: time for the network round trip.
+/// Added to the wait of a watch: time until the response begins to arrive.
 constexpr std::chrono::milliseconds roundTripAllowance { 500 };
 constexpr Duration maxWatchTimeout = std::chrono::seconds(5);
+/// Size of the entries in a response, apart from a single larger one.
+constexpr std::size_t maxResponseBytes = std::size_t { 128 } * 1024;
+constexpr int hexBase = 16;
 /// A watch gets a response without changes when the replica became fresher by this much.
 constexpr Duration minimumFreshnessGain = Milliseconds(300);
 constexpr int statusGone = 410;
 constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusNotReady = 503;
 
@@ -51,11 +57,41 @@
     return events;
 }
 
-AuxiliaryResponse cborResponse(const std::vector<FeedEvent> &events, Revision at, Duration age)
+/// Encodes any key as letters and digits.
+std::string toHex(const std::string &text)
+{
+    static const char *digits = "0123456789abcdef";
+    std::string hex;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        hex.push_back(digits[byte / hexBase]);
+        hex.push_back(digits[byte % hexBase]);
+    }
+    return hex;
+}
+
+/// Returns std::nullopt if @p hex was not made by toHex().
+std::optional<std::string> fromHex(const std::string &hex)
+{
+    if (hex.size() % 2 != 0 || hex.find_first_not_of("0123456789abcdef") != std::string::npos) {
+        return std::nullopt;
+    }
+    std::string text;
+    for (std::size_t position = 0; position < hex.size(); position += 2) {
+        text.push_back(static_cast<char>(std::stoi(hex.substr(position, 2), nullptr, hexBase)));
+    }
+    return text;
+}
+
+AuxiliaryResponse cborResponse(const FeedBatch &batch)
 {
     AuxiliaryResponse response;
     response.contentType = "application/cbor";
-    Json::to_cbor(Json { { "e", toJson(events) }, { "at", at }, { "age", toMilliseconds(age) } }, response.body);
+    const Json json { { "e", toJson(batch.events) },
+                      { "at", batch.revision },
+                      { "age", toMilliseconds(batch.age) },
+                      { "more", batch.hasMore } };
+    Json::to_cbor(json, response.body);
     return response;
 }
 
@@ -81,6 +117,7 @@
         batch.revision = json.at("at").get<Revision>();
         // The age was truncated to milliseconds; the data must not appear fresher than it is.
         batch.age = Milliseconds(json.at("age").get<std::int64_t>() + 1);
+        batch.hasMore = json.value("more", false);
         return batch;
     } catch (const Json::exception &) {
         return make_error_code(FeedError::MalformedResponse);
@@ -94,21 +131,23 @@
 {
 }
 
-void PeerFeedSource::list(const std::string & /*afterKey*/, std::function<void(Result<FeedPage>)> done)
+void PeerFeedSource::list(const std::string &afterKey, std::function<void(Result<FeedPage>)> done)
 {
-    this->client.get(
-        std::string(listTarget), listTimeout, [done = std::move(done)](const Result<HttpClientResponse> &response) {
-            const auto batch = parseBatch(response);
-            if (!batch) {
-                done(batch.error());
-                return;
-            }
-            FeedPage page;
-            page.items = batch.value().events;
-            page.revision = batch.value().revision;
-            page.age = batch.value().age;
-            done(std::move(page));
-        });
+    this->client.get(std::string(listTarget) + toHex(afterKey),
+                     listTimeout,
+                     [done = std::move(done)](const Result<HttpClientResponse> &response) {
+                         const auto batch = parseBatch(response);
+                         if (!batch) {
+                             done(batch.error());
+                             return;
+                         }
+                         FeedPage page;
+                         page.items = batch.value().events;
+                         page.revision = batch.value().revision;
+                         page.age = batch.value().age;
+                         page.hasMore = batch.value().hasMore;
+                         done(std::move(page));
+                     });
 }
 
 void PeerFeedSource::watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done)
@@ -144,8 +183,13 @@
         respond({ statusNotReady, "text/plain", "empty" });
         return;
     }
-    if (target == listTarget) {
-        respond(cborResponse(this->replica.items(), this->replica.revision(), this->freshness.age()));
+    if (target.rfind(listTarget, 0) == 0) {
+        const auto afterKey = fromHex(target.substr(listTarget.size()));
+        if (!afterKey) {
+            respond({ statusBadRequest, "text/plain", "the key is not in hexadecimal digits" });
+            return;
+        }
+        this->list(*afterKey, respond);
         return;
     }
     unsigned long long after = 0;
@@ -158,6 +202,12 @@
     this->watch(after, timeout, std::move(respond));
 }
 
+void PeerFeedServer::list(const std::string &afterKey, const AuxiliaryServer::Respond &respond) const
+{
+    const FeedPage page = this->replica.listAfter(afterKey, maxResponseBytes);
+    respond(cborResponse({ page.items, page.revision, this->freshness.age(), page.hasMore }));
+}
+
 void PeerFeedServer::watch(Revision after, Duration timeout, AuxiliaryServer::Respond respond)
 {
     PendingWatch pending;
@@ -165,8 +215,7 @@
     pending.receivedAt = this->clock.now();
     pending.confirmedUntil = this->freshness.confirmedUntil();
     pending.respond = std::move(respond);
-    const auto changes = this->replica.changesAfter(after);
-    if (!changes || !changes.value().empty() || timeout == Duration::zero()) {
+    if (this->replica.hasChangesAfter(after) || timeout == Duration::zero()) {
         this->respondTo(pending);
         return;
     }
@@ -184,23 +233,23 @@
 
 void PeerFeedServer::respondTo(const PendingWatch &pending) const
 {
-    const auto changes = this->replica.changesAfter(pending.after);
+    auto changes = this->replica.changesAfter(pending.after, maxResponseBytes);
     if (!changes) {
         pending.respond({ statusGone, "text/plain", "gone" });
         return;
     }
     // The reader counts the age from the time of its request. The age is negative if the replica was confirmed later.
     const Duration elapsed = this->clock.now() - pending.receivedAt;
-    pending.respond(cborResponse(changes.value(), this->replica.revision(), this->freshness.age() - elapsed));
+    changes.value().age = this->freshness.age() - elapsed;
+    pending.respond(cborResponse(changes.value()));
 }
 
 bool PeerFeedServer::hasUpdate(const PendingWatch &pending) const
 {
-    const auto changes = this->replica.changesAfter(pending.after);
     const std::optional<TimePoint> confirmedUntil = this->freshness.confirmedUntil();
     const bool isFresher
         = pending.confirmedUntil && confirmedUntil && *confirmedUntil - *pending.confirmedUntil >= minimumFreshnessGain;
-    return isFresher || !changes || !changes.value().empty();
+    return isFresher || this->replica.hasChangesAfter(pending.after);
 }
 
 void PeerFeedServer::replicaUpdated()
--- a/Source/gateway/peerfeed.h
+++ b/Source/gateway/peerfeed.h
@@ -12,8 +12,8 @@
 {
 
 /**
- * Reads the feed from another instance over HTTP, encoded as CBOR. list() returns all entries in one page and ignores
- * its key.
+ * Reads the feed from another instance over HTTP, encoded as CBOR. Responses are limited in size, so that a reader that
+ * is behind or has a slow link receives each of them within its timeout.
  * Thread safety: none; used on the thread of the request loop.
  */
 class PeerFeedSource : public FeedSource
@@ -62,6 +62,7 @@
         Subscription timer;
     };
 
+    void list(const std::string &afterKey, const AuxiliaryServer::Respond &respond) const;
     void watch(Revision after, Duration timeout, AuxiliaryServer::Respond respond);
     bool hasUpdate(const PendingWatch &pending) const;
     void respondTo(const PendingWatch &pending) const;
--- a/Tests/feed/feedreadertest.cpp
+++ b/Tests/feed/feedreadertest.cpp
@@ -121,6 +121,60 @@
     std::function<void(Result<FeedBatch>)> watchCallback;
 };
 
+/// Another instance at the end of a slow link. A response that takes longer than the limit is not received.
+class SlowSource : public FeedSource
+{
+public:
+    explicit SlowSource(ManualClock &manualClock)
+        : clock(manualClock)
+    {
+    }
+
+    void list(const std::string &afterKey, std::function<void(Result<FeedPage>)> done) override
+    {
+        this->respond<FeedPage>(this->replica.listAfter(afterKey, responseBytes), std::move(done));
+    }
+    void watch(Revision after, Duration /*timeout*/, std::function<void(Result<FeedBatch>)> done) override
+    {
+        this->respond<FeedBatch>(this->replica.changesAfter(after, responseBytes), std::move(done));
+    }
+    void cancel() override
+    {
+    }
+
+    FeedReplica replica;
+
+private:
+    static constexpr std::size_t responseBytes = std::size_t { 128 } * 1024;
+    static constexpr double linkBytesPerSecond = 400'000;
+    static constexpr Duration transferLimit = Milliseconds(900);
+
+    template<typename Content> void respond(const Result<Content> &content, std::function<void(Result<Content>)> done)
+    {
+        std::size_t bytes = 0;
+        for (const FeedEvent &event : eventsOf(content)) {
+            bytes += event.value.size();
+        }
+        const Duration transfer = fromSeconds(static_cast<double>(bytes) / linkBytesPerSecond);
+        const bool isReceived = transfer <= transferLimit;
+        this->timers.push_back(
+            this->clock.after(isReceived ? transfer : transferLimit, [isReceived, content, done = std::move(done)] {
+                done(isReceived ? content : Result<Content>(make_error_code(FeedError::TimedOut)));
+            }));
+    }
+    static std::vector<FeedEvent> eventsOf(const Result<FeedPage> &page)
+    {
+        return page ? page.value().items : std::vector<FeedEvent>();
+    }
+    static std::vector<FeedEvent> eventsOf(const Result<FeedBatch> &batch)
+    {
+        return batch ? batch.value().events : std::vector<FeedEvent>();
+    }
+
+    ManualClock &clock;
+    std::vector<Subscription> timers;
+};
+
 class FakeSourcePolicy : public FeedSourcePolicy
 {
 public:
@@ -284,6 +338,59 @@
     BOOST_TEST(this->receivedEvents.back().deleted);
 }
 
+// Guards against an instance that falls behind while the configuration changes often, and then requests more with each
+// read than its link can transfer in time: it would never have a current configuration again.
+BOOST_FIXTURE_TEST_CASE(slowReaderCatchesUpAfterManyChanges, Fixture)
+{
+    const auto peer = std::make_shared<SlowSource>(this->clock);
+    const std::string configuration(60'000, 'c');
+    Revision revision = 10;
+    peer->replica.replace({ { "config", configuration, 3, false } }, revision);
+    this->sourcePolicy.readsStoreNow = false;
+    this->sourcePolicy.candidates = { { InstanceId("peer"), peer } };
+    this->reader.start();
+    this->clock.advance(std::chrono::seconds(1));
+    BOOST_REQUIRE(this->replica.revision() == revision);
+    // 50 versions arrive while the instance is paused, and further ones while it catches up.
+    const auto changeConfiguration = [&] {
+        ++revision;
+        peer->replica.apply(
+            { { { "config", configuration + std::to_string(revision), revision, false } }, revision, {} });
+    };
+    for (int version = 0; version < 50; ++version) {
+        changeConfiguration();
+    }
+    for (int step = 0; step < 20; ++step) {
+        this->clock.advance(Milliseconds(250));
+        changeConfiguration();
+    }
+    BOOST_TEST(this->replica.revision() + 8 >= revision);
+    BOOST_TEST((this->freshness.age() <= Milliseconds(1500)));
+}
+
+// Guards against feed data that appears current although the source has further changes for this instance.
+BOOST_FIXTURE_TEST_CASE(incompleteBatchDoesNotConfirmFreshness, Fixture)
+{
+    const auto peer = std::make_shared<SlowSource>(this->clock);
+    peer->replica.replace({}, 10);
+    this->sourcePolicy.readsStoreNow = false;
+    this->sourcePolicy.candidates = { { InstanceId("peer"), peer } };
+    this->reader.start();
+    this->clock.advance(Milliseconds(200));
+    const auto confirmedUntil = this->freshness.confirmedUntil();
+    for (Revision revision = 11; revision < 15; ++revision) {
+        peer->replica.apply(
+            { { { "key-" + std::to_string(revision), std::string(100'000, 'v'), revision, false } }, revision, {} });
+    }
+    while (this->replica.revision() < 14) {
+        this->clock.advance(Milliseconds(10));
+        if (this->replica.revision() < 14 && this->replica.revision() > 10) {
+            BOOST_TEST((this->freshness.confirmedUntil() <= *confirmedUntil + Milliseconds(300)));
+        }
+    }
+    BOOST_TEST(this->replica.items().size() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -159,6 +159,37 @@
     BOOST_TEST((policy.candidatePeers().at(0).instance == InstanceId("a")));
 }
 
+// Guards against a zone whose instances all turn to the store's reader in another zone when their leader does not
+// respond, and against lists of candidates that grow with the fleet.
+BOOST_AUTO_TEST_CASE(readersOfAZoneHaveADeputy)
+{
+    ManualClock clock;
+    std::set<std::string> lastChoices;
+    for (std::size_t self = 10; self < 50; ++self) {
+        const InstanceId ownId("n" + std::to_string(self));
+        MemberTable members(clock, ownId);
+        FleetFeedSourcePolicy policy(members, ownId, ZoneId("near"), [](const std::string &) { return nullptr; });
+        GossipMessage reader = makeMessage("a");
+        reader.readsStore = true;
+        reader.zone = ZoneId("far");
+        members.update(reader);
+        for (std::size_t number = 10; number < 50; ++number) {
+            GossipMessage other = makeMessage("n" + std::to_string(number));
+            other.zone = ZoneId("near");
+            members.update(other);
+        }
+        const std::vector<FeedPeer> candidates = policy.candidatePeers();
+        BOOST_REQUIRE(candidates.size() == 8U);
+        if (self > 11) {
+            BOOST_TEST((candidates.at(0).instance == InstanceId("n10")));
+            BOOST_TEST((candidates.at(1).instance == InstanceId("n11")));
+            BOOST_TEST((candidates.at(2).instance == InstanceId("a")));
+        }
+        lastChoices.insert(candidates.at(3).instance.value());
+    }
+    BOOST_TEST(lastChoices.size() >= 15U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- /dev/null
+++ b/Tests/gateway/httpclienttest.cpp
@@ -0,0 +1,97 @@
+#include "gateway/httpclient.h"
+
+#include "gateway/rawhttpserver.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+namespace Lycheewall
+{
+
+BOOST_AUTO_TEST_SUITE(HttpClientTest)
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/// Sends the beginning of a response and then its body byte by byte, with a pause after each.
+struct SlowServer
+{
+    SlowServer(boost::asio::io_context &io, std::string responseBody, std::chrono::milliseconds pauseTime)
+        : acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 })
+        , socket(io)
+        , timer(io)
+        , body(std::move(responseBody))
+        , pause(pauseTime)
+    {
+        this->acceptor.async_accept(this->socket, [this](boost::system::error_code error) {
+            if (!error) {
+                boost::asio::write(this->socket,
+                                   boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: "
+                                                       + std::to_string(this->body.size()) + "\r\n\r\n"));
+                this->sendNextByte();
+            }
+        });
+    }
+
+    void sendNextByte()
+    {
+        if (this->sent == this->body.size()) {
+            return;
+        }
+        boost::system::error_code ignored;
+        boost::asio::write(this->socket, boost::asio::buffer(&this->body[this->sent], 1), ignored);
+        ++this->sent;
+        this->timer.expires_after(this->pause);
+        this->timer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                this->sendNextByte();
+            }
+        });
+    }
+
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+    std::string body;
+    std::chrono::milliseconds pause;
+    std::size_t sent = 0;
+};
+
+/// Requests the response of a SlowServer with a timeout of 200 ms.
+Result<HttpClientResponse> request(const std::string &body, std::chrono::milliseconds pause)
+{
+    boost::asio::io_context io;
+    SlowServer server(io, body, pause);
+    HttpClient client(io, "127.0.0.1:" + std::to_string(server.acceptor.local_endpoint().port()));
+    std::optional<Result<HttpClientResponse>> result;
+    client.get("/", std::chrono::milliseconds(200), [&result](const Result<HttpClientResponse> &response) {
+        result = response;
+    });
+    BOOST_REQUIRE(runUntil(io, [&result] { return result.has_value(); }));
+    return *result;
+}
+
+}
+
+// Guards against giving up a response that arrives slowly but steadily: a reader with a slow link would request the
+// same data again and never receive it.
+BOOST_AUTO_TEST_CASE(slowResponseWithProgressIsReceived)
+{
+    const auto response = request("0123456789", std::chrono::milliseconds(50));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response.value().body == "0123456789");
+}
+
+// Guards against waiting for a server that stops in the middle of a response.
+BOOST_AUTO_TEST_CASE(responseWithoutProgressTimesOut)
+{
+    const auto response = request("01", std::chrono::seconds(10));
+    BOOST_TEST((response.error() == FeedError::TimedOut));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/Tests/gateway/peerfeedtest.cpp
+++ b/Tests/gateway/peerfeedtest.cpp
@@ -63,6 +63,55 @@
     BOOST_TEST(!page.hasMore);
 }
 
+// Guards against a response with all entries, which a slow link cannot transfer within the timeout, and against keys
+// that change on their way through the request target.
+BOOST_FIXTURE_TEST_CASE(listsEntriesInLimitedPages, Fixture)
+{
+    std::vector<FeedEvent> entries;
+    for (Revision revision = 1; revision <= 5; ++revision) {
+        entries.push_back({ "key &?" + std::to_string(revision), std::string(100'000, 'v'), revision, false });
+    }
+    this->replica.replace(entries, 9);
+    std::vector<std::string> keys;
+    bool hasMore = true;
+    while (hasMore && keys.size() < 6) {
+        std::optional<Result<FeedPage>> result;
+        this->feed->list(keys.empty() ? "" : keys.back(), [&result](const Result<FeedPage> &page) { result = page; });
+        BOOST_REQUIRE(runUntil(this->io, [&result] { return result.has_value(); }));
+        BOOST_TEST(result->value().items.size() <= 2U);
+        for (const FeedEvent &item : result->value().items) {
+            keys.push_back(item.key);
+        }
+        hasMore = result->value().hasMore;
+    }
+    BOOST_TEST(keys.size() == 5U);
+    BOOST_TEST(keys.back() == "key &?5");
+}
+
+// Guards against an instance that requests many changes at once, while it is behind, and does not receive the response.
+BOOST_FIXTURE_TEST_CASE(watchResponseIsLimited, Fixture)
+{
+    this->replica.replace({}, 9);
+    for (Revision revision = 10; revision < 15; ++revision) {
+        this->replica.apply(
+            { { { "key-" + std::to_string(revision), std::string(100'000, 'v'), revision, false } }, revision, {} });
+    }
+    const auto batch = this->watch(9, Milliseconds(100));
+    BOOST_TEST(batch.value().events.size() == 1U);
+    BOOST_TEST(batch.value().hasMore);
+    BOOST_TEST(batch.value().revision == 10U);
+}
+
+// Guards against a process that ends or responds with entries of its choice when a request has an invalid key.
+BOOST_FIXTURE_TEST_CASE(rejectsInvalidListKey, Fixture)
+{
+    this->replica.replace({}, 9);
+    int status = 0;
+    this->feedServer.handle("/feed/list?after=zz",
+                            [&status](const AuxiliaryResponse &response) { status = response.status; });
+    BOOST_TEST(status == 400);
+}
+
 // Guards against delaying a change until the wait of a watch is over.
 BOOST_FIXTURE_TEST_CASE(changeCompletesWatch, Fixture)
 {
