Gateway: Answer each request before a planned stop ends the process

Reported by other operators: requests that came late in the grace of a planned stop were taken, passed on and cut without an answer, among them some that may not be repeated. A request taken at 3.2 s with a deadline of 5 s was closed at 5.6 s. Closing the listening socket also reset connections that waited in its queue.

Change: from SIGTERM on, a non-idempotent request is refused as not run (503, Retry-After 0) if its deadline is after the stop, an idempotent one if twice its objective is not left. 0.4 s before the end, what still runs gets its reply: the response or the coverage so far, else "may have run", or "not run" if nothing was sent; requests half received are refused. Queued connections are accepted before the listening socket is closed. The process ends when the connections are closed, not when no request runs. A request whose deadline passes while it waits for a connection is now refused as not run instead of with 504.

Tests: ForwarderTest (both kinds of requests), SingleExchangeTest (deadline without a send, early end), FrontServerTest (in flight, half received, queued connections). They use new interfaces, so they could not run on the old code; that code has no path from the timeout to a reply. No test on real processes yet.

--- a/Source/core/refusal.cpp
+++ b/Source/core/refusal.cpp
@@ -43,6 +43,7 @@
     "cancelled",
     "connection-lost",
     "outcome-unknown",
+    "shutting-down",
 };
 
 class RefusalCategory : public std::error_category
--- a/Source/core/refusal.h
+++ b/Source/core/refusal.h
@@ -43,6 +43,7 @@
     Cancelled,
     ConnectionLost,
     OutcomeUnknown,
+    ShuttingDown,
     Count
 };
 
--- a/Source/forwarding/exchange.h
+++ b/Source/forwarding/exchange.h
@@ -19,6 +19,9 @@
 
     virtual ~Exchange() = default;
 
+    /// Replies at once with what is known, because the instance is about to end. Has no effect after the reply.
+    virtual void finishEarly() = 0;
+
     /// Cancels the request because the caller has disconnected. The reply callback is not called any more, and calls in
     /// flight are cancelled.
     virtual void cancel() = 0;
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -343,7 +343,21 @@
         return;
     }
     this->context.requestLog.write(*this->request.request, "deadline", this->describeMissing());
-    this->reply(makeDeadlineReply());
+    this->reply(makeDeadlineReply(this->mayHaveBeenRun()));
+}
+
+void FanoutExchange::finishEarly()
+{
+    this->handleDeadline();
+}
+
+bool FanoutExchange::mayHaveBeenRun() const
+{
+    const bool isRelayed = !this->relayedShards.empty();
+    return isRelayed || this->mayHaveRun
+        || std::any_of(this->calls.begin(), this->calls.end(), [](const std::shared_ptr<ServiceCall> &call) {
+               return call && call->interimResult().mayHaveRun;
+           });
 }
 
 void FanoutExchange::replyMerged()
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -24,6 +24,7 @@
     static std::shared_ptr<Exchange>
     start(ForwardingContext &context, const AdmittedRequest &request, ReplyCallback done);
 
+    void finishEarly() override;
     void cancel() override;
 
 private:
@@ -52,6 +53,8 @@
     void replyIfComplete();
     void handleObjective();
     void handleDeadline();
+    /// True unless it is certain that no endpoint has run or will run the request.
+    bool mayHaveBeenRun() const;
     bool hasRequiredCoverage() const;
     bool canReachRequiredCoverage() const;
     void replyMerged();
--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -11,6 +11,9 @@
 /// Retry-after time of refusals for missing or stale feed data. By then the caller reaches another instance, or this
 /// one has fresher data.
 constexpr Duration notReadyRetryAfter = Milliseconds(200);
+/// An instance that shuts down accepts an idempotent request if this multiple of its latency objective is left. Nearly
+/// all of them end sooner, and the caller can repeat the others.
+constexpr int objectivesBeforeStop = 2;
 
 }
 
@@ -28,6 +31,11 @@
     this->settings = newSettings;
 }
 
+void Forwarder::setStopTime(TimePoint time)
+{
+    this->stopTime = time;
+}
+
 void Forwarder::setTable(std::shared_ptr<const RouteTable> table)
 {
     this->routeTable = std::move(table);
@@ -104,6 +112,10 @@
     if (admitted.deadline <= this->context.clock.now()) {
         return failWith(this->makeRefusal(Refusal::DeadlineUnreachable));
     }
+    if (this->stopTime && !this->canEndBeforeStop(admitted)) {
+        // Another instance takes the request at once.
+        return failWith(this->makeRefusal(Refusal::ShuttingDown, Duration::zero()));
+    }
     const auto organisation = this->authenticate(*request, *route);
     if (!organisation) {
         return failWith(organisation.error());
@@ -117,6 +129,16 @@
     return success(admitted);
 }
 
+bool Forwarder::canEndBeforeStop(const AdmittedRequest &request) const
+{
+    const TimePoint now = this->context.clock.now();
+    Duration timeNeeded = request.deadline - now;
+    if (request.route->idempotency == Idempotency::Idempotent) {
+        timeNeeded = std::min(timeNeeded, objectivesBeforeStop * request.route->latencyObjective);
+    }
+    return now + timeNeeded <= *this->stopTime;
+}
+
 ResultOr<OrganisationId, ForwardReply> Forwarder::authenticate(const CallerRequest &request, const Route &route)
 {
     if (route.isPublic || this->routeTable->organisations().empty()) {
--- a/Source/forwarding/forwarder.h
+++ b/Source/forwarding/forwarder.h
@@ -29,6 +29,11 @@
 
     void setSettings(const ForwarderSettings &settings);
 
+    /// Sets when this instance ends. From now on it refuses requests that may not end before: non-idempotent ones if
+    /// their deadline is later, idempotent ones if twice their latency objective is not left. The refusal states "not
+    /// run", so that the caller can send the request to another instance at once.
+    void setStopTime(TimePoint time);
+
     /// Requests in flight keep the table with which they were admitted.
     void setTable(std::shared_ptr<const RouteTable> table);
 
@@ -52,12 +57,15 @@
 
     ForwardReply makeRefusal(Refusal refusal, std::optional<Duration> retryAfter = std::nullopt) const;
     ResultOr<AdmittedRequest, RefusalWithDetail> admit(const CallerRequestPtr &request);
+    bool canEndBeforeStop(const AdmittedRequest &request) const;
     ResultOr<OrganisationId, ForwardReply> authenticate(const CallerRequest &request, const Route &route);
 
     ForwarderSettings settings;
     ForwardingContext &context;
     const FeedFreshness &freshness;
     std::shared_ptr<const RouteTable> routeTable;
+    /// When this instance ends, if it shuts down.
+    std::optional<TimePoint> stopTime;
     RequestRate admittedRate;
 };
 
--- a/Source/forwarding/messages.h
+++ b/Source/forwarding/messages.h
@@ -90,6 +90,12 @@
 public:
     virtual ~OutgoingCall() = default;
 
+    /// False while it is certain that no byte of the request was sent.
+    virtual bool mayHaveBeenSent() const
+    {
+        return true;
+    }
+
     /// Cancels the call: its callback is not called any more. If the response does not arrive within @p gracePeriod,
     /// the connection is closed, which tells the endpoint to stop; otherwise the connection stays usable.
     virtual void cancel(Duration gracePeriod) = 0;
--- a/Source/forwarding/refusalreply.cpp
+++ b/Source/forwarding/refusalreply.cpp
@@ -31,10 +31,11 @@
     return wait + fromSeconds(random.uniformReal() * fractionalSeconds(retrySpread));
 }
 
-ForwardReply makeDeadlineReply()
+ForwardReply makeDeadlineReply(bool mayHaveRun)
 {
     ForwardReply reply;
-    reply.refusal = Refusal::DeadlineExceeded;
+    reply.refusal = mayHaveRun ? Refusal::DeadlineExceeded : Refusal::DeadlineUnreachable;
+    reply.notRun = !mayHaveRun;
     return reply;
 }
 
--- a/Source/forwarding/refusalreply.h
+++ b/Source/forwarding/refusalreply.h
@@ -13,7 +13,7 @@
 /// the same moment.
 Duration spreadRetryAfter(Duration wait, Random &random);
 
-/// The refusal for a request that may have run and whose deadline has passed.
-ForwardReply makeDeadlineReply();
+/// The refusal for a request whose deadline has passed. It states "not run" unless @p mayHaveRun is true.
+ForwardReply makeDeadlineReply(bool mayHaveRun);
 
 }
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -344,6 +344,16 @@
     this->cancelAttempts();
 }
 
+ServiceResult ServiceCall::interimResult() const
+{
+    ServiceResult result = this->lastResult;
+    for (const AttemptPtr &attempt : this->attempts) {
+        result.mayHaveRun
+            = result.mayHaveRun || (!attempt->ended && (!attempt->call || attempt->call->mayHaveBeenSent()));
+    }
+    return result;
+}
+
 bool ServiceCall::isFinished() const
 {
     return this->finished;
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -85,6 +85,10 @@
     /// call.
     void takeOverAttempts();
 
+    /// What is known while the call is in flight: the failure response of an endpoint, if there is one, and whether an
+    /// endpoint may have run the request.
+    ServiceResult interimResult() const;
+
     /// Cancels the call: the result callback is not called any more, and attempts in flight are cancelled.
     void cancel();
 
--- a/Source/forwarding/singleexchange.cpp
+++ b/Source/forwarding/singleexchange.cpp
@@ -72,7 +72,20 @@
 
 void SingleExchange::handleDeadline()
 {
-    this->reply(makeDeadlineReply());
+    if (this->finished) {
+        return;
+    }
+    const ServiceResult result = this->call->interimResult();
+    if (result.response) {
+        this->handleResult(result);
+        return;
+    }
+    this->reply(makeDeadlineReply(result.mayHaveRun));
+}
+
+void SingleExchange::finishEarly()
+{
+    this->handleDeadline();
 }
 
 void SingleExchange::reply(const ForwardReply &reply)
--- a/Source/forwarding/singleexchange.h
+++ b/Source/forwarding/singleexchange.h
@@ -17,6 +17,7 @@
     static std::shared_ptr<Exchange>
     start(ForwardingContext &context, const AdmittedRequest &request, ReplyCallback done);
 
+    void finishEarly() override;
     void cancel() override;
 
 private:
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -30,6 +30,11 @@
     {
     }
 
+    bool mayHaveBeenSent() const override
+    {
+        return this->sent;
+    }
+
     void cancel(Duration gracePeriod) override
     {
         this->pool.cancelCall(this->shared_from_this(), gracePeriod);
@@ -50,6 +55,7 @@
     EndpointCall call;
     std::function<void(CallOutcome)> done;
     ConnectionPtr connection;
+    bool sent = false;
     TimePoint sentAt;
     Subscription graceTimer;
 };
@@ -157,6 +163,7 @@
                                     const CallPtr &call)
 {
     call->connection = connection;
+    call->sent = true;
     call->sentAt = this->clock.now();
     connections.busy[connection.get()] = call;
     connection->send(call->call);
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -258,6 +258,18 @@
     }
 }
 
+void FrontConnection::finishEarly()
+{
+    if (this->state == State::Serving && this->exchange) {
+        const auto ending = this->exchange;
+        ending->finishEarly();
+    } else if (this->state == State::Reading && this->requestStarted) {
+        this->refuse(Refusal::ShuttingDown);
+    } else {
+        this->closeIfIdle();
+    }
+}
+
 void FrontConnection::beginLingeringClose()
 {
     this->state = State::Closing;
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -48,6 +48,10 @@
     /// Closes the connection unless a request is being received or served.
     void closeIfIdle();
 
+    /// Ends the connection because the instance is about to end: a request that is served gets a reply with what is
+    /// known, one that is being received is refused.
+    void finishEarly();
+
 private:
     enum class State { Reading, Serving, Writing, Closing, Closed };
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/Source/gateway/frontserver.cpp
+++ b/Source/gateway/frontserver.cpp
@@ -46,17 +46,35 @@
             this->context.counters.counter("lycheewall_front_accept_errors_total").add();
             Log::component("front").warn("Could not accept a caller connection: " + error.message() + ".");
         } else {
-            const auto connection = std::make_shared<FrontConnection>(
-                std::move(socket), this->context, [this](FrontConnection *closedConnection) {
-                    this->connections.erase(closedConnection);
-                });
-            this->connections[connection.get()] = connection;
-            connection->start();
+            this->addConnection(std::move(socket));
         }
         this->accept();
     });
 }
 
+void FrontServer::addConnection(asio::ip::tcp::socket socket)
+{
+    const auto connection = std::make_shared<FrontConnection>(
+        std::move(socket), this->context, [this](FrontConnection *closedConnection) {
+            this->connections.erase(closedConnection);
+        });
+    this->connections[connection.get()] = connection;
+    connection->start();
+}
+
+void FrontServer::finishRequests()
+{
+    const auto currentConnections = this->connections;
+    for (const auto &[key, connection] : currentConnections) {
+        connection->finishEarly();
+    }
+}
+
+std::size_t FrontServer::connectionCount() const
+{
+    return this->connections.size();
+}
+
 void FrontServer::closeIdleConnections()
 {
     const auto currentConnections = this->connections;
@@ -72,6 +90,15 @@
 
 void FrontServer::stopAccepting()
 {
+    // Closing the listening socket would reset the connections in its queue, whose callers may have sent a request.
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket = this->acceptor.accept(error);
+        if (!error) {
+            this->addConnection(std::move(socket));
+        }
+    }
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
 }
--- a/Source/gateway/frontserver.h
+++ b/Source/gateway/frontserver.h
@@ -22,14 +22,21 @@
     /// Closes the connections on which no request is being received or served.
     void closeIdleConnections();
 
-    /// Stops listening; existing connections stay open.
+    /// Accepts the connections that are already in the listen queue and stops listening. Connections stay open.
     void stopAccepting();
 
+    /// Ends all connections; see FrontConnection::finishEarly().
+    void finishRequests();
+
+    /// Number of connections that are not closed completely.
+    std::size_t connectionCount() const;
+
     std::uint16_t port() const;
 
 private:
     FrontServer(boost::asio::io_context &io, FrontContext &context);
     void accept();
+    void addConnection(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor acceptor;
     FrontContext &context;
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -28,6 +28,10 @@
 /// The fleet share is updated this long after the start, when Gossip::hasJoined() has become true.
 constexpr Duration joinDelay = Milliseconds(2100);
 constexpr Duration shutdownCheckPeriod = Milliseconds(50);
+/// Requests that are still in flight get their replies this long before the process ends.
+constexpr Duration finalReplyTime = Milliseconds(400);
+/// Time for the first request on a connection that was accepted just before the listening socket was closed.
+constexpr Duration firstRequestTime = Milliseconds(300);
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
@@ -372,6 +376,7 @@
     logger().info("Received a termination signal; shutting down.");
     this->shutdownStartedAt = this->clock.now();
     this->frontContext.shuttingDown = true;
+    this->forwarder.setStopTime(this->shutdownStartedAt + this->settings.shutdownTimeout - finalReplyTime);
     this->setState(MemberState::ShuttingDown);
     this->subscriptions.push_back(
         this->timers.after(this->settings.shutdownServingTime, [this] { this->stopServing(); }));
@@ -379,21 +384,27 @@
 
 void Gateway::stopServing()
 {
-    this->front->stopAccepting();
     this->front->closeIdleConnections();
+    this->front->stopAccepting();
     this->subscriptions.push_back(
         this->timers.every(shutdownCheckPeriod, [this] { this->stopWhenRequestsFinished(); }));
 }
 
 void Gateway::stopWhenRequestsFinished()
 {
-    const bool timedOut = this->clock.now() - this->shutdownStartedAt > this->settings.shutdownTimeout;
-    if (this->frontContext.requestsInFlight > 0 && !timedOut) {
+    const Duration elapsed = this->clock.now() - this->shutdownStartedAt;
+    if (elapsed > this->settings.shutdownTimeout - finalReplyTime) {
+        this->front->finishRequests();
+    } else if (elapsed > this->settings.shutdownServingTime + firstRequestTime) {
+        this->front->closeIdleConnections();
+    }
+    const bool timedOut = elapsed > this->settings.shutdownTimeout;
+    if (this->front->connectionCount() > 0 && !timedOut) {
         return;
     }
     if (this->frontContext.requestsInFlight > 0) {
         logger().warn(std::to_string(this->frontContext.requestsInFlight)
-                      + " requests in flight are aborted because the shutdown timeout has expired.");
+                      + " replies could not be sent before the shutdown timeout expired.");
     }
     this->io.stop();
 }
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -12,6 +12,10 @@
 public:
     struct Call : public OutgoingCall
     {
+        bool mayHaveBeenSent() const override
+        {
+            return this->sent;
+        }
         void cancel(Duration /*gracePeriod*/) override
         {
             this->cancelled = true;
@@ -33,6 +37,7 @@
 
         EndpointCall call;
         std::function<void(CallOutcome)> done;
+        bool sent = true;
         bool cancelled = false;
     };
 
--- a/Tests/forwarding/forwardertest.cpp
+++ b/Tests/forwarding/forwardertest.cpp
@@ -151,6 +151,33 @@
     BOOST_TEST(this->endpointSender.calls.empty());
 }
 
+// Guards against a non-idempotent request that an instance takes during its shutdown although it may run beyond the end
+// of the process: its caller would get no answer and could not repeat it.
+BOOST_AUTO_TEST_CASE(stoppingInstanceRefusesNonIdempotentRequestsThatMayNotEnd)
+{
+    this->route.idempotency = Idempotency::NonIdempotent;
+    this->publishTable();
+    this->forwarder.setStopTime(this->clock.now() + Milliseconds(999));
+    BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::ShuttingDown));
+    BOOST_TEST(this->replies.at(0).notRun);
+    BOOST_TEST(this->endpointSender.calls.empty());
+    // The route's timeout of 1 s ends just before the stop.
+    this->forwarder.setStopTime(this->clock.now() + Milliseconds(1001));
+    BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
+}
+
+// Guards against a stopping instance that refuses requests which would end in time, and against one that takes
+// idempotent requests that would hardly end.
+BOOST_AUTO_TEST_CASE(stoppingInstanceTakesIdempotentRequestsThatCanEnd)
+{
+    this->publishTable();
+    this->forwarder.setStopTime(this->clock.now() + 2 * this->route.latencyObjective + Milliseconds(1));
+    BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
+    this->clock.advance(Milliseconds(2));
+    BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::ShuttingDown));
+    BOOST_TEST((this->replies.at(0).retryAfter == Duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/forwarding/singleexchangetest.cpp
+++ b/Tests/forwarding/singleexchangetest.cpp
@@ -152,6 +152,35 @@
     BOOST_TEST(this->replies[0].notRun);
 }
 
+// Guards against a "may have run" reply for a request that has waited for a connection until its deadline: the caller
+// could not repeat it.
+BOOST_AUTO_TEST_CASE(deadlineWithoutSendStatesNotRun)
+{
+    this->routeToService();
+    this->route.maxAttempts = 1;
+    this->start();
+    this->call(0).sent = false;
+    this->clock.advance(this->route.timeout);
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST((this->replies.at(0).refusal == Refusal::DeadlineUnreachable));
+    BOOST_TEST(this->replies.at(0).notRun);
+    BOOST_TEST(this->call(0).cancelled);
+}
+
+// Guards against a request in flight that ends with the process and gets no reply, and against a "not run" reply for a
+// request that was sent.
+BOOST_AUTO_TEST_CASE(repliesWhenTheInstanceEnds)
+{
+    this->routeToService();
+    this->start();
+    this->exchange->finishEarly();
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(!this->replies.at(0).notRun);
+    BOOST_TEST(this->call(0).cancelled);
+    this->exchange->finishEarly();
+    BOOST_TEST(this->replies.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -197,6 +197,51 @@
     }));
 }
 
+// Guards against requests in flight that are cut without a reply when the process ends.
+BOOST_FIXTURE_TEST_CASE(requestsInFlightGetRepliesAtTheEnd, Fixture)
+{
+    this->send(plainRequest);
+    BOOST_REQUIRE(this->waitForCalls(1));
+    this->server->finishRequests();
+    BOOST_TEST(this->receiveUntil("deadline-exceeded"));
+    BOOST_TEST(this->call(0).cancelled);
+    BOOST_TEST(runUntil(this->io, [this] { return this->front.requestsInFlight == 0; }));
+}
+
+// Guards against a request that is half received when the process ends and gets no reply.
+BOOST_FIXTURE_TEST_CASE(halfReceivedRequestIsRefusedAtTheEnd, Fixture)
+{
+    this->send("GET /x HTTP/1.1\r\nHost");
+    runFor(this->io, std::chrono::milliseconds(20));
+    this->server->finishRequests();
+    BOOST_TEST(this->receiveUntil("shutting-down"));
+    BOOST_TEST(this->endpointSender.calls.empty());
+}
+
+// Guards against resetting connections that are still in the listen queue when an instance stops listening. Their
+// callers may already have sent a request.
+BOOST_FIXTURE_TEST_CASE(queuedConnectionsAreServedAfterTheEndOfListening, Fixture)
+{
+    tcp::socket queued(this->io);
+    queued.connect({ boost::asio::ip::address_v4::loopback(), this->server->port() });
+    boost::asio::write(queued, boost::asio::buffer(plainRequest));
+    this->server->stopAccepting();
+    BOOST_REQUIRE(this->waitForCalls(1));
+    this->socket = std::move(queued);
+    this->socket.non_blocking(true);
+    this->call(0).finish(CallResult::Answered, 200, "served");
+    BOOST_TEST(this->receiveUntil("served"));
+}
+
+// Guards against a process that does not end because the number of open connections is wrong.
+BOOST_FIXTURE_TEST_CASE(connectionCountFollowsCloses, Fixture)
+{
+    BOOST_TEST(runUntil(this->io, [this] { return this->server->connectionCount() == 1; }));
+    this->server->finishRequests();
+    this->socket.close();
+    BOOST_TEST(runUntil(this->io, [this] { return this->server->connectionCount() == 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
