Gateway: Survive an unexpected error and gossip with invalid values

Reported by other operators: one malformed message or unexpected error took a whole process down. Here an exception that a handler does not expect left io.run() and ended the process; no message is known to cause one. Gossip messages with a negative or huge age made a member that never expires, and an overflow; a capacity of zero made all instances of a zone active.

Ruled out: parsing. CBOR, JSON and HTTP are checked or caught where they are decoded (read, and tested earlier).

Change: the event loop logs and counts an exception, which ends its handler only. Gossip messages with values out of range are counted and ignored.

--- a/Source/fleet/gossipmessage.cpp
+++ b/Source/fleet/gossipmessage.cpp
@@ -2,6 +2,7 @@
 
 #include "core/cborparser.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -31,6 +32,8 @@
             return "wrong-version";
         case GossipMessageError::FieldMissing:
             return "field-missing";
+        case GossipMessageError::ValueOutOfRange:
+            return "value-out-of-range";
         }
         return "unknown";
     }
@@ -94,6 +97,20 @@
     return json;
 }
 
+/// Maximum age of a message that is passed on. Older ones are not applied by any receiver.
+constexpr std::int64_t maxAgeMs = 60'000;
+
+/// True if the receiver can compute with the values. They come from the network, so any value is possible.
+bool isInRange(const GossipMessage &message)
+{
+    const bool hasKnownState = message.state >= MemberState::Starting && message.state <= MemberState::ShuttingDown;
+    const bool hasCores = message.cpuUsage.availableCores > 0 && message.cpuUsage.requestCores >= 0;
+    return hasKnownState && hasCores
+        && std::all_of(message.piggybacked.begin(), message.piggybacked.end(), [](const PiggybackedMessage &item) {
+               return item.ageMs >= 0 && item.ageMs <= maxAgeMs && isInRange(item.message);
+           });
+}
+
 GossipMessage fromJson(const Json &json)
 {
     GossipMessage message;
@@ -153,7 +170,11 @@
         return make_error_code(GossipMessageError::WrongVersion);
     }
     try {
-        return fromJson(json);
+        GossipMessage message = fromJson(json);
+        if (!isInRange(message)) {
+            return make_error_code(GossipMessageError::ValueOutOfRange);
+        }
+        return message;
     } catch (const Json::exception &) {
         return make_error_code(GossipMessageError::FieldMissing);
     }
--- a/Source/fleet/gossipmessage.h
+++ b/Source/fleet/gossipmessage.h
@@ -61,7 +61,7 @@
     GossipMessage message;
 };
 
-enum class GossipMessageError { NotCbor = 1, WrongVersion, FieldMissing };
+enum class GossipMessageError { NotCbor = 1, WrongVersion, FieldMissing, ValueOutOfRange };
 std::error_code make_error_code(GossipMessageError error);
 
 /// Encodes a message as CBOR. Thread safety: any thread.
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "fleet/datagramkind.h"
+#include "runtime/eventloop.h"
 
 #include <algorithm>
 #include <csignal>
@@ -220,7 +221,10 @@
 {
     logger().info("Instance " + this->settings.instance.value() + " in zone " + this->settings.zone.value()
                   + " has started and listens for callers on " + this->settings.callerAddress + ".");
-    this->io.run();
+    runEventLoop(this->io, [this](const std::exception &error) {
+        this->counters.counter("lycheewall_gateway_handler_errors_total").add();
+        logger().error(std::string("The handling of an event failed: ") + error.what() + ".");
+    });
     logger().info("Instance " + this->settings.instance.value() + " has stopped.");
 }
 
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -2,7 +2,9 @@
 #include "fleet/fakefleet.h"
 #include "fleet/instancedirectory.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 namespace Lycheewall
 {
@@ -190,6 +192,29 @@
     BOOST_TEST(lastChoices.size() >= 15U);
 }
 
+// Guards against a member that never expires, or a selection of instances that divides by zero, after a message with
+// values that no instance sends.
+BOOST_AUTO_TEST_CASE(messagesWithInvalidValuesAreRejected)
+{
+    const auto isRejected = [](const GossipMessage &message) {
+        const auto decoded = decodeGossipMessage(encodeGossipMessage(message));
+        return !decoded && decoded.error() == make_error_code(GossipMessageError::ValueOutOfRange);
+    };
+    GossipMessage message = makeMessage("a");
+    BOOST_TEST(!isRejected(message));
+    message.piggybacked = { { -1, makeMessage("b") } };
+    BOOST_TEST(isRejected(message));
+    message.piggybacked = { { std::numeric_limits<std::int64_t>::max(), makeMessage("b") } };
+    BOOST_TEST(isRejected(message));
+    message.piggybacked = { { 10, makeMessage("b") } };
+    BOOST_TEST(!isRejected(message));
+    message.cpuUsage.availableCores = 0;
+    BOOST_TEST(isRejected(message));
+    message.cpuUsage.availableCores = 1;
+    message.state = static_cast<MemberState>(7);
+    BOOST_TEST(isRejected(message));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
