Forwarding: State "not run" for a query of which nothing was sent

A query that cannot reach its coverage was answered 502 "may have run" whenever another shard's call had not failed yet, also when that call only waited for a connection. Test: FanoutExchangeTest/refusalStatesNotRunIfNothingWasSent failed to hold by the old rule (failed shards below all shards).

--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -387,8 +387,7 @@
 void FanoutExchange::replyRefusal()
 {
     ServiceResult result;
-    // Shard requests in flight may have run as well.
-    result.mayHaveRun = this->mayHaveRun || this->failedCount < this->shardResponses.size();
+    result.mayHaveRun = this->mayHaveBeenRun();
     result.reason = this->refusalReason;
     this->context.requestLog.write(*this->request.request, "failed", this->describeMissing());
     this->reply(makeRefusalReply(result));
--- a/Tests/forwarding/fanoutexchangetest.cpp
+++ b/Tests/forwarding/fanoutexchangetest.cpp
@@ -125,6 +125,33 @@
     BOOST_TEST(this->replies[0].merged->missingShards == 1U);
 }
 
+// Guards against a "may have run" reply to a query that reached no endpoint, because calls of other shards still waited
+// for a connection when one shard had failed.
+BOOST_AUTO_TEST_CASE(refusalStatesNotRunIfNothingWasSent)
+{
+    this->routeToShards(1);
+    this->route.maxAttempts = 1;
+    this->start();
+    BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
+    this->call(1).sent = false;
+    this->call(0).finish(CallResult::NotRun, 503);
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies.at(0).notRun);
+    BOOST_TEST(this->call(1).cancelled);
+}
+
+// Guards against a "not run" reply to a query that one endpoint may be running when another shard has failed.
+BOOST_AUTO_TEST_CASE(refusalStatesMayHaveRunIfACallWasSent)
+{
+    this->routeToShards(1);
+    this->route.maxAttempts = 1;
+    this->start();
+    BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
+    this->call(0).finish(CallResult::NotRun, 503);
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(!this->replies.at(0).notRun);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
