--- a/Tests/fleet/allocationcounter.cpp
+++ b/Tests/fleet/allocationcounter.cpp
@@ -9,12 +9,22 @@
 
 std::atomic<std::size_t> allocatedBytes { 0 };
 
+void *allocate(std::size_t size)
+{
+    allocatedBytes += size;
+    return std::malloc(size > 0 ? size : 1);
+}
+
+}
+
+void *operator new(std::size_t size, const std::nothrow_t & /*tag*/) noexcept
+{
+    return allocate(size);
 }
 
 void *operator new(std::size_t size)
 {
-    allocatedBytes += size;
-    void *const memory = std::malloc(size > 0 ? size : 1);
+    void *const memory = allocate(size);
     if (memory == nullptr) {
         throw std::bad_alloc();
     }
