Feed: Rank the candidates of a read once and in one place

The choice of the instances to read from stood as three sorts with three comparators, each of which put the store's reader first; the one for large fleets built and hashed a string at each comparison, at each read. keepBest() ranks each member once and serves all three; the order is the same. A condition of FeedReplica::changesAfter() was stated twice.

--- a/Source/feed/feedreplica.cpp
+++ b/Source/feed/feedreplica.cpp
@@ -127,8 +127,8 @@
         const FeedEvent &event = this->entries.at(change->second);
         bytes += sizeInBytes(event);
         // The changes of one revision stay together, because the reader resumes after a whole revision.
-        const bool startsRevision = batch.events.empty() || batch.events.back().revision != event.revision;
-        if (bytes > maxBytes && startsRevision && !batch.events.empty()) {
+        const bool startsRevision = !batch.events.empty() && batch.events.back().revision != event.revision;
+        if (bytes > maxBytes && startsRevision) {
             batch.revision = batch.events.back().revision;
             batch.hasMore = true;
             break;
--- a/Source/feed/fleetfeedsourcepolicy.cpp
+++ b/Source/feed/fleetfeedsourcepolicy.cpp
@@ -1,6 +1,7 @@
 #include "feed/fleetfeedsourcepolicy.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Lycheewall
 {
@@ -24,12 +25,22 @@
 /// In a large fleet: maximum number of instances to choose from.
 constexpr std::size_t maxCandidates = 8;
 
-bool isPreferredPeer(const Member *left, const Member *right)
+/// Keeps the @p count best members in their order: the store's reader first, then those with the lowest keys. @p keyOf
+/// is called once for each member.
+template<typename KeyOf> void keepBest(std::vector<const Member *> &members, std::size_t count, const KeyOf &keyOf)
 {
-    if (left->lastMessage.readsStore != right->lastMessage.readsStore) {
-        return left->lastMessage.readsStore;
+    using Key = decltype(keyOf(*members.front()));
+    std::vector<std::tuple<bool, Key, const Member *>> ranked;
+    ranked.reserve(members.size());
+    for (const Member *member : members) {
+        ranked.emplace_back(!member->lastMessage.readsStore, keyOf(*member), member);
+    }
+    const std::size_t kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end());
+    members.clear();
+    for (std::size_t index = 0; index < kept; ++index) {
+        members.push_back(std::get<const Member *>(ranked[index]));
     }
-    return left->lastMessage.feedAgeMs < right->lastMessage.feedAgeMs;
 }
 
 }
@@ -68,17 +79,7 @@
             peers.push_back(member);
         }
     }
-    const std::size_t count = std::min(maxZonePeers, peers.size());
-    std::partial_sort(peers.begin(),
-                      peers.begin() + static_cast<std::ptrdiff_t>(count),
-                      peers.end(),
-                      [](const Member *left, const Member *right) {
-                          if (left->lastMessage.readsStore != right->lastMessage.readsStore) {
-                              return left->lastMessage.readsStore;
-                          }
-                          return left->lastMessage.instance < right->lastMessage.instance;
-                      });
-    peers.resize(count);
+    keepBest(peers, maxZonePeers, [](const Member &member) { return member.lastMessage.instance; });
     return peers;
 }
 
@@ -91,22 +92,11 @@
             others.push_back(member);
         }
     }
-    const std::hash<std::string> hash;
-    const auto rank = [this, &hash](const Member *member) {
-        return hash(this->self.value() + ' ' + member->lastMessage.instance.value());
-    };
-    const std::size_t count = std::min(maxCandidates - result.size(), others.size());
     // After the store's reader, each instance has an order of its own, so that not all turn to the same one.
-    std::partial_sort(others.begin(),
-                      others.begin() + static_cast<std::ptrdiff_t>(count),
-                      others.end(),
-                      [&rank](const Member *left, const Member *right) {
-                          if (left->lastMessage.readsStore != right->lastMessage.readsStore) {
-                              return left->lastMessage.readsStore;
-                          }
-                          return rank(left) < rank(right);
-                      });
-    result.insert(result.end(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
+    keepBest(others, maxCandidates - result.size(), [this](const Member &member) {
+        return std::hash<std::string>()(this->self.value() + ' ' + member.lastMessage.instance.value());
+    });
+    result.insert(result.end(), others.begin(), others.end());
     return result;
 }
 
@@ -118,7 +108,9 @@
             result.push_back(member);
         }
     }
-    std::stable_sort(result.begin(), result.end(), &isPreferredPeer);
+    keepBest(result, result.size(), [](const Member &member) {
+        return std::pair(member.lastMessage.feedAgeMs, member.lastMessage.instance);
+    });
     return result;
 }
 
