Feed: Repeat a request whose response is lost

Cause: a watch waits 8.7 s for its response. A check of the store's revision that showed a newer revision than the replica's did not cancel it; only a check that failed did.

Ruled out, by the logs of the three instances: the change was not received and left unapplied (no successful read between), and the reader did not follow an instance with old data (front-2 had version 2 six seconds before).

Change: 0.5 s after a check has shown a change, a request to the store that is still unanswered is cancelled and repeated at once. A response that has begun to arrive is never cancelled, so a slow link does not make the same request fail again and again.

Before: changeArrivesSoonAfterItsResponseIsLost fails (6 of 12 changes not there after 3 s) with the call taken out; cancelUnansweredSparesArrivingResponse fails without the condition.

Not run: lycheewalld, whose own reader is suspected of the same.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Lycheewall
 {
@@ -74,6 +75,9 @@
         return;
     }
     const TimePoint now = this->context.clock.now();
+    if (this->usingStore) {
+        this->storeRequestSentAt = now;
+    }
     if (this->needsListing || this->context.replica.isEmpty()) {
         this->list(now);
     } else {
@@ -89,6 +93,7 @@
 
 void FeedReader::handlePage(TimePoint startedAt, const Result<FeedPage> &page)
 {
+    this->storeRequestSentAt.reset();
     if (!page || !this->isFreshEnough(page.value().age)) {
         this->listing = Listing();
         this->handleFailure(page ? make_error_code(FeedError::Busy) : page.error());
@@ -137,6 +142,7 @@
 
 void FeedReader::handleBatch(TimePoint startedAt, const Result<FeedBatch> &batch)
 {
+    this->storeRequestSentAt.reset();
     if (!batch && batch.error() == make_error_code(FeedError::HistoryCompacted)) {
         logger().info("The source no longer keeps the changes after revision "
                       + std::to_string(this->context.replica.revision()) + "; listing all entries.");
@@ -184,13 +190,33 @@
         this->context.counters.counter("lycheewall_feed_check_failures_total", revision.error().message()).add();
         if (this->usingStore) {
             // The watch itself would only notice seconds later that the store is unavailable.
-            this->context.store.cancel();
+            this->context.store.cancelUnanswered();
         }
         return;
     }
     this->checkedRevision = CheckedRevision { revision.value(), startedAt };
     this->confirmCheckedRevision();
     this->context.updated();
+    if (this->checkedRevision) {
+        this->overdueTimer
+            = this->context.timers.after(this->settings.overdueResponseDelay, [this] { this->cancelOverdueRequest(); });
+    }
+}
+
+void FeedReader::cancelOverdueRequest()
+{
+    // A younger request may still be answered in time.
+    const bool isOverdue = this->storeRequestSentAt
+        && this->context.clock.now() - *this->storeRequestSentAt >= this->settings.overdueResponseDelay;
+    if (!this->checkedRevision || !isOverdue) {
+        return;
+    }
+    this->isOverdueRequestCancelled = true;
+    this->context.counters.counter("lycheewall_feed_overdue_responses_total").add();
+    logger().warn("The store has not reported its changes after revision "
+                  + std::to_string(this->context.replica.revision()) + ", although it is at revision "
+                  + std::to_string(this->checkedRevision->revision) + "; the request is cancelled.");
+    this->context.store.cancelUnanswered();
 }
 
 void FeedReader::confirmCheckedRevision()
@@ -217,6 +243,7 @@
 
 void FeedReader::handleSuccess()
 {
+    this->isOverdueRequestCancelled = false;
     if (this->usingStore) {
         this->storeBackoff = this->settings.initialStoreBackoff;
     }
@@ -233,6 +260,10 @@
 
 void FeedReader::handleFailure(const std::error_code &error)
 {
+    if (std::exchange(this->isOverdueRequestCancelled, false)) {
+        this->scheduleRead(Duration::zero());
+        return;
+    }
     const TimePoint now = this->context.clock.now();
     Duration delay = this->settings.sourceRetryDelay;
     if (this->usingStore) {
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -50,6 +50,9 @@
     /// Interval between two checks of the store's revision. Determines the age that an unchanged feed reaches on the
     /// instance that reads from the store.
     Duration revisionCheckInterval = Milliseconds(900);
+    /// Time that a watch or a listing may take to be answered after a check has shown changes that it must report.
+    /// Later its response is taken to be lost.
+    Duration overdueResponseDelay = Milliseconds(500);
     /// Delay after a watch that returned changes, or that returned sooner than this, so that one call fetches several
     /// changes in quick succession.
     Duration coalescingDelay = Milliseconds(150);
@@ -69,7 +72,8 @@
 /**
  * Keeps the replica up to date: lists all entries once, then watches for changes. Reads from the store or from another
  * instance, depending on the source policy and on which sources work. A watch at the store does not prove that nothing
- * has changed, because it may receive nothing for a while. Periodic checks of the store's revision prove it.
+ * has changed, because it may receive nothing for a while, or its response may be lost. Periodic checks of the store's
+ * revision prove it; a watch that does not report a change that a check has shown is replaced by a new one.
  * Thread safety: none; used on the thread of the request loop.
  */
 class FeedReader
@@ -127,6 +131,7 @@
     void checkRevision();
     void handleRevision(TimePoint startedAt, const Result<Revision> &revision);
     void confirmCheckedRevision();
+    void cancelOverdueRequest();
     bool isFreshEnough(Duration age) const;
     void confirm(TimePoint time);
     void handleSuccess();
@@ -146,8 +151,13 @@
     bool failing = false;
     bool checkInFlight = false;
     std::optional<CheckedRevision> checkedRevision;
+    /// When the request in flight to the store was sent; std::nullopt if there is none.
+    std::optional<TimePoint> storeRequestSentAt;
+    /// The request in flight was cancelled as overdue. The store itself works.
+    bool isOverdueRequestCancelled = false;
     Subscription timer;
     Subscription checkTimer;
+    Subscription overdueTimer;
 };
 
 }
--- a/Source/feed/feedsource.h
+++ b/Source/feed/feedsource.h
@@ -25,8 +25,10 @@
     /// Waits up to @p timeout for changes after revision @p after. The batch is empty if there were none.
     virtual void watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done) = 0;
 
-    /// Cancels the request in flight, if any; its callback gets FeedError::Unreachable.
-    virtual void cancel() = 0;
+    /// Cancels the request in flight unless its response has begun to arrive; its callback gets FeedError::Unreachable.
+    /// A response that arrives in parts has time limits of its own. If no request is in flight, the next one uses a new
+    /// connection.
+    virtual void cancelUnanswered() = 0;
 };
 
 /**
--- a/Source/gateway/httpclient.cpp
+++ b/Source/gateway/httpclient.cpp
@@ -78,6 +78,12 @@
             });
     }
 
+    /// True once the first part of the response has arrived.
+    bool hasResponseBegun() const
+    {
+        return this->transferDeadline.has_value();
+    }
+
     void write()
     {
         http::async_write(this->connection->stream,
@@ -162,9 +168,11 @@
 {
 }
 
-void HttpClient::cancel()
+void HttpClient::cancelUnanswered()
 {
-    if (this->connection) {
+    const auto request = this->requestInFlight.lock();
+    const bool isResponseArriving = request && request->hasResponseBegun();
+    if (this->connection && !isResponseArriving) {
         this->connection->stream.close();
         this->connection.reset();
     }
@@ -177,6 +185,7 @@
         this->connection = std::make_shared<Connection>(this->io);
     }
     const auto request = std::make_shared<Request>(*this, this->connection, std::move(done));
+    this->requestInFlight = request;
     request->prepare(target);
     this->connection->stream.expires_after(timeout);
     if (!isNew) {
--- a/Source/gateway/httpclient.h
+++ b/Source/gateway/httpclient.h
@@ -35,8 +35,9 @@
     /// get(). Precondition: no request is in flight.
     void get(const std::string &target, std::chrono::milliseconds timeout, Callback done);
 
-    /// Cancels the request in flight, if any; its callback gets FeedError::Unreachable.
-    void cancel();
+    /// Cancels the request in flight unless its response has begun to arrive; its callback gets FeedError::Unreachable.
+    /// If no request is in flight, the connection is closed, and the next request uses a new one.
+    void cancelUnanswered();
 
 private:
     class Request;
@@ -45,6 +46,7 @@
     std::string address;
     struct Connection;
     std::shared_ptr<Connection> connection;
+    std::weak_ptr<const Request> requestInFlight;
 };
 
 }
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -161,9 +161,9 @@
         });
 }
 
-void PeerFeedSource::cancel()
+void PeerFeedSource::cancelUnanswered()
 {
-    this->client.cancel();
+    this->client.cancelUnanswered();
 }
 
 PeerFeedServer::PeerFeedServer(const Clock &serverClock,
--- a/Tests/feed/feedreadertest.cpp
+++ b/Tests/feed/feedreadertest.cpp
@@ -48,6 +48,7 @@
     {
         ++this->calls;
         this->watchCallback = done;
+        this->watchDeadline = this->clock.now() + timeout + responseTimeout;
         if (this->unresponsive) {
             this->watchTimer = this->clock.after(timeout + responseTimeout, [this] { this->endWatch(this->error()); });
             return;
@@ -65,11 +66,28 @@
                 batch.events.push_back(event);
             }
         }
-        const Duration delay = batch.events.empty() ? timeout : Duration(Milliseconds(4));
+        const Duration delay = batch.events.empty() ? timeout : this->responseTime;
         this->watchTimer = this->clock.after(delay, [this, batch] { this->endWatch(batch); });
     }
 
-    void cancel() override
+    /// Makes a change. The watch in flight reports it after the response time, unless its response is lost.
+    void change(const FeedEvent &event, bool isResponseLost)
+    {
+        this->events.push_back(event);
+        this->latestRevision = event.revision;
+        if (!this->watchCallback) {
+            return;
+        }
+        if (isResponseLost) {
+            this->watchTimer = this->clock.after(this->watchDeadline - this->clock.now(),
+                                                 [this] { this->endWatch(make_error_code(FeedError::TimedOut)); });
+            return;
+        }
+        const FeedBatch batch { { event }, event.revision, {}, false };
+        this->watchTimer = this->clock.after(this->responseTime, [this, batch] { this->endWatch(batch); });
+    }
+
+    void cancelUnanswered() override
     {
         if (this->watchCallback) {
             this->watchTimer = this->clock.after(Duration::zero(), [this] { this->endWatch(this->error()); });
@@ -84,7 +102,7 @@
                            [done, this] { done(this->error()); });
             return;
         }
-        this->schedule(Milliseconds(4), [done, latestRevision = this->latestRevision] { done(latestRevision); });
+        this->schedule(this->responseTime, [done, latestRevision = this->latestRevision] { done(latestRevision); });
     }
 
     std::vector<FeedEvent> items;
@@ -92,6 +110,7 @@
     Revision latestRevision = 10;
     Revision historyStart = 0;
     Duration age {};
+    Duration responseTime = Milliseconds(4);
     std::size_t pageSize = 500;
     bool unresponsive = false;
     bool failing = false;
@@ -118,6 +137,8 @@
     ManualClock &clock;
     std::vector<Subscription> timers;
     Subscription watchTimer;
+    /// When the client gives up the watch in flight.
+    TimePoint watchDeadline;
     std::function<void(Result<FeedBatch>)> watchCallback;
 };
 
@@ -138,7 +159,7 @@
     {
         this->respond<FeedBatch>(this->replica.changesAfter(after, responseBytes), std::move(done));
     }
-    void cancel() override
+    void cancelUnanswered() override
     {
     }
 
@@ -278,6 +299,40 @@
     BOOST_TEST(this->recoveries >= 1);
 }
 
+// Guards against an old configuration that stays in use for seconds because the response that reports the new one is
+// lost, while the store answers everything else.
+BOOST_FIXTURE_TEST_CASE(changeArrivesSoonAfterItsResponseIsLost, Fixture)
+{
+    constexpr Duration maxDelay = std::chrono::seconds(3);
+    this->reader.start();
+    this->clock.advance(Milliseconds(2050));
+    Revision revision = 12;
+    // At different times after a check.
+    for (int repetition = 0; repetition < 12; ++repetition) {
+        this->store.change({ "c", std::to_string(revision), revision, false }, true);
+        this->clock.advance(maxDelay);
+        BOOST_TEST(this->replica.revision() == revision);
+        this->clock.advance(Milliseconds(10'070));
+        ++revision;
+    }
+}
+
+// Guards against giving up the requests to a store that is slow: each would be sent again and answered too late again.
+BOOST_FIXTURE_TEST_CASE(slowResponseIsNotTakenForLost, Fixture)
+{
+    this->reader.start();
+    this->clock.advance(Milliseconds(2050));
+    this->store.responseTime = Milliseconds(350);
+    Revision revision = 12;
+    for (int repetition = 0; repetition < 12; ++repetition) {
+        this->store.change({ "c", std::to_string(revision), revision, false }, false);
+        this->clock.advance(Milliseconds(1070));
+        BOOST_TEST(this->replica.revision() == revision);
+        ++revision;
+    }
+    BOOST_TEST(this->counters.counter("lycheewall_feed_overdue_responses_total").value() == 0U);
+}
+
 // Guards against a flood of calls, which are billed, to a store that resets connections.
 BOOST_FIXTURE_TEST_CASE(backsOffFromFailingStore, Fixture)
 {
@@ -329,7 +384,7 @@
     this->store.items = { { "b", "2", 5, false }, { "c", "3", 14, false } };
     this->store.latestRevision = 15;
     this->store.historyStart = 15;
-    this->store.cancel();
+    this->store.cancelUnanswered();
     this->clock.advance(Milliseconds(1000));
     const auto items = this->replica.items();
     BOOST_REQUIRE(items.size() == 2U);
--- a/Tests/gateway/httpclienttest.cpp
+++ b/Tests/gateway/httpclienttest.cpp
@@ -92,6 +92,24 @@
     BOOST_TEST((response.error() == FeedError::TimedOut));
 }
 
+// Guards against cancelling a response that has begun to arrive: on a slow link it would be requested again and again.
+BOOST_AUTO_TEST_CASE(cancelUnansweredSparesArrivingResponse)
+{
+    for (const bool hasBegun : { false, true }) {
+        boost::asio::io_context io;
+        SlowServer server(io, std::string(20, 'x'), std::chrono::milliseconds(10));
+        HttpClient client(io, "127.0.0.1:" + std::to_string(server.acceptor.local_endpoint().port()));
+        std::optional<Result<HttpClientResponse>> result;
+        client.get("/", std::chrono::milliseconds(200), [&result](const Result<HttpClientResponse> &response) {
+            result = response;
+        });
+        BOOST_REQUIRE(!hasBegun || runUntil(io, [&server] { return server.sent > 5; }));
+        client.cancelUnanswered();
+        BOOST_REQUIRE(runUntil(io, [&result] { return result.has_value(); }));
+        BOOST_TEST(result->has_value() == hasBegun);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
