Forwarding: Let an empty list of organisations admit no key

Cause: the route table kept the organisations only, so an empty list and a configuration without the list were the same, and the latter admits callers without keys.

Ruled out: stale data, as no version admits a key that was never held.

Change: the route table states whether it requires API keys. Related places that were read: lycheewalld refuses a key if the catalogue has none; an empty list of shards makes a table invalid.

--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -141,7 +141,7 @@
 
 ResultOr<OrganisationId, ForwardReply> Forwarder::authenticate(const CallerRequest &request, const Route &route)
 {
-    if (route.isPublic || this->routeTable->organisations().empty()) {
+    if (route.isPublic || !this->routeTable->requiresApiKeys()) {
         return success(OrganisationId());
     }
     if (!request.apiKey) {
--- a/Source/forwarding/routetable.cpp
+++ b/Source/forwarding/routetable.cpp
@@ -163,6 +163,11 @@
     return this->organisationsById;
 }
 
+bool RouteTable::requiresApiKeys() const
+{
+    return this->content.requiresApiKeys || !this->organisationsById.empty();
+}
+
 const OrganisationSpec *RouteTable::findOrganisationByKey(const std::string &key) const
 {
     const auto entry = this->organisationsByKey.find(KeyCheck::hash(key));
--- a/Source/forwarding/routetable.h
+++ b/Source/forwarding/routetable.h
@@ -99,6 +99,8 @@
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
     std::vector<OrganisationSpec> organisations;
+    /// True if callers need an API key on routes that are not public, also while no organisation has one.
+    bool requiresApiKeys = false;
     CallerLimits limits;
 };
 
@@ -128,6 +130,10 @@
 
     const std::map<OrganisationId, OrganisationSpec> &organisations() const;
 
+    /// True if callers need an API key on routes that are not public: there are organisations, or
+    /// RouteTableContent::requiresApiKeys was set.
+    bool requiresApiKeys() const;
+
     /// Returns the organisation to which the API key @p key belongs, or nullptr. Keys are compared by their hashes.
     const OrganisationSpec *findOrganisationByKey(const std::string &key) const;
 
--- a/Tests/forwarding/forwardertest.cpp
+++ b/Tests/forwarding/forwardertest.cpp
@@ -72,6 +72,28 @@
     BOOST_TEST((this->call(0).call.organisation == OrganisationId("org")));
 }
 
+// Guards against admitting every caller, with any API key or none, once the last organisation has been removed.
+BOOST_AUTO_TEST_CASE(noOrganisationsAdmitNoKey)
+{
+    this->tableContent.organisations.clear();
+    this->tableContent.requiresApiKeys = true;
+    this->publishTable();
+    BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::KeyUnknown));
+    BOOST_TEST((this->forwardForRefusal("/x", std::nullopt) == Refusal::KeyMissing));
+    BOOST_TEST(this->endpointSender.calls.empty());
+    this->route.isPublic = true;
+    this->publishTable();
+    BOOST_TEST((this->forwardForRefusal("/x", std::nullopt) == Refusal::None));
+}
+
+// Guards against refusals in a fleet that is configured without API keys.
+BOOST_AUTO_TEST_CASE(tableWithoutApiKeysAdmitsAllCallers)
+{
+    this->tableContent.organisations.clear();
+    this->publishTable();
+    BOOST_TEST((this->forwardForRefusal("/x", std::nullopt) == Refusal::None));
+}
+
 // Guards against accepting a revoked API key on an instance that receives no feed updates and so does not learn of the
 // revocation.
 BOOST_AUTO_TEST_CASE(refusesKeysWhenFeedDataIsStale)
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -96,6 +96,20 @@
     BOOST_TEST(table.findOrganisationByKey("k3") == nullptr);
 }
 
+// Guards against an empty list of organisations that is taken for a configuration without API keys.
+BOOST_AUTO_TEST_CASE(emptyListOfOrganisationsStillRequiresKeys)
+{
+    const std::string text = configuration;
+    const std::size_t list = text.find(",\n \"Tenants\"");
+    const auto requiresKeys = [](const std::string &value) {
+        return std::get<RouteTableChange>(decode("op/config", value)).table->requiresApiKeys();
+    };
+    BOOST_TEST(requiresKeys(text));
+    BOOST_TEST(requiresKeys(text.substr(0, list) + R"(,"Tenants":[]})"));
+    BOOST_TEST(requiresKeys(text.substr(0, list) + R"(,"Tenants":null})"));
+    BOOST_TEST(!requiresKeys(text.substr(0, list) + "}"));
+}
+
 // Guards against an invalid or deleted configuration that takes effect: malformed JSON, a field of the wrong type, or a
 // route to an unknown service.
 BOOST_AUTO_TEST_CASE(ignoresInvalidConfigurations)
