Gateway: Bound the responses of all endpoints together

Reported by other operators: a faulty endpoint sent bytes without end, the instance kept them all, ran out of memory, and other callers' requests were lost with it.

Cause here: one connection was bounded (endlessResponseIsLost). Together they were not: a response of up to 256 KiB was accepted whatever all held, which makes 512 MB for 2,000 connections, by calculation. Reads of the store and of other instances accepted 64 MiB, which grow by copying.

Ruled out by the existing test: an endless head, body, chunk extension or trailer, and endless interim or stale responses on one connection.

Change: incomplete responses of endpoints hold 32 MiB together at most. Beyond that the largest is given up, so that smaller ones of sound endpoints go on. A feed response is limited to 16 MiB; a watch beyond it is replaced by a listing, which has pages.

Before: boundsManySmallResponses, manyEndlessResponsesAreBoundedTogether, endlessResponseIsGivenUp and listsAgainAfterTooLargeResponse fail with the old rule and limit. After: they pass. The tests of ResponseMemory keep their cases and bounds; its interface names the holder of a response now.

Open: complete responses that wait for slow callers are not counted.

--- a/Source/feed/feederror.cpp
+++ b/Source/feed/feederror.cpp
@@ -30,6 +30,8 @@
             return "history-gone";
         case FeedError::MalformedResponse:
             return "bad-answer";
+        case FeedError::ResponseTooLarge:
+            return "too-large";
         }
         return "unknown";
     }
--- a/Source/feed/feederror.h
+++ b/Source/feed/feederror.h
@@ -6,7 +6,15 @@
 {
 
 /// Reason why a feed source gave no usable response.
-enum class FeedError { Unreachable = 1, TimedOut, Busy, Refused, HistoryCompacted, MalformedResponse };
+enum class FeedError {
+    Unreachable = 1,
+    TimedOut,
+    Busy,
+    Refused,
+    HistoryCompacted,
+    MalformedResponse,
+    ResponseTooLarge
+};
 std::error_code make_error_code(FeedError error);
 
 }
--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -17,6 +17,13 @@
     return log;
 }
 
+/// True if a watch with this error would fail again: a listing has pages and needs no history.
+bool requiresListing(const std::error_code &error)
+{
+    return error == make_error_code(FeedError::HistoryCompacted)
+        || error == make_error_code(FeedError::ResponseTooLarge);
+}
+
 }
 
 FeedReader::FeedReader(const FeedReaderSettings &readerSettings, Context readerContext)
@@ -143,9 +150,9 @@
 void FeedReader::handleBatch(TimePoint startedAt, const Result<FeedBatch> &batch)
 {
     this->storeRequestSentAt.reset();
-    if (!batch && batch.error() == make_error_code(FeedError::HistoryCompacted)) {
-        logger().info("The source no longer keeps the changes after revision "
-                      + std::to_string(this->context.replica.revision()) + "; listing all entries.");
+    if (!batch && requiresListing(batch.error())) {
+        logger().info("The changes after revision " + std::to_string(this->context.replica.revision())
+                      + " cannot be read (" + batch.error().message() + "); listing all entries.");
         this->needsListing = true;
         this->scheduleRead(Duration::zero());
         return;
--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -62,6 +62,11 @@
 {
 }
 
+EndpointConnection::~EndpointConnection()
+{
+    this->memory->update(*this, 0);
+}
+
 void EndpointConnection::connect(const asio::ip::tcp::endpoint &address, Duration timeout)
 {
     this->timer.expires_after(timeout);
@@ -153,18 +158,15 @@
         return;
     }
     this->parse();
-    if (this->state == State::Busy && !this->updateMemory(this->parser->get().body().size() + this->buffer.size())) {
-        this->failRequest();
-        return;
+    if (this->state == State::Busy) {
+        this->memory->update(*this, this->parser->get().body().size() + this->buffer.size());
     }
     this->startRead();
 }
 
-bool EndpointConnection::updateMemory(std::size_t bytes)
+void EndpointConnection::giveUpResponse()
 {
-    const std::size_t previousBytes = this->responseBytes;
-    this->responseBytes = bytes;
-    return this->memory->update(previousBytes, bytes);
+    this->failRequest();
 }
 
 void EndpointConnection::skipResponse()
@@ -234,7 +236,7 @@
 void EndpointConnection::finish(const CallOutcome &outcome, const EndpointResponseMetadata &info, bool reusable)
 {
     const auto self = this->shared_from_this();
-    this->updateMemory(0);
+    this->memory->update(*this, 0);
     if (reusable) {
         this->state = State::Idle;
         this->idleSince = this->clock.now();
@@ -272,7 +274,7 @@
 void EndpointConnection::close()
 {
     this->state = State::Closed;
-    this->updateMemory(0);
+    this->memory->update(*this, 0);
     this->timer.cancel();
     boost::system::error_code ignored;
     this->socket.close(ignored);
--- a/Source/gateway/endpointconnection.h
+++ b/Source/gateway/endpointconnection.h
@@ -18,7 +18,7 @@
  * endpoint that sends without end loses the connection.
  * Thread safety: none; used on the thread of the request loop.
  */
-class EndpointConnection : public std::enable_shared_from_this<EndpointConnection>
+class EndpointConnection : public std::enable_shared_from_this<EndpointConnection>, private ResponseMemory::Holder
 {
 public:
     /// Receives the events of the connection. The owner must outlive the connection's last callback.
@@ -45,6 +45,9 @@
                        const EndpointCodec &codec,
                        std::shared_ptr<ResponseMemory> memory,
                        Owner &owner);
+    ~EndpointConnection() override;
+    EndpointConnection(const EndpointConnection &) = delete;
+    EndpointConnection &operator=(const EndpointConnection &) = delete;
 
     /// Connects to @p address and calls connected(), or connectFailed() on an error or after @p timeout. Precondition:
     /// called once.
@@ -74,8 +77,7 @@
     void beginResponse();
     /// Prepares for the next response after one that is not the reply to the request.
     void skipResponse();
-    /// Records the size of the incomplete response. Returns false if it must be given up.
-    bool updateMemory(std::size_t bytes);
+    void giveUpResponse() override;
     void updateKeepAlive(const HttpResponseMessage &message);
 
     boost::asio::ip::tcp::socket socket;
@@ -93,8 +95,6 @@
     bool skippedStaleResponse = false;
     /// Interim and stale responses since the request was sent.
     int skippedResponses = 0;
-    /// Bytes of the incomplete response that are counted in memory.
-    std::size_t responseBytes = 0;
     bool isHeadRequest = false;
     HttpRequestMessage message;
     std::string attemptId;
--- a/Source/gateway/httpclient.cpp
+++ b/Source/gateway/httpclient.cpp
@@ -24,10 +24,14 @@
 constexpr std::chrono::milliseconds progressTimeout { 500 };
 /// Time for the whole response after its first part.
 constexpr std::chrono::seconds transferTimeout { 5 };
-constexpr std::uint64_t responseBodyLimit = std::uint64_t { 64 } * 1024 * 1024;
+/// Far below the memory of an instance, as the body is copied while it grows.
+constexpr std::uint64_t responseBodyLimit = std::uint64_t { 16 } * 1024 * 1024;
 
 std::error_code toFeedError(const beast::error_code &error)
 {
+    if (error == http::error::body_limit) {
+        return make_error_code(FeedError::ResponseTooLarge);
+    }
     return error == beast::error::timeout ? make_error_code(FeedError::TimedOut)
                                           : make_error_code(FeedError::Unreachable);
 }
--- a/Source/gateway/httpclient.h
+++ b/Source/gateway/httpclient.h
@@ -20,8 +20,9 @@
 /**
  * Sends GET requests to one address, one at a time, over a persistent connection. A connection on which a request
  * failed is never reused.
- * Thread safety: none; used on the thread of the request loop. Errors: FeedError::TimedOut, or FeedError::Unreachable
- * for all other failures, including a response that is not valid HTTP.
+ * Thread safety: none; used on the thread of the request loop. Errors: FeedError::TimedOut,
+ * FeedError::ResponseTooLarge, or FeedError::Unreachable for all other failures, including a response that is not valid
+ * HTTP.
  */
 class HttpClient
 {
--- a/Source/gateway/responsememory.cpp
+++ b/Source/gateway/responsememory.cpp
@@ -3,24 +3,28 @@
 namespace Lycheewall
 {
 
-namespace
+void ResponseMemory::update(Holder &holder, std::size_t bytes)
 {
-
-/// All responses together may hold this much; a machine has 160 MB or more.
-constexpr std::size_t maxTotalBytes = std::size_t { 32 } * 1024 * 1024;
-/// A response up to this size is always accepted, so that large ones elsewhere do not make it fail.
-constexpr std::size_t smallResponseBytes = std::size_t { 256 } * 1024;
-
+    if (bytes == holder.heldBytes) {
+        return;
+    }
+    this->holdersBySize.erase({ holder.heldBytes, &holder });
+    this->total = this->total - holder.heldBytes + bytes;
+    holder.heldBytes = bytes;
+    if (bytes > 0) {
+        this->holdersBySize.emplace(bytes, &holder);
+    }
+    if (bytes > maxResponseBytes) {
+        holder.giveUpResponse();
+    }
+    while (this->total > maxTotalBytes) {
+        this->holdersBySize.rbegin()->second->giveUpResponse();
+    }
 }
 
-bool ResponseMemory::update(std::size_t previousBytes, std::size_t currentBytes)
+std::size_t ResponseMemory::totalBytes() const
 {
-    this->totalBytes += currentBytes;
-    this->totalBytes -= previousBytes;
-    if (currentBytes > maxResponseBytes) {
-        return false;
-    }
-    return currentBytes <= smallResponseBytes || this->totalBytes <= maxTotalBytes;
+    return this->total;
 }
 
 }
--- a/Tests/feed/feedreadertest.cpp
+++ b/Tests/feed/feedreadertest.cpp
@@ -53,8 +53,8 @@
             this->watchTimer = this->clock.after(timeout + responseTimeout, [this] { this->endWatch(this->error()); });
             return;
         }
-        if (this->failing || after < this->historyStart) {
-            const std::error_code reason = this->failing ? this->error() : make_error_code(FeedError::HistoryCompacted);
+        if (this->failing || after < this->historyStart || this->areWatchesTooLarge) {
+            const std::error_code reason = this->failing ? this->error() : this->watchError();
             this->watchTimer = this->clock.after(Milliseconds(1), [this, reason] { this->endWatch(reason); });
             return;
         }
@@ -114,6 +114,7 @@
     std::size_t pageSize = 500;
     bool unresponsive = false;
     bool failing = false;
+    bool areWatchesTooLarge = false;
     int calls = 0;
 
 private:
@@ -121,6 +122,10 @@
     {
         return this->unresponsive ? FeedError::TimedOut : FeedError::Unreachable;
     }
+    std::error_code watchError() const
+    {
+        return this->areWatchesTooLarge ? FeedError::ResponseTooLarge : FeedError::HistoryCompacted;
+    }
     void schedule(Duration delay, std::function<void()> action)
     {
         this->timers.push_back(this->clock.after(delay, std::move(action)));
@@ -393,6 +398,19 @@
     BOOST_TEST(this->receivedEvents.back().deleted);
 }
 
+// Guards against repeating a watch whose response is larger than the limit, with the same result each time.
+BOOST_FIXTURE_TEST_CASE(listsAgainAfterTooLargeResponse, Fixture)
+{
+    this->reader.start();
+    this->clock.advance(Milliseconds(500));
+    this->store.items.push_back({ "c", "3", 14, false });
+    this->store.latestRevision = 15;
+    this->store.areWatchesTooLarge = true;
+    this->store.cancelUnanswered();
+    this->clock.advance(Milliseconds(1000));
+    BOOST_TEST(this->replica.items().size() == 3U);
+}
+
 // Guards against an instance that falls behind while the configuration changes often, and then requests more with each
 // read than its link can transfer in time: it would never have a current configuration again.
 BOOST_FIXTURE_TEST_CASE(slowReaderCatchesUpAfterManyChanges, Fixture)
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -336,6 +336,30 @@
     }
 }
 
+// Guards against many connections on which endpoints send without end, each a little: together they must not exhaust
+// the memory, and sound responses must still arrive.
+BOOST_FIXTURE_TEST_CASE(manyEndlessResponsesAreBoundedTogether, Fixture)
+{
+    constexpr std::size_t connections = 200;
+    constexpr std::size_t bytesOfEach = std::size_t { 250 } * 1024;
+    constexpr std::size_t maxHeldResponses = ResponseMemory::maxTotalBytes / bytesOfEach;
+    this->connectionLimit = connections;
+    this->serve([](int) { return "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + std::string(bytesOfEach, 'x'); });
+    for (std::size_t count = 0; count < connections; ++count) {
+        this->start("1");
+    }
+    BOOST_TEST(runUntil(this->io, [this] { return this->outcomes.size() >= connections - maxHeldResponses; }));
+    for (const CallOutcome &outcome : this->outcomes) {
+        BOOST_TEST((outcome.result == CallResult::Lost));
+    }
+    const auto endlessServer = std::move(this->server);
+    this->serve([](int) { return makeResponse("2", "body"); });
+    this->endpoint = std::make_shared<ServiceEndpoint>();
+    this->endpoint->record.id = EndpointId("sound");
+    this->endpoint->record.address = this->server->address();
+    BOOST_TEST((this->call("2").result == CallResult::Answered));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/gateway/httpclienttest.cpp
+++ b/Tests/gateway/httpclienttest.cpp
@@ -60,6 +60,38 @@
     std::size_t sent = 0;
 };
 
+/// Sends a body without end, until the client closes the connection.
+struct EndlessServer
+{
+    explicit EndlessServer(boost::asio::io_context &io)
+        : acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 })
+        , socket(io)
+    {
+        this->acceptor.async_accept(this->socket, [this](boost::system::error_code error) {
+            if (!error) {
+                boost::asio::write(this->socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")));
+                this->sendBlock();
+            }
+        });
+    }
+
+    void sendBlock()
+    {
+        boost::asio::async_write(
+            this->socket, boost::asio::buffer(this->block), [this](boost::system::error_code error, std::size_t size) {
+                this->sentBytes += size;
+                if (!error) {
+                    this->sendBlock();
+                }
+            });
+    }
+
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+    std::string block = std::string(std::size_t { 256 } * 1024, 'x');
+    std::size_t sentBytes = 0;
+};
+
 /// Requests the response of a SlowServer with a timeout of 200 ms.
 Result<HttpClientResponse> request(const std::string &body, std::chrono::milliseconds pause)
 {
@@ -92,6 +124,22 @@
     BOOST_TEST((response.error() == FeedError::TimedOut));
 }
 
+// Guards against a server that sends without end and exhausts the memory.
+BOOST_AUTO_TEST_CASE(endlessResponseIsGivenUp)
+{
+    constexpr std::size_t maxBytes = std::size_t { 32 } * 1024 * 1024;
+    boost::asio::io_context io;
+    EndlessServer server(io);
+    HttpClient client(io, "127.0.0.1:" + std::to_string(server.acceptor.local_endpoint().port()));
+    std::optional<Result<HttpClientResponse>> result;
+    client.get("/", std::chrono::milliseconds(200), [&result](const Result<HttpClientResponse> &response) {
+        result = response;
+    });
+    BOOST_REQUIRE(runUntil(io, [&] { return result.has_value() || server.sentBytes > maxBytes; }));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->error() == FeedError::ResponseTooLarge));
+}
+
 // Guards against cancelling a response that has begun to arrive: on a slow link it would be requested again and again.
 BOOST_AUTO_TEST_CASE(cancelUnansweredSparesArrivingResponse)
 {
--- a/Tests/gateway/responsememorytest.cpp
+++ b/Tests/gateway/responsememorytest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/responsememory.h"
 
 #include <boost/test/unit_test.hpp>
+#include <deque>
 
 namespace Lycheewall
 {
@@ -11,6 +12,34 @@
 {
 
 constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+constexpr std::size_t kibibyte = 1024;
+
+class TestHolder : public ResponseMemory::Holder
+{
+public:
+    explicit TestHolder(ResponseMemory &responseMemory)
+        : memory(responseMemory)
+    {
+    }
+
+    void giveUpResponse() override
+    {
+        this->isGivenUp = true;
+        this->memory.update(*this, 0);
+    }
+
+    /// Returns false if the response was given up.
+    bool update(std::size_t bytes)
+    {
+        this->memory.update(*this, bytes);
+        return !this->isGivenUp;
+    }
+
+    bool isGivenUp = false;
+
+private:
+    ResponseMemory &memory;
+};
 
 }
 
@@ -19,22 +48,50 @@
 BOOST_AUTO_TEST_CASE(boundsAllResponsesTogether)
 {
     ResponseMemory memory;
+    std::deque<TestHolder> holders;
     int accepted = 0;
-    while (accepted < 100 && memory.update(0, 3 * mebibyte)) {
+    while (accepted < 100 && holders.emplace_back(memory).update(3 * mebibyte)) {
         ++accepted;
     }
     BOOST_TEST(accepted == 10);
-    BOOST_TEST(memory.update(0, 10'000));
+    TestHolder small(memory);
+    BOOST_TEST(small.update(10'000));
+    BOOST_TEST(memory.totalBytes() <= ResponseMemory::maxTotalBytes);
+}
+
+// Guards against memory that grows with the number of endpoints that send without end when each response is still
+// small, and against sound responses that fail because of them.
+BOOST_AUTO_TEST_CASE(boundsManySmallResponses)
+{
+    ResponseMemory memory;
+    std::deque<TestHolder> endless;
+    for (int count = 0; count < 2000; ++count) {
+        endless.emplace_back(memory);
+    }
+    TestHolder sound(memory);
+    BOOST_TEST(sound.update(8 * kibibyte));
+    for (std::size_t bytes = 4 * kibibyte; bytes <= 256 * kibibyte; bytes += 4 * kibibyte) {
+        for (TestHolder &holder : endless) {
+            if (!holder.isGivenUp) {
+                holder.update(bytes);
+            }
+            BOOST_REQUIRE(memory.totalBytes() <= ResponseMemory::maxTotalBytes);
+        }
+    }
+    BOOST_TEST(!sound.isGivenUp);
+    BOOST_TEST(sound.update(12 * kibibyte));
 }
 
 // Guards against memory that is not available again after responses have ended.
 BOOST_AUTO_TEST_CASE(endedResponsesReleaseMemory)
 {
     ResponseMemory memory;
+    TestHolder holder(memory);
     for (int count = 0; count < 100; ++count) {
-        BOOST_TEST(memory.update(0, mebibyte));
-        BOOST_TEST(memory.update(mebibyte, 3 * mebibyte));
-        BOOST_TEST(memory.update(3 * mebibyte, 0));
+        BOOST_TEST(holder.update(mebibyte));
+        BOOST_TEST(holder.update(3 * mebibyte));
+        BOOST_TEST(holder.update(0));
+        BOOST_TEST(memory.totalBytes() == 0U);
     }
 }
 
@@ -42,8 +99,9 @@
 BOOST_AUTO_TEST_CASE(boundsEachResponse)
 {
     ResponseMemory memory;
-    BOOST_TEST(memory.update(0, ResponseMemory::maxResponseBytes));
-    BOOST_TEST(!memory.update(ResponseMemory::maxResponseBytes, ResponseMemory::maxResponseBytes + 1));
+    TestHolder holder(memory);
+    BOOST_TEST(holder.update(ResponseMemory::maxResponseBytes));
+    BOOST_TEST(!holder.update(ResponseMemory::maxResponseBytes + 1));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
