Runtime: Release the callback of a one-shot timer that has fired

Cause: a cancelled call owns the timer that closes its connection, and the timer's callback holds the call. The timer kept the callback after it had fired.

Change: a one-shot timer releases its callback once it has run, as ManualClock does. This holds for exchanges and relayed requests as well, whose timers are written in the same way.

Before: firedTimerReleasesItsCallback fails on the old timer service.

--- a/Source/runtime/asiotimerservice.cpp
+++ b/Source/runtime/asiotimerservice.cpp
@@ -53,8 +53,14 @@
         if (this->cancelled.load()) {
             return;
         }
+        if (this->period == Duration::zero()) {
+            // Ends with its captures, which may own the subscription of this timer.
+            const std::function<void()> lastCallback = std::move(this->callback);
+            lastCallback();
+            return;
+        }
         this->callback();
-        if (this->period == Duration::zero() || this->cancelled.load()) {
+        if (this->cancelled.load()) {
             return;
         }
         const auto now = std::chrono::steady_clock::now();
--- a/Tests/runtime/asiotimerservicetest.cpp
+++ b/Tests/runtime/asiotimerservicetest.cpp
@@ -3,6 +3,7 @@
 #include "runtime/worker.h"
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -43,6 +44,26 @@
     periodic.reset();
 }
 
+// Guards against a memory leak: the owner of a subscription that the callback itself keeps alive must end once the
+// timer has fired.
+BOOST_AUTO_TEST_CASE(firedTimerReleasesItsCallback)
+{
+    struct Owner
+    {
+        Subscription timer;
+    };
+    boost::asio::io_context context;
+    AsioTimerService service(context);
+    auto owner = std::make_shared<Owner>();
+    const std::weak_ptr<Owner> observer = owner;
+    int fired = 0;
+    owner->timer = service.after(Milliseconds(1), [owner, &fired] { ++fired; });
+    owner.reset();
+    context.run();
+    BOOST_TEST(fired == 1);
+    BOOST_TEST(observer.expired());
+}
+
 // Guards against a callback that runs after its subscription was destroyed, against a callback that cannot destroy its
 // own subscription, and against data races when several threads destroy subscriptions. Each round destroys a
 // subscription, waits until the context has run one handler posted after that, and only then sets the flag: a callback
