Gateway: Withdraw queued calls from endpoints that became unavailable

Cause: a call stays in the queue of the endpoint that was chosen for it. Only what the endpoint says in a response withdrew queued calls, not a change of its entry, its removal, or the evacuation of its zone.

Ruled out: the choice of endpoints, which leaves out unavailable ones.

Change: ServiceEndpoint::isAvailable() is the one place that says whether new requests may go to an endpoint; EndpointSet keeps the state of its zone there.

Before: queuedRequestsAvoidUnavailableEndpoint (draining, removed, evacuated) and sweepEndsRequestsQueuedForUnavailableEndpoint fail with the old condition.

--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -59,7 +59,7 @@
     EndpointPtr best;
     double bestCost = 0;
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(criteria.service)) {
-        if (!this->endpoints.isAvailable(*endpoint) || contains(criteria.excluded, endpoint->record.id)) {
+        if (!endpoint->isAvailable() || contains(criteria.excluded, endpoint->record.id)) {
             continue;
         }
         const double share = this->endpoints.rateLimitShare();
@@ -81,7 +81,7 @@
 {
     std::optional<Duration> best;
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
-        if (!this->endpoints.isAvailable(*endpoint) || endpoint->stats.isEjected(now)) {
+        if (!endpoint->isAvailable() || endpoint->stats.isEjected(now)) {
             continue;
         }
         const Duration latency = estimatedLatency(*endpoint, typicalLatency, now);
@@ -107,7 +107,7 @@
     double fillLevelSum = 0;
     Duration shortestWait = Duration::max();
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
-        if (!this->endpoints.isAvailable(*endpoint)) {
+        if (!endpoint->isAvailable()) {
             continue;
         }
         if (!endpoint->isThrottled()) {
@@ -131,7 +131,7 @@
 {
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(service)) {
         const bool isHealthy = !endpoint->stats.isSuspect(now) && !endpoint->stats.isEjected(now);
-        if (endpoint->record.zone == this->zone && this->endpoints.isAvailable(*endpoint) && isHealthy) {
+        if (endpoint->record.zone == this->zone && endpoint->isAvailable() && isHealthy) {
             return true;
         }
     }
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -23,6 +23,11 @@
 
 }
 
+bool ServiceEndpoint::isAvailable() const
+{
+    return this->registered && !this->record.draining && !this->leaving && !this->zoneEvacuated;
+}
+
 bool ServiceEndpoint::isThrottled() const
 {
     return this->rateLimit.isLimited() || this->backoff.isActive();
@@ -53,12 +58,14 @@
     const EndpointPtr existing = this->find(record.id);
     if (existing && sameProcess(existing->record, record)) {
         existing->record = record;
+        this->updateEvacuation(*existing);
         existing->coldUntil = std::max(existing->coldUntil, now + record.remainingWarmup);
         return;
     }
     this->remove(record.id);
     const auto endpoint = std::make_shared<ServiceEndpoint>();
     endpoint->record = record;
+    this->updateEvacuation(*endpoint);
     endpoint->coldUntil = now + record.remainingWarmup;
     endpoint->stats.setLateListener([late = this->lateEndpoints, id = record.id] { late->insert(id); });
     this->byId[record.id] = endpoint;
@@ -81,6 +88,14 @@
 void EndpointSet::setEvacuatedZones(std::set<ZoneId> zones)
 {
     this->evacuatedZones = std::move(zones);
+    for (const auto &[id, endpoint] : this->byId) {
+        this->updateEvacuation(*endpoint);
+    }
+}
+
+void EndpointSet::updateEvacuation(ServiceEndpoint &endpoint) const
+{
+    endpoint.zoneEvacuated = this->evacuatedZones.count(endpoint.record.zone) > 0;
 }
 
 const std::vector<EndpointPtr> &EndpointSet::endpointsOf(const ServiceId &service) const
@@ -96,17 +111,11 @@
     return entry == this->byId.end() ? nullptr : entry->second;
 }
 
-bool EndpointSet::isAvailable(const ServiceEndpoint &endpoint) const
-{
-    return endpoint.registered && !endpoint.record.draining && !endpoint.leaving
-        && this->evacuatedZones.count(endpoint.record.zone) == 0;
-}
-
 std::set<ZoneId> EndpointSet::availableZones(const ServiceId &service) const
 {
     std::set<ZoneId> zones;
     for (const EndpointPtr &endpoint : this->endpointsOf(service)) {
-        if (this->isAvailable(*endpoint)) {
+        if (endpoint->isAvailable()) {
             zones.insert(endpoint->record.zone);
         }
     }
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -42,9 +42,15 @@
     /// Names of header fields whose invalid values have been logged.
     std::set<std::string> loggedInvalidFields;
     TimePoint coldUntil;
+    /// True while the zone of the endpoint is evacuated.
+    bool zoneEvacuated = false;
     /// False once the entry was removed. Requests in flight may still hold the object.
     bool registered = true;
 
+    /// True if new requests may go to the endpoint: it is registered, not draining or leaving, and its zone is not
+    /// evacuated.
+    bool isAvailable() const;
+
     /// True if the endpoint has asked for fewer requests, by a rate limit or a backoff.
     bool isThrottled() const;
 
@@ -88,10 +94,6 @@
     /// Returns nullptr if no endpoint is registered under @p id.
     EndpointPtr find(const EndpointId &id) const;
 
-    /// True if new requests may go to the endpoint: it is registered, not draining or leaving, and its zone is not
-    /// evacuated.
-    bool isAvailable(const ServiceEndpoint &endpoint) const;
-
     /// Zones with an available endpoint of the service.
     std::set<ZoneId> availableZones(const ServiceId &service) const;
 
@@ -117,6 +119,8 @@
 private:
     using EndpointIds = std::set<EndpointId>;
 
+    void updateEvacuation(ServiceEndpoint &endpoint) const;
+
     std::unordered_map<EndpointId, EndpointPtr> byId;
     std::unordered_map<ServiceId, std::vector<EndpointPtr>> byService;
     /// Endpoints that were late often enough to be reported. Shared with them, as requests in flight may keep an
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -171,6 +171,10 @@
 
 void EndpointConnectionPool::dispatchQueued(EndpointConnections &connections)
 {
+    if (connections.queued.empty()) {
+        return;
+    }
+    this->failRejectedCalls(connections);
     while (!connections.queued.empty()) {
         const CallPtr next = connections.queued.front();
         const ConnectionPtr connection = this->acquireIdle(connections, next->call.nonIdempotent);
@@ -226,14 +230,13 @@
     }
     const bool hasResponded = outcome.result == CallResult::Answered || outcome.result == CallResult::NotRun;
     if (hasResponded) {
-        this->updateEndpoint(connections, *call, outcome, info);
+        this->updateEndpoint(*call, outcome, info);
     }
     this->dispatchQueued(connections);
     call->finish(outcome);
 }
 
-void EndpointConnectionPool::updateEndpoint(EndpointConnections &connections,
-                                            const PooledCall &call,
+void EndpointConnectionPool::updateEndpoint(const PooledCall &call,
                                             const CallOutcome &outcome,
                                             const EndpointResponseMetadata &info)
 {
@@ -247,16 +250,18 @@
         endpoint.coldUntil = now + *info.remainingWarmup;
     }
     this->statementHandler.apply(endpoint, info.statement, call.sentAt, outcome.result == CallResult::Answered);
-    if (endpoint.wantsNoRequests(now)) {
-        this->failQueuedCalls(connections);
-    }
 }
 
-void EndpointConnectionPool::failQueuedCalls(EndpointConnections &connections)
+void EndpointConnectionPool::failRejectedCalls(EndpointConnections &connections)
 {
-    for (const CallPtr &call : std::exchange(connections.queued, {})) {
-        this->postFailure(call);
-    }
+    const auto isAccepted = [now = this->clock.now()](const CallPtr &call) {
+        const ServiceEndpoint &endpoint = *call->call.endpoint;
+        return endpoint.isAvailable() && !endpoint.wantsNoRequests(now);
+    };
+    auto &queued = connections.queued;
+    const auto firstRejected = std::stable_partition(queued.begin(), queued.end(), isAccepted);
+    std::for_each(firstRejected, queued.end(), [this](const CallPtr &call) { this->postFailure(call); });
+    queued.erase(firstRejected, queued.end());
 }
 
 void EndpointConnectionPool::closedWhileIdle(const ConnectionPtr &connection)
@@ -297,8 +302,8 @@
     for (auto entry = this->connectionsByEndpoint.begin(); entry != this->connectionsByEndpoint.end();) {
         EndpointConnections &connections = entry->second;
         const EndpointPtr endpoint = connections.endpoint.lock();
-        const bool acceptsRequests
-            = endpoint && endpoint->registered && !endpoint->record.draining && !endpoint->leaving;
+        const bool acceptsRequests = endpoint && endpoint->isAvailable();
+        this->failRejectedCalls(connections);
         for (auto place = connections.idle.begin(); place != connections.idle.end();) {
             const ConnectionPtr connection = *place;
             if (acceptsRequests && connection->isUsable(now)) {
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -30,8 +30,8 @@
 
     std::shared_ptr<OutgoingCall> send(const EndpointCall &call, std::function<void(CallOutcome)> done) override;
 
-    /// Closes idle connections to endpoints that are no longer registered or are draining, and those whose keep-alive
-    /// timeout is about to expire.
+    /// Closes idle connections to endpoints that take no new requests, and those whose keep-alive timeout is about to
+    /// expire. Ends the calls that wait for a connection to such an endpoint, as not sent.
     void closeUnusableConnections();
 
     /// Number of connections to all endpoints, including those that are being established.
@@ -72,12 +72,10 @@
     void cancelCall(const CallPtr &call, Duration gracePeriod);
     void postFailure(const CallPtr &call);
     /// Applies what the response to @p call says about its endpoint.
-    void updateEndpoint(EndpointConnections &connections,
-                        const PooledCall &call,
-                        const CallOutcome &outcome,
-                        const EndpointResponseMetadata &info);
-    /// Ends the calls that wait for a connection, as not sent, so that they are sent to other endpoints.
-    void failQueuedCalls(EndpointConnections &connections);
+    void updateEndpoint(const PooledCall &call, const CallOutcome &outcome, const EndpointResponseMetadata &info);
+    /// Ends the calls that wait for a connection to an endpoint that takes no requests now, as not sent, so that they
+    /// are sent to other endpoints.
+    void failRejectedCalls(EndpointConnections &connections);
     void unregister(const ConnectionPtr &connection);
     /// Removes the connection from the pool and closes it.
     void discard(const ConnectionPtr &connection);
--- a/Tests/feed/feedappliertest.cpp
+++ b/Tests/feed/feedappliertest.cpp
@@ -52,7 +52,7 @@
     bool isAvailable(const std::string &id)
     {
         const EndpointPtr endpoint = this->endpoints.find(EndpointId(id));
-        return endpoint && this->endpoints.isAvailable(*endpoint);
+        return endpoint && endpoint->isAvailable();
     }
 
     FeedFreshness freshness { clock };
--- a/Tests/forwarding/throttledendpointtest.cpp
+++ b/Tests/forwarding/throttledendpointtest.cpp
@@ -213,10 +213,10 @@
     fixture.throttle("leaving", "s1a");
     EndpointRecord record = fixture.endpoints.find(EndpointId("s1a"))->record;
     fixture.endpoints.addOrUpdate(record, fixture.clock.now());
-    BOOST_TEST(!fixture.endpoints.isAvailable(*fixture.endpoints.find(EndpointId("s1a"))));
+    BOOST_TEST(!fixture.endpoints.find(EndpointId("s1a"))->isAvailable());
     record.processStartMs = 2;
     fixture.endpoints.addOrUpdate(record, fixture.clock.now());
-    BOOST_TEST(fixture.endpoints.isAvailable(*fixture.endpoints.find(EndpointId("s1a"))));
+    BOOST_TEST(fixture.endpoints.find(EndpointId("s1a"))->isAvailable());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -159,6 +159,55 @@
     }
 }
 
+// Guards against requests that wait for a connection and are sent after the endpoint's entry has said that it drains,
+// after the entry was removed, or after the zone was evacuated: they are lost when the endpoint ends.
+BOOST_FIXTURE_TEST_CASE(queuedRequestsAvoidUnavailableEndpoint, Fixture)
+{
+    using Change = std::function<void(ServiceEndpoint &)>;
+    const std::map<std::string, Change> changes {
+        { "draining",
+          [](ServiceEndpoint &changed) {
+              changed.record.draining = true;
+          } },
+        { "removed",
+          [](ServiceEndpoint &changed) {
+              changed.registered = false;
+          } },
+        { "evacuated",
+          [](ServiceEndpoint &changed) {
+              changed.zoneEvacuated = true;
+          } },
+    };
+    this->connectionLimit = 1;
+    for (const auto &[name, change] : changes) {
+        this->outcomes.clear();
+        this->endpoint = std::make_shared<ServiceEndpoint>();
+        this->serve([](int number) { return makeResponse(std::to_string(number), "body"); });
+        this->endpoint->record.id = EndpointId(name);
+        this->start("1");
+        this->start("2");
+        change(*this->endpoint);
+        BOOST_REQUIRE(runUntil(this->io, [this] { return this->outcomes.size() == 2; }));
+        runFor(this->io, std::chrono::milliseconds(20));
+        BOOST_TEST(this->server->requests <= 1, name);
+        BOOST_TEST((this->outcomes.back().result == CallResult::NotSent), name);
+    }
+}
+
+// Guards against a queued request that waits for an unavailable endpoint until a connection to it is free.
+BOOST_FIXTURE_TEST_CASE(sweepEndsRequestsQueuedForUnavailableEndpoint, Fixture)
+{
+    this->connectionLimit = 1;
+    this->serve([](int) { return std::string(); });
+    this->start("1");
+    BOOST_REQUIRE(runUntil(this->io, [this] { return this->server->requests == 1; }));
+    this->start("2");
+    this->endpoint->record.draining = true;
+    this->pool.closeUnusableConnections();
+    BOOST_REQUIRE(runUntil(this->io, [this] { return this->outcomes.size() == 1; }));
+    BOOST_TEST((this->outcomes.front().result == CallResult::NotSent));
+}
+
 // Guards against a process that is excluded because of what the one that ran under its id before has said.
 BOOST_FIXTURE_TEST_CASE(statementAppliesToProcessThatMadeIt, Fixture)
 {
