Gateway: Send no body with refusals of HEAD requests

Cause: responses of endpoints to HEAD have no body, but refusals of the instance were written like those of any other method. The servers for readiness, addresses, metrics and the feed did the same.

Change: preparePayload() prepares each response of an instance and leaves out the body for HEAD, also when the request is refused before it is complete.

Before: refusalOfHeadRequestHasNoBody, refusalOfInvalidHeadRequestHasNoBody and headResponseHasNoBody fail without it.

--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/auxiliaryserver.h"
 
 #include "core/log.h"
+#include "gateway/codecs.h"
 #include "runtime/listener.h"
 
 #include <boost/asio/io_context.hpp>
@@ -69,7 +70,7 @@
         this->response.set(http::field::content_type, handlerResponse.contentType);
         this->response.body() = handlerResponse.body;
         this->response.keep_alive(this->keepAlive);
-        this->response.prepare_payload();
+        preparePayload(this->response, this->parser->get().method());
         this->stream.expires_after(writeTimeout);
         http::async_write(this->stream,
                           this->response,
@@ -84,7 +85,7 @@
     Handler &handler;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::empty_body>> parser;
-    http::response<http::string_body> response;
+    HttpResponseMessage response;
     bool keepAlive = true;
 };
 
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -133,6 +133,7 @@
     }
     boost::system::error_code error;
     const bool isComplete = this->parseAvailable(error);
+    this->method = this->parser->get().method();
     if (error) {
         this->refuse(refusalForParseError(error));
         return;
@@ -207,7 +208,7 @@
     this->state = State::Writing;
     this->response = std::move(message);
     this->response.keep_alive(this->keepAlive);
-    this->response.prepare_payload();
+    preparePayload(this->response, this->method);
     this->armTimer(writeTimeout);
     http::async_write(this->socket,
                       this->response,
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -85,6 +85,8 @@
     bool continueSent = false;
     bool keepAlive = true;
     bool countedInFlight = false;
+    /// Method of the latest request; unknown until its first line has been received.
+    boost::beast::http::verb method = boost::beast::http::verb::unknown;
     CallerRequestPtr request;
     std::shared_ptr<Exchange> exchange;
     HttpResponseMessage response;
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -151,6 +151,32 @@
     BOOST_TEST(this->receiveUntil("body-too-large"));
 }
 
+// Guards against a refusal of a HEAD request with a body: its bytes would stand before the next reply on the
+// connection.
+BOOST_FIXTURE_TEST_CASE(refusalOfHeadRequestHasNoBody, Fixture)
+{
+    this->send("HEAD /x HTTP/1.1\r\nHost: host\r\n\r\n");
+    BOOST_REQUIRE(this->waitForCalls(1));
+    this->finishAllRequests();
+    BOOST_REQUIRE(this->receiveUntil("\r\n\r\n"));
+    BOOST_TEST(this->received.find("400 Bad Request") != std::string::npos);
+    this->received.clear();
+    const std::size_t earlierCalls = this->endpointSender.calls.size();
+    this->send(plainRequest);
+    BOOST_REQUIRE(this->waitForCalls(earlierCalls + 1));
+    this->call(earlierCalls).finish(CallResult::Answered, 200, "second");
+    BOOST_REQUIRE(this->receiveUntil("second"));
+    BOOST_TEST(this->received.find("HTTP/1.1 200") == 0U);
+}
+
+// Guards against the same when the request itself is invalid.
+BOOST_FIXTURE_TEST_CASE(refusalOfInvalidHeadRequestHasNoBody, Fixture)
+{
+    this->send("HEAD /x HTTP/1.1\r\nHost: host\r\nContent-Length: 1000\r\n\r\n");
+    BOOST_TEST(this->receiveUntil("\r\n\r\n"));
+    BOOST_TEST(this->received.find("HTTP/1.1 400") == 0U);
+}
+
 // Guards against request smuggling: a request with both Content-Length and Transfer-Encoding is ambiguous.
 BOOST_FIXTURE_TEST_CASE(rejectsContentLengthWithChunkedEncoding, Fixture)
 {
--- a/Tests/gateway/peerfeedtest.cpp
+++ b/Tests/gateway/peerfeedtest.cpp
@@ -171,6 +171,19 @@
     BOOST_TEST((this->watch(9, {}).error() == FeedError::Unreachable));
 }
 
+// Guards against a response to a HEAD request with a body, which the caller would read as the next response.
+BOOST_FIXTURE_TEST_CASE(headResponseHasNoBody, Fixture)
+{
+    boost::asio::ip::tcp::socket socket(this->io);
+    socket.connect({ boost::asio::ip::address_v4::loopback(), this->server->port() });
+    boost::asio::write(socket, boost::asio::buffer(std::string("HEAD /feed/list?after= HTTP/1.1\r\n\r\n")));
+    runFor(this->io, std::chrono::milliseconds(100));
+    std::string received(1024, '\0');
+    received.resize(socket.read_some(boost::asio::buffer(received)));
+    BOOST_TEST(received.find("503") != std::string::npos);
+    BOOST_TEST(received.find("\r\n\r\n") + 4 == received.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
