Feed: Report the end of an outage before the changes it brings

What callers saw: refusals for two seconds after an outage of the store. The review read this in the source; it was not shown on a running fleet.

Cause: entries that expire during an outage are registered again within two seconds, so their removals are deferred, but only from the first revision check after the outage on. A watch that ended before it had its removals applied at once.

Change: a batch of the store that ends an outage reports the recovery before its changes are applied.

Before: recoveryIsReportedBeforeChanges fails. After: it passes.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -166,6 +166,10 @@
     if (!this->usingStore && !batch.value().hasMore) {
         this->confirm(startedAt - batch.value().age);
     }
+    if (this->usingStore && this->context.freshness.age() > this->settings.outageThreshold) {
+        // The batch may hold removals of entries that expired during the outage.
+        this->context.recovered();
+    }
     this->context.replica.apply(batch.value());
     this->confirmCheckedRevision();
     this->context.updated();
--- a/Tests/feed/feedreadertest.cpp
+++ b/Tests/feed/feedreadertest.cpp
@@ -338,6 +338,26 @@
     BOOST_TEST(this->counters.counter("lycheewall_feed_overdue_responses_total").value() == 0U);
 }
 
+// Guards against removing endpoints whose entries expired during an outage: they are about to register again. The
+// removals may arrive before the first check.
+BOOST_FIXTURE_TEST_CASE(recoveryIsReportedBeforeChanges, Fixture)
+{
+    std::vector<int> recoveriesAtChanges;
+    this->replica.setListener([&](const FeedEvent &) { recoveriesAtChanges.push_back(this->recoveries); });
+    this->reader.start();
+    this->clock.advance(std::chrono::seconds(2));
+    recoveriesAtChanges.clear();
+    const int earlierRecoveries = this->recoveries;
+    this->store.unresponsive = true;
+    this->clock.advance(Milliseconds(4600));
+    this->store.events = { { "a", "", 12, true } };
+    this->store.latestRevision = 12;
+    this->store.unresponsive = false;
+    this->clock.advance(Milliseconds(2000));
+    BOOST_REQUIRE(recoveriesAtChanges.size() == 1U);
+    BOOST_TEST(recoveriesAtChanges.front() > earlierRecoveries);
+}
+
 // Guards against a flood of calls, which are billed, to a store that resets connections.
 BOOST_FIXTURE_TEST_CASE(backsOffFromFailingStore, Fixture)
 {
