Gateway: Hold a request to the limits in force when it begins

What callers saw: on a connection that was idle while the configuration changed, the next request was held to the old limits of its body and header, and the connection was closed after the old idle timeout.

Cause: the limits were set when the connection began to wait.

Change: they are set when the first bytes of a request arrive, and the idle timeout is compared with the current limit when it ends.

Before: appliesCurrentLimitsToIdleConnection fails. After: it passes.

--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -65,15 +65,22 @@
 
 void FrontConnection::beginRequest()
 {
-    const CallerLimits limits = callerLimits(this->context.forwarder);
     this->parser.emplace();
-    this->parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    this->parser->body_limit(limits.bodyBytes);
     this->parser->eager(true);
     this->state = State::Reading;
     this->requestStarted = false;
     this->continueSent = false;
-    this->armTimer(limits.idleTimeout + timeoutMargin);
+    this->idleSince = std::chrono::steady_clock::now();
+    this->armTimer(callerLimits(this->context.forwarder).idleTimeout + timeoutMargin);
+}
+
+void FrontConnection::startRequest()
+{
+    const CallerLimits limits = callerLimits(this->context.forwarder);
+    this->requestStarted = true;
+    this->parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    this->parser->body_limit(limits.bodyBytes);
+    this->armTimer(limits.headerTimeout + timeoutMargin);
 }
 
 void FrontConnection::startRead()
@@ -128,8 +135,7 @@
 void FrontConnection::parse()
 {
     if (this->buffer.size() > 0 && !this->requestStarted) {
-        this->requestStarted = true;
-        this->armTimer(callerLimits(this->context.forwarder).headerTimeout + timeoutMargin);
+        this->startRequest();
     }
     boost::system::error_code error;
     const bool isComplete = this->parseAvailable(error);
@@ -301,12 +307,24 @@
         return;
     }
     if (this->state == State::Reading) {
-        this->beginLingeringClose();
+        this->handleIdleTimeout();
         return;
     }
     this->close();
 }
 
+void FrontConnection::handleIdleTimeout()
+{
+    // The limit may have been raised since the connection became idle.
+    const Duration limit = callerLimits(this->context.forwarder).idleTimeout + timeoutMargin;
+    const Duration idleTime = std::chrono::steady_clock::now() - this->idleSince;
+    if (idleTime < limit) {
+        this->armTimer(limit - idleTime);
+        return;
+    }
+    this->beginLingeringClose();
+}
+
 void FrontConnection::close()
 {
     if (this->state == State::Closed) {
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -59,6 +59,8 @@
     void startRead();
     void handleRead(const boost::system::error_code &error, std::size_t size);
     void beginRequest();
+    /// Applies the limits of the current configuration to the request that begins to arrive.
+    void startRequest();
     void parse();
     bool parseAvailable(boost::system::error_code &error);
     void sendContinue();
@@ -70,6 +72,7 @@
     void callerDisconnected();
     void armTimer(Duration delay);
     void timedOut();
+    void handleIdleTimeout();
     void beginLingeringClose();
     void close();
 
@@ -82,6 +85,7 @@
     State state = State::Reading;
     bool reading = false;
     bool requestStarted = false;
+    std::chrono::steady_clock::time_point idleSince;
     bool continueSent = false;
     bool keepAlive = true;
     bool countedInFlight = false;
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -185,6 +185,22 @@
     BOOST_TEST(this->endpointSender.calls.empty());
 }
 
+// Guards against requests that are held to the limits of a configuration that was replaced while the connection was
+// idle.
+BOOST_FIXTURE_TEST_CASE(appliesCurrentLimitsToIdleConnection, Fixture)
+{
+    this->tableContent.limits.idleTimeout = Milliseconds(1);
+    this->forwarder.setTable(this->table());
+    runFor(this->io, std::chrono::milliseconds(50));
+    this->tableContent.limits.idleTimeout = std::chrono::seconds(10);
+    this->tableContent.limits.bodyBytes = 1000;
+    this->forwarder.setTable(this->table());
+    runFor(this->io, std::chrono::milliseconds(700));
+    this->send("POST /x HTTP/1.1\r\nHost: host\r\nContent-Length: 500\r\n\r\n" + std::string(500, 'x'));
+    BOOST_REQUIRE(this->waitForCalls(1));
+    BOOST_TEST(this->call(0).call.request->body.size() == 500U);
+}
+
 // Guards against truncating or changing a chunked body.
 BOOST_FIXTURE_TEST_CASE(readsChunkedBodies, Fixture)
 {
