Gateway: Refuse a transfer coding that does not end the body

What endpoints saw: a request whose Transfer-Encoding does not end in "chunked" was taken to have no body, and its body ran as a further request.

Cause: the parser reports such a request as complete after its header.

Change: it is refused with 400 and the connection is closed.

Before: rejectsTransferCodingWithoutLength fails, with one request sent to an endpoint. After: it passes.

--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -83,6 +83,12 @@
     this->armTimer(limits.headerTimeout + timeoutMargin);
 }
 
+bool FrontConnection::hasUnknownLength() const
+{
+    return this->parser->is_header_done() && this->parser->get().count(http::field::transfer_encoding) > 0
+        && !this->parser->chunked();
+}
+
 void FrontConnection::startRead()
 {
     if (this->reading || this->state == State::Closed || this->buffer.size() > pipelineLimit) {
@@ -144,6 +150,10 @@
         this->refuse(refusalForParseError(error));
         return;
     }
+    if (this->hasUnknownLength()) {
+        this->refuse(Refusal::BadRequest);
+        return;
+    }
     if (isComplete) {
         this->serve();
         return;
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -61,6 +61,8 @@
     void beginRequest();
     /// Applies the limits of the current configuration to the request that begins to arrive.
     void startRequest();
+    /// True if the end of the request cannot be told from its header.
+    bool hasUnknownLength() const;
     void parse();
     bool parseAvailable(boost::system::error_code &error);
     void sendContinue();
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -185,6 +185,15 @@
     BOOST_TEST(this->endpointSender.calls.empty());
 }
 
+// Guards against the same with a transfer coding that does not tell where the body ends.
+BOOST_FIXTURE_TEST_CASE(rejectsTransferCodingWithoutLength, Fixture)
+{
+    this->send("POST /x HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: gzip\r\n\r\n" + plainRequest);
+    BOOST_TEST(this->receiveUntil("bad-request"));
+    runFor(this->io, std::chrono::milliseconds(20));
+    BOOST_TEST(this->endpointSender.calls.empty());
+}
+
 // Guards against requests that are held to the limits of a configuration that was replaced while the connection was
 // idle.
 BOOST_FIXTURE_TEST_CASE(appliesCurrentLimitsToIdleConnection, Fixture)
