--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -148,6 +148,30 @@
     BOOST_TEST(std::holds_alternative<IgnoredChange>(decode("something/else", "{}")));
 }
 
+// Guards against a deadline that overflows when it is added to the current time: the request would be refused.
+BOOST_AUTO_TEST_CASE(limitsDeadlines)
+{
+    const TimePoint now { std::chrono::seconds(100) };
+    HttpRequestMessage message = callerRequest();
+    for (const char *deadline : { "9300000000000", "9223372036854775807", "99999999999999999999" }) {
+        message.set(Names::Header::deadlineMs, deadline);
+        const auto request = PlatformCallerCodec().decode(message, now);
+        BOOST_TEST((request.value()->deadline == now + std::chrono::hours(24)), deadline);
+    }
+}
+
+// Guards against a request that cannot be forwarded and gets no reply.
+BOOST_AUTO_TEST_CASE(rejectsTraceWithBody)
+{
+    HttpRequestMessage message = callerRequest();
+    message.method(http::verb::trace);
+    BOOST_TEST(PlatformCallerCodec().decode(message, TimePoint()).has_value());
+    message.body() = "body";
+    const auto refused = PlatformCallerCodec().decode(message, TimePoint());
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST((refused.error() == Refusal::BadRequest));
+}
+
 // Guards against an API key, an organisation or target endpoint forged by the caller, or a hop-by-hop field that
 // reaches an endpoint.
 BOOST_AUTO_TEST_CASE(doesNotForwardCredentialsOrHopByHopFields)
