--- a/Tests/soak/plannedstoptest.cpp
+++ b/Tests/soak/plannedstoptest.cpp
@@ -1,17 +1,9 @@
-#include "process.h"
-#include "storestandin.h"
+#include "singleinstance.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
-#include <future>
 #include <mutex>
 #include <set>
-#include <thread>
 
 namespace Soak
 {
@@ -20,15 +12,11 @@
 {
 
 using namespace std::chrono_literals;
-using boost::asio::ip::tcp;
-namespace http = boost::beast::http;
 
 constexpr int gracePeriodS = 6;
 /// Time that the endpoint works on each request, and the time that callers wait.
 constexpr auto work = 3000ms;
-constexpr int deadlineMs = 5000;
-constexpr int callerPort = 22990;
-const std::string instanceIp = "127.250.1.1";
+constexpr auto deadline = 5000ms;
 
 /// An endpoint that works for a long time on each request and remembers which attempts it has seen.
 class SlowEndpoint
@@ -47,13 +35,7 @@
 
     std::string entry() const
     {
-        return nlohmann::json {
-            { "Service", "records" }, { "Address", "127.0.0.1:" + std::to_string(this->port) },
-            { "Zone", "z" },          { "Version", "v1" },
-            { "Slots", 64 },          { "State", "ready" },
-            { "WarmupLeftMs", 0 },    { "Sequence", 1 },
-            { "born", 1700000000123 }
-        }.dump();
+        return endpointEntry("records", this->port);
     }
 
     /// Thread safety: any thread.
@@ -89,91 +71,27 @@
     std::set<std::string> seen;
 };
 
-std::string configuration()
+nlohmann::json configuration()
 {
-    const auto route = [](const std::string &name, const std::string &kind) {
-        return nlohmann::json { { "Name", name },           { "Host", "stop.example" }, { "Prefix", "/" + name + "/" },
-                                { "Kind", kind },           { "Public", true },         { "TimeoutMs", deadlineMs },
-                                { "TargetLatencyMs", 800 }, { "Service", "records" },   { "MaxAttempts", 1 } };
-    };
     nlohmann::json result;
     result["Version"] = 1;
-    result["Routes"] = nlohmann::json::array({ route("record", "non_idempotent"), route("fetch", "idempotent") });
+    result["Routes"] = nlohmann::json::array({ publicRoute("record", "non_idempotent", "records", deadline),
+                                               publicRoute("fetch", "idempotent", "records", deadline) });
     result["Services"] = nlohmann::json::array({ { { "Name", "records" }, { "MaxConnections", 100 } } });
-    return result.dump();
+    return result;
 }
 
-/// The store and an endpoint, which run in a thread of their own, and one instance.
-class Fixture
+struct Fixture
 {
-public:
     Fixture()
     {
-        this->folder = mkdtemp(this->folder.data());
-        this->store.set("op/config", configuration());
-        this->store.set("servers/endpoint", this->endpoint.entry());
-        this->thread = std::thread([this] { this->io.run(); });
-        const std::string settingsFile = this->folder + "/settings.yaml";
-        Integration::writeFile(
-            settingsFile,
-            "NodeName: \"instance\"\nIp: \"" + instanceIp + "\"\nZone: \"z\"\nListenAddresses:\n  Front: \""
-                + instanceIp + ":" + std::to_string(callerPort)
-                + "\"\nInternalPortRange: [22991, 22999]\nSeedNodes: []\nBounds:\n" + "  GracePeriodS: "
-                + std::to_string(gracePeriodS) + "\nplatform:\n  Address: \"" + this->store.address() + "\"\n");
-        ::setenv("LYCHEEWALL_CONFIG", settingsFile.c_str(), 1);
-        const char *otherProgram = std::getenv("LYCHEEWALL_TESTED_PROGRAM");
-        this->instance = Integration::Process(
-            otherProgram == nullptr ? LYCHEEWALL_PLATFORMD : otherProgram, {}, this->folder + "/log");
-        const auto isReady = [this] {
-            const std::string log = Integration::readFile(this->folder + "/log");
-            return log.find("Endpoint endpoint") != std::string::npos
-                && log.find("Ready to serve requests") != std::string::npos;
-        };
-        BOOST_REQUIRE(Integration::waitFor(isReady, 20s));
-    }
-
-    ~Fixture()
-    {
-        ::unsetenv("LYCHEEWALL_CONFIG");
-        this->io.stop();
-        this->thread.join();
-        std::filesystem::remove_all(this->folder);
+        BOOST_REQUIRE(this->instance.start(configuration(), { { "endpoint", this->endpoint.entry() } }));
     }
 
-    std::string folder = "/tmp/lycheewall-stop-XXXXXX";
-    boost::asio::io_context io;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> keepRunning { io.get_executor() };
-    StoreStandin store { io };
-    SlowEndpoint endpoint { io };
-    std::thread thread;
-    Integration::Process instance;
+    SingleInstance instance { 1, gracePeriodS };
+    SlowEndpoint endpoint { instance.context() };
 };
 
-/// Sends one request at @p sendAt over a connection that was opened before. Returns its status, 0 without a reply.
-int sendRequest(const std::string &attemptId, bool isIdempotent, std::chrono::steady_clock::time_point sendAt)
-{
-    boost::asio::io_context io;
-    tcp::socket socket(io);
-    boost::system::error_code error;
-    socket.connect({ boost::asio::ip::make_address(instanceIp), callerPort }, error);
-    std::this_thread::sleep_until(sendAt);
-    http::request<http::string_body> request(
-        isIdempotent ? http::verb::get : http::verb::post, isIdempotent ? "/fetch/x" : "/record/x", 11);
-    request.set(http::field::host, "stop.example");
-    request.set("X-Lycheewall-Attempt-Id", attemptId);
-    request.set("X-Lycheewall-Deadline-Ms", std::to_string(deadlineMs));
-    request.prepare_payload();
-    if (!error) {
-        http::write(socket, request, error);
-    }
-    boost::beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    if (!error) {
-        http::read(socket, buffer, response, error);
-    }
-    return error ? 0 : static_cast<int>(response.result_int());
-}
-
 }
 
 BOOST_AUTO_TEST_SUITE(PlannedStopTest)
@@ -192,12 +110,15 @@
     for (int step = 0; step < 40; ++step) {
         const std::string id = "attempt-" + std::to_string(step);
         const bool isIdempotent = step % 2 == 0;
-        attempts.push_back(
-            { id, std::async(std::launch::async, sendRequest, id, isIdempotent, stopAt + step * 100ms) });
+        const std::string method = isIdempotent ? "GET" : "POST";
+        const std::string path = isIdempotent ? "/fetch/x" : "/record/x";
+        attempts.push_back({ id, std::async(std::launch::async, [=] {
+                                 return this->instance.sendRequest(method, path, id, deadline, stopAt + step * 100ms);
+                             }) });
     }
     std::this_thread::sleep_until(stopAt);
-    this->instance.signal(SIGTERM);
-    BOOST_TEST(this->instance.wait(std::chrono::seconds(gracePeriodS)) == 0);
+    this->instance.process().signal(SIGTERM);
+    BOOST_TEST(this->instance.process().wait(std::chrono::seconds(gracePeriodS)) == 0);
     int served = 0;
     int refused = 0;
     for (Attempt &attempt : attempts) {
