--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "gateway/codecs.h"
+#include "runtime/httppayload.h"
 #include "runtime/listener.h"
 
 #include <boost/asio/io_context.hpp>
--- a/Source/gateway/codecs.cpp
+++ b/Source/gateway/codecs.cpp
@@ -28,14 +28,6 @@
 
 }
 
-void preparePayload(HttpResponseMessage &message, http::verb requestMethod)
-{
-    message.prepare_payload();
-    if (requestMethod == http::verb::head) {
-        message.body().clear();
-    }
-}
-
 HeaderList endToEndFields(const http::fields &fields)
 {
     std::vector<std::string> connectionOptions;
--- a/Source/gateway/codecs.h
+++ b/Source/gateway/codecs.h
@@ -55,9 +55,6 @@
     virtual EndpointResponse decode(HttpResponseMessage &&message) const = 0;
 };
 
-/// Sets the header fields that describe the body. The response to a HEAD request keeps them and has no body.
-void preparePayload(HttpResponseMessage &message, boost::beast::http::verb requestMethod);
-
 /// Returns the end-to-end header fields: all of @p fields except those that apply to a single connection.
 HeaderList endToEndFields(const boost::beast::http::fields &fields);
 
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/frontconnection.h"
 
 #include "core/log.h"
+#include "runtime/httppayload.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
--- a/Source/http/httpserver.cpp
+++ b/Source/http/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "http/httpserver.h"
 
 #include "runtime/await.h"
+#include "runtime/httppayload.h"
 #include "runtime/listener.h"
 
 #include <atomic>
@@ -95,12 +96,20 @@
         bool waiting = false;
     };
 
+    /// What the response depends on.
+    struct RequestInfo
+    {
+        http::verb method = http::verb::unknown;
+        unsigned version = 11;
+        bool keepAlive = false;
+    };
+
     void acceptLoop();
     void serve(const std::shared_ptr<Connection> &connection);
     bool serveRequest(Connection &connection);
     beast::error_code awaitFirstByte(Connection &connection);
-    bool refuse(Connection &connection, const beast::error_code &error);
-    bool write(Connection &connection, const HttpResponse &answer, unsigned version, bool keepAlive);
+    bool refuse(Connection &connection, const beast::error_code &error, http::verb method);
+    bool write(Connection &connection, const HttpResponse &answer, const RequestInfo &request);
     void closeConnections();
 
     std::vector<Worker *> workers;
@@ -205,7 +214,7 @@
     const auto [error, size] = awaitValue<std::size_t>(
         [&](auto done) { http::async_read(connection.stream, connection.buffer, parser, std::move(done)); });
     if (error) {
-        return this->refuse(connection, error);
+        return this->refuse(connection, error, parser.get().method());
     }
     const auto &message = parser.get();
     HttpRequest request;
@@ -217,28 +226,30 @@
     }
     connection.stream.expires_never();
     const HttpResponse answer = this->handler.handle(request);
-    return this->write(connection, answer, message.version(), message.keep_alive());
+    return this->write(connection, answer, { message.method(), message.version(), message.keep_alive() });
 }
 
-bool HttpServer::State::refuse(Connection &connection, const beast::error_code &error)
+bool HttpServer::State::refuse(Connection &connection, const beast::error_code &error, http::verb method)
 {
     if (!endsSilently(error)) {
-        this->write(connection, this->handler.refuse(refusalOf(error)), 11, false);
+        RequestInfo request;
+        request.method = method;
+        this->write(connection, this->handler.refuse(refusalOf(error)), request);
     }
     return false;
 }
 
-bool HttpServer::State::write(Connection &connection, const HttpResponse &answer, unsigned version, bool keepAlive)
+bool HttpServer::State::write(Connection &connection, const HttpResponse &answer, const RequestInfo &request)
 {
-    const bool stays = keepAlive && !this->closing.load() && !this->closingIdle.load();
-    http::response<http::string_body> response(static_cast<http::status>(answer.status), version, answer.body);
+    const bool stays = request.keepAlive && !this->closing.load() && !this->closingIdle.load();
+    http::response<http::string_body> response(static_cast<http::status>(answer.status), request.version, answer.body);
     response.set(http::field::content_type, answer.contentType);
     if (answer.retryAfterMs) {
         const auto seconds = (*answer.retryAfterMs + millisecondsPerSecond - 1) / millisecondsPerSecond;
         response.set(http::field::retry_after, std::to_string(seconds));
     }
     response.keep_alive(stays);
-    response.prepare_payload();
+    preparePayload(response, request.method);
     connection.stream.expires_after(
         std::chrono::duration_cast<std::chrono::steady_clock::duration>(this->limits.transfer));
     const auto [error, size]
