Feed: State in one place when the store counts as unavailable

handleBatch() repeated the comparison of confirm(); both call isUnavailable() now. AuxiliaryServer no longer includes the codecs for an alias of a type that it names itself.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -166,7 +166,7 @@
     if (!this->usingStore && !batch.value().hasMore) {
         this->confirm(startedAt - batch.value().age);
     }
-    if (this->usingStore && this->context.freshness.age() > this->settings.outageThreshold) {
+    if (this->usingStore && this->isUnavailable()) {
         // The batch may hold removals of entries that expired during the outage.
         this->context.recovered();
     }
@@ -245,13 +245,18 @@
 
 void FeedReader::confirm(TimePoint time)
 {
-    const bool wasUnavailable = this->context.freshness.age() > this->settings.outageThreshold;
+    const bool wasUnavailable = this->isUnavailable();
     this->context.freshness.confirm(time);
-    if (wasUnavailable && this->context.freshness.age() <= this->settings.outageThreshold) {
+    if (wasUnavailable && !this->isUnavailable()) {
         this->context.recovered();
     }
 }
 
+bool FeedReader::isUnavailable() const
+{
+    return this->context.freshness.age() > this->settings.outageThreshold;
+}
+
 void FeedReader::handleSuccess()
 {
     this->isOverdueRequestCancelled = false;
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -134,6 +134,8 @@
     void cancelOverdueRequest();
     bool isFreshEnough(Duration age) const;
     void confirm(TimePoint time);
+    /// True if the feed data is so old that the store is taken to be unavailable.
+    bool isUnavailable() const;
     void handleSuccess();
     void handleFailure(const std::error_code &error);
     void scheduleRead(Duration delay);
--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -1,7 +1,6 @@
 #include "gateway/auxiliaryserver.h"
 
 #include "core/log.h"
-#include "gateway/codecs.h"
 #include "runtime/httppayload.h"
 #include "runtime/listener.h"
 
@@ -86,7 +85,7 @@
     Handler &handler;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::empty_body>> parser;
-    HttpResponseMessage response;
+    http::response<http::string_body> response;
     bool keepAlive = true;
 };
 
