Gateway: End an attempt at a response with an invalid status

Callers got 504 at their deadline when an endpoint answered with status 000 or 099, because every status below 200 counted as an interim response, and got 600 and 999 as they were.

A status outside of 200 to 599 other than 100, 102 and 103 is now a lost attempt, and the connection is closed. What follows is unchanged: idempotent requests are retried within the budget, others get 502. A "not run" in such a response is not trusted.

The readers of the store and of other instances (HttpClient) are not changed here.

--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -29,6 +29,14 @@
 constexpr int userTimeoutMs = 4000;
 constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned firstRedirectStatus = 300;
+constexpr unsigned firstInvalidStatus = 600;
+
+/// True for interim responses that an endpoint may send before any response. 101 is none of them, as no request asks
+/// for an upgrade.
+bool isInterim(unsigned status)
+{
+    return status == 100 || status == 102 || status == 103;
+}
 
 std::optional<Duration> parseKeepAliveTimeout(beast::string_view value)
 {
@@ -200,12 +208,17 @@
 
 void EndpointConnection::handleResponse()
 {
-    if (this->parser->get().result_int() < firstFinalStatus) {
+    const unsigned status = this->parser->get().result_int();
+    if (isInterim(status)) {
         this->skipResponse();
         return;
     }
+    if (status < firstFinalStatus || status >= firstInvalidStatus) {
+        this->failRequest();
+        return;
+    }
     const EndpointResponseMetadata info = this->codec.inspect(this->parser->get());
-    const bool isSuccess = this->parser->get().result_int() < firstRedirectStatus;
+    const bool isSuccess = status < firstRedirectStatus;
     const bool isStale = info.attemptId ? *info.attemptId != this->attemptId : isSuccess;
     if (isStale) {
         this->skippedStaleResponse = true;
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -289,6 +289,41 @@
     BOOST_TEST((this->call("1").result == CallResult::Lost));
 }
 
+// Guards against a caller that waits for its deadline, or gets an invalid status, because a response whose status is
+// neither final nor an expected interim one does not end the attempt.
+BOOST_FIXTURE_TEST_CASE(reportsInvalidStatusAsLost, Fixture)
+{
+    for (const char *status : { "000", "099", "101", "104", "199", "600", "999" }) {
+        this->serve([status](int) {
+            return "HTTP/1.1 " + std::string(status) + " Odd\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        });
+        this->endpoint = std::make_shared<ServiceEndpoint>();
+        this->endpoint->record.id = EndpointId(status);
+        this->endpoint->record.address = this->server->address();
+        this->outcomes.clear();
+        this->start("1");
+        BOOST_TEST(runUntil(this->io, [this] { return !this->outcomes.empty(); }), status);
+        BOOST_TEST((!this->outcomes.empty() && this->outcomes.front().result == CallResult::Lost), status);
+        BOOST_TEST(this->pool.connectionCount() == 0U, status);
+        this->pool.closeUnusableConnections();
+    }
+}
+
+// Guards against treating an interim response that may precede any response as the end of the attempt.
+BOOST_FIXTURE_TEST_CASE(skipsInterimResponses, Fixture)
+{
+    this->serve([](int number) {
+        std::string bytes;
+        for (const char *status : { "100 Continue", "102 Processing", "103 Early Hints" }) {
+            bytes += "HTTP/1.1 " + std::string(status) + "\r\n\r\n";
+        }
+        return bytes + makeResponse(std::to_string(number), "body");
+    });
+    BOOST_TEST((this->call("1").result == CallResult::Answered));
+    BOOST_TEST((this->call("2").result == CallResult::Answered));
+    BOOST_TEST(this->server->connections == 1);
+}
+
 // Guards against the result Lost for a request of which the endpoint states that it was not run.
 BOOST_FIXTURE_TEST_CASE(reportsNotRun, Fixture)
 {
