Forwarding: Let the retry budget accrue before the first request

A single idempotent request whose endpoint crashed 1 ms after its start got 502 at once, with 15 s left. Cause: the budget of a service began to accrue with the first request that the instance sent to it. With one of 84 even shares and a slack of 208 an instance needs 16 s for an extra attempt, so a request that is among its first ones to the service never had one, no matter for how long the instance had been running.

The slack now accrues from 3 s after the start of the instance on. Until then instances overrate their shares, because they don't know all others yet. Each budget begins at a random fraction of an extra attempt, so that a fleet whose shares are below one makes its first extra attempts in proportion to the time, instead of none for many seconds. A larger budget at the start was ruled out: the shares of a fleet that restarts at once add up to more than 1 in its first seconds.

--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -73,7 +73,7 @@
     , chooser(endpoints, settings.zone, random)
     , statementHandler(clock, counters, random)
     , pool(io, clock, timers, counters, statementHandler, codecs.endpoints)
-    , retryBudget(settings.retryLimits, clock)
+    , retryBudget(settings.retryLimits, clock, random)
     , quota(clock)
     , requestLog(clock)
     , forwarding { clock,      timers,      counters,           endpoints,       chooser,
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -161,7 +161,7 @@
     EndpointSet endpoints;
     EndpointChooser chooser { endpoints, ZoneId("here"), random };
     FakeEndpointSender endpointSender;
-    FleetRetryBudget retryBudget { { 0.2, 50, std::chrono::seconds(10) }, clock };
+    FleetRetryBudget retryBudget { { 0.2, 50, std::chrono::seconds(10) }, clock, random };
     LatencyModel latencies;
     WeightedRoundRobin serviceBalancer;
     OrganisationQuota quota { clock };
--- a/Tests/forwarding/fleetretrybudgettest.cpp
+++ b/Tests/forwarding/fleetretrybudgettest.cpp
@@ -33,26 +33,48 @@
     return highest;
 }
 
-/// Simulates instances that make as many extra attempts as their budgets allow, and returns the maxUtilisation(). With
-/// @p ignoresFleetSize each instance uses the slack of the whole fleet.
-double simulateFleet(std::size_t instances, double requestsPerSecond, bool ignoresFleetSize, std::uint64_t seed)
+/// Instances that make as many extra attempts as their budgets allow.
+struct FleetPlan
+{
+    std::size_t instances = 8;
+    double requestsPerSecond = 20;
+    /// Time without requests after the start of the instances.
+    Duration idleTime {};
+    /// Times after the first request at which all instances restart at once.
+    std::vector<double> restartsAt {};
+    /// Each instance uses the slack of the whole fleet.
+    bool ignoresFleetSize = false;
+};
+
+/// Simulates the fleet for 40 s of requests, and returns the maxUtilisation().
+double simulateFleet(const FleetPlan &plan, std::uint64_t seed)
 {
     ManualClock clock;
+    Random random(seed);
+    std::vector<std::unique_ptr<FleetRetryBudget>> budgets(plan.instances);
+    const auto restart = [&] {
+        for (auto &retryBudget : budgets) {
+            retryBudget = std::make_unique<FleetRetryBudget>(limits, clock, random);
+            retryBudget->setFleetShare(plan.ignoresFleetSize ? 1 : 1.0 / static_cast<double>(plan.instances));
+        }
+    };
+    restart();
+    clock.advance(plan.idleTime);
     const TimePoint start = clock.now();
-    std::vector<std::unique_ptr<FleetRetryBudget>> budgets;
-    for (std::size_t index = 0; index < instances; ++index) {
-        budgets.push_back(std::make_unique<FleetRetryBudget>(limits, clock));
-        budgets.back()->setFleetShare(ignoresFleetSize ? 1 : 1.0 / instances);
-    }
     std::mt19937_64 engine(seed);
-    std::exponential_distribution<double> interval(requestsPerSecond);
+    std::exponential_distribution<double> interval(plan.requestsPerSecond);
     std::vector<double> firstAttempts;
     std::vector<double> extraAttempts;
+    std::size_t restarts = 0;
     const ServiceId service("s");
     while (clock.now() - start < std::chrono::seconds(40)) {
         clock.advance(fromSeconds(interval(engine)));
         const double elapsedSeconds = fractionalSeconds(clock.now() - start);
-        FleetRetryBudget &retryBudget = *budgets[engine() % instances];
+        if (restarts < plan.restartsAt.size() && elapsedSeconds >= plan.restartsAt[restarts]) {
+            restart();
+            ++restarts;
+        }
+        FleetRetryBudget &retryBudget = *budgets[engine() % plan.instances];
         retryBudget.recordFirstAttempt(service);
         firstAttempts.push_back(elapsedSeconds);
         while (retryBudget.tryAcquire(service)) {
@@ -69,12 +91,66 @@
 BOOST_AUTO_TEST_CASE(fleetStaysWithinLimitInEveryWindow)
 {
     for (const std::uint64_t seed : { 1, 2, 3, 4 }) {
-        BOOST_TEST(simulateFleet(8, 180, false, seed) <= 1);
-        BOOST_TEST(simulateFleet(8, 20, false, seed) <= 1);
-        BOOST_TEST(simulateFleet(75, 500, false, seed) <= 1);
+        BOOST_TEST(simulateFleet({ 8, 180 }, seed) <= 1);
+        BOOST_TEST(simulateFleet({ 8, 20 }, seed) <= 1);
+        BOOST_TEST(simulateFleet({ 75, 500 }, seed) <= 1);
     }
     // The limit is exceeded if each instance uses the whole slack, so the simulation can detect a fault.
-    BOOST_TEST(simulateFleet(8, 20, true, 1) > 1);
+    FleetPlan faulty;
+    faulty.ignoresFleetSize = true;
+    BOOST_TEST(simulateFleet(faulty, 1) > 1);
+}
+
+// Guards against the same when all instances are killed at once, also twice in a window, and against a window that
+// exceeds the limit because the budgets of all instances have accrued during a time without requests.
+BOOST_AUTO_TEST_CASE(restartsAndIdleTimeStayWithinLimit)
+{
+    for (const std::uint64_t seed : { 1, 2, 3, 4 }) {
+        for (const std::size_t instances : { 8U, 24U, 84U }) {
+            for (const double requestsPerSecond : { 30.0, 180.0 }) {
+                FleetPlan plan;
+                plan.instances = instances;
+                plan.requestsPerSecond = requestsPerSecond;
+                plan.idleTime = std::chrono::seconds(60);
+                BOOST_TEST(simulateFleet(plan, seed) <= 1);
+                plan.restartsAt = { 4, 7, 15, 16, 17, 18 };
+                BOOST_TEST(simulateFleet(plan, seed) <= 1);
+            }
+        }
+    }
+}
+
+// Guards against an instance that can make no extra attempt for ten seconds and more after its first request to a
+// service, because its share of the slack only begins to accrue then.
+BOOST_AUTO_TEST_CASE(slackAccruesBeforeFirstRequest)
+{
+    ManualClock clock;
+    Random random(1);
+    FleetRetryBudget retryBudget(limits, clock, random);
+    retryBudget.setFleetShare(1.0 / 8);
+    clock.advance(std::chrono::seconds(30));
+    BOOST_TEST(retryBudget.tryAcquire(ServiceId("s")));
+}
+
+// Guards against a fleet of many instances that makes no extra attempt until each one has accrued a whole one: their
+// first ones come in proportion to the time since the start.
+BOOST_AUTO_TEST_CASE(firstExtraAttemptsOfFleetAreSpread)
+{
+    constexpr int instances = 1000;
+    ManualClock clock;
+    Random random(1);
+    std::vector<std::unique_ptr<FleetRetryBudget>> budgets;
+    for (int index = 0; index < instances; ++index) {
+        budgets.push_back(std::make_unique<FleetRetryBudget>(limits, clock, random));
+        budgets.back()->setFleetShare(1.0 / 56);
+        BOOST_TEST(!budgets.back()->tryAcquire(ServiceId("s")));
+    }
+    // Each instance accrues an eighth of an extra attempt in this time.
+    clock.advance(std::chrono::seconds(5));
+    const auto count = std::count_if(
+        budgets.begin(), budgets.end(), [](const auto &budget) { return budget->tryAcquire(ServiceId("s")); });
+    BOOST_TEST(count > instances / 8 * 0.8);
+    BOOST_TEST(count < instances / 8 * 1.2);
 }
 
 // Guards against a budget that is full after a restart: the fleet would use its slack twice when all instances are
@@ -82,7 +158,8 @@
 BOOST_AUTO_TEST_CASE(newBudgetIsEmpty)
 {
     ManualClock clock;
-    FleetRetryBudget retryBudget(limits, clock);
+    Random random(1);
+    FleetRetryBudget retryBudget(limits, clock, random);
     BOOST_TEST(!retryBudget.tryAcquire(ServiceId("s")));
 }
 
@@ -90,7 +167,8 @@
 BOOST_AUTO_TEST_CASE(refundsUnsentAttempts)
 {
     ManualClock clock;
-    FleetRetryBudget retryBudget(limits, clock);
+    Random random(1);
+    FleetRetryBudget retryBudget(limits, clock, random);
     for (int request = 0; request < 6; ++request) {
         retryBudget.recordFirstAttempt(ServiceId("s"));
     }
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -71,7 +71,7 @@
         : random(fleet.plan.seed * 1000 + number)
         , chooser(endpoints, ZoneId("zone-" + std::to_string(number % fleet.plan.zones)), random)
         , sender(fleet, number)
-        , retryBudget(fleet.plan.retryLimits, fleet.clock)
+        , retryBudget(fleet.plan.retryLimits, fleet.clock, random)
         , quota(fleet.clock)
         , requestLog(fleet.clock)
         , context { fleet.clock, fleet.clock, counters,           endpoints,       chooser,
