Forwarding: Release requests from endpoints that are gone

An idempotent request whose endpoint ended without a reset of its connections got 504 at its deadline, 15 s after it was sent. Cause: a second attempt was only ever a hedge, tried every 8 ms against an empty retry budget, and nothing ended the request. With one of 84 even shares of a slack of 208, and the budget of a service that began with this request, 15 s accrue 0.93 of an extra attempt. A request that failed without budget got 502 at once, also when the budget would have allowed the retry a moment later, in time for the objective.

- Without a response for four times the 99th percentile of the route (one second at least), the request is retried beside the attempt.
- If in addition the feed has removed the endpoint for as long, or another process runs under its id, and no retry is possible, the caller gets 502, outcome unknown.
A removal or silence alone ends nothing.
Routes with a single attempt are included.
- A failed request waits for the budget if it comes in time for the objective or, once that is missed, within a third of the remaining time.
Retries that wait already are counted, so their number is bounded.
No hedge is sent meanwhile.
- Non-idempotent requests are handled as before.

ServiceAttempt holds what concerns one attempt and RetryPolicy the time limits; both come from ServiceCall. A retry now restarts the time to the hedge, so that it is not hedged moments after its start.

Failed before: retryWaitsForBudget, waitForBudgetEndsBeforeObjective, fewRequestsWaitForBudget, waitingRetryKeepsToMaxAttempts (502 at once); goneEndpointWithoutBudgetEndsRequest, goneEndpointEndsRequestWithSingleAttempt, replacedEndpointWithoutBudgetEndsRequest (no reply); silentHedgeIsReplaced (two attempts of three). The other cases guard what stays as it was. test_forwarding: 141 cases without a failure.

--- /dev/null
+++ b/Source/forwarding/retrypolicy.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "forwarding/forwardingcontext.h"
+
+namespace Lycheewall
+{
+
+/// Time after which the lack of a response is implausible for the route: the endpoint is probably gone, or stalled for
+/// long. Learned from the latencies of the route's responses.
+Duration implausibleLatency(const LatencyModel &latencies, const Route &route);
+
+/// How long a failed request may wait for the retry budget without making the caller's result worse: until its retry
+/// would miss the latency objective or, once that cannot be reached any more, for a fraction of the remaining time. A
+/// caller that gets the failure instead can repeat the request itself. @p typicalLatency is that of one attempt; @p
+/// mayHaveRun is false if the request can be refused as not run.
+Duration retryBudgetWaitLimit(const AdmittedRequest &request, Duration typicalLatency, bool mayHaveRun, TimePoint now);
+
+}
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/forwardingtimes.h"
 #include "forwarding/refusalreply.h"
+#include "forwarding/retrypolicy.h"
 
 #include <algorithm>
 
@@ -25,33 +26,14 @@
 constexpr double minFillLevelForHedge = 0.5;
 /// Interval at which a hedge is tried again if no endpoint was suitable or the retry budget was exhausted.
 constexpr Duration hedgeRetryInterval = Milliseconds(8);
+/// Interval at which a retry is tried again while it waits for the retry budget.
+constexpr Duration budgetCheckInterval = Milliseconds(20);
+/// Interval at which silent attempts are detected once no hedge can be sent any more.
+constexpr Duration silenceCheckInterval = Milliseconds(100);
 /// No attempt is sent if less time remains before the deadline.
 constexpr Duration minRemainingTime = Milliseconds(2);
 /// Keeps rounding errors from costing a connection when, for example, a ninth of 45 connections is computed.
 constexpr double roundingTolerance = 1e-9;
-constexpr int firstSuccess = 200;
-constexpr int firstRedirect = 300;
-constexpr int firstServerError = 500;
-
-const char *callResultName(CallResult result)
-{
-    switch (result) {
-    case CallResult::Answered:
-        return "answered";
-    case CallResult::NotRun:
-        return "not-run";
-    case CallResult::NotSent:
-        return "not-sent";
-    case CallResult::Lost:
-        return "lost";
-    }
-    return "unknown";
-}
-
-bool isSuccess(const EndpointResponse &response)
-{
-    return response.status >= firstSuccess && response.status < firstRedirect && !response.signature.empty();
-}
 
 }
 
@@ -103,20 +85,21 @@
     this->isHedge = false;
     this->request.attemptLimit.reset();
     this->otherZoneEndpoints.clear();
-    this->scheduleHedgeIfAllowed();
+    this->startChecks();
 }
 
 void ServiceCall::startFirstAttempt(AttemptKind kind)
 {
-    if (!this->startAttempt(kind)) {
+    if (this->startAttempt(kind) != StartResult::Started) {
         this->finishWithoutResponse();
         return;
     }
-    this->scheduleHedgeIfAllowed();
+    this->startChecks();
 }
 
 void ServiceCall::finishWithoutResponse()
 {
+    this->lastResult = this->interimResult();
     if (!this->lastResult.mayHaveRun) {
         const Duration wait = this->context.chooser.throttling(this->service, this->context.clock.now()).waitTime;
         if (wait > Duration::zero()) {
@@ -129,11 +112,15 @@
     this->finish(this->lastResult);
 }
 
-void ServiceCall::scheduleHedgeIfAllowed()
+bool ServiceCall::isIdempotent() const
 {
-    const bool isIdempotent = this->request.route->idempotency == Idempotency::Idempotent;
-    if (isIdempotent && this->request.maxAttempts() > 1) {
-        this->scheduleHedge(hedgeDelay(this->context, this->request));
+    return this->request.route->idempotency == Idempotency::Idempotent;
+}
+
+void ServiceCall::startChecks()
+{
+    if (this->isIdempotent()) {
+        this->scheduleCheck(hedgeDelay(this->context, this->request));
     }
 }
 
@@ -157,27 +144,34 @@
     return excluded;
 }
 
-bool ServiceCall::startAttempt(AttemptKind kind)
+ServiceCall::StartResult ServiceCall::startAttempt(AttemptKind kind)
 {
     const TimePoint now = this->context.clock.now();
     if (this->request.deadline - now < minRemainingTime || this->history->sent >= this->request.maxAttempts()) {
-        return false;
+        return StartResult::Impossible;
     }
     const double minFillLevel = kind == AttemptKind::Hedge ? minFillLevelForHedge : 0;
     const EndpointPtr endpoint = this->context.chooser.choose(
         { this->service, this->expectedLatency, this->excludedEndpoints(), minFillLevel }, now);
     if (!endpoint) {
-        return false;
+        return StartResult::Impossible;
     }
     if (kind == AttemptKind::Hedge && !this->isHedgeUseful(*endpoint, now)) {
-        return false;
+        return StartResult::Impossible;
     }
     const bool usesBudget = this->history->sent > 0 || this->isHedge;
-    if (usesBudget && !this->context.retryBudget.tryAcquire(this->service)) {
+    const ExtraAttempt extraAttempt = kind == AttemptKind::Hedge ? ExtraAttempt::Hedge : ExtraAttempt::Retry;
+    if (usesBudget && !this->context.retryBudget.tryAcquire(this->service, extraAttempt)) {
         this->context.counters.counter("lycheewall_forwarding_repeats_denied_total").add();
-        return false;
+        return StartResult::BudgetExhausted;
     }
-    const auto attempt = std::make_shared<Attempt>();
+    this->sendAttempt(endpoint, usesBudget, now);
+    return StartResult::Started;
+}
+
+void ServiceCall::sendAttempt(const EndpointPtr &endpoint, bool usesBudget, TimePoint now)
+{
+    const auto attempt = std::make_shared<ServiceAttempt>();
     endpoint->rateLimit.take(this->context.endpoints.rateLimitShare(), now);
     attempt->endpoint = endpoint;
     attempt->usesBudget = usesBudget;
@@ -187,14 +181,13 @@
     this->attempts.push_back(attempt);
     this->history->endpoints.push_back(endpoint->record.id);
     ++this->history->sent;
-    const bool nonIdempotent = this->request.route->idempotency == Idempotency::NonIdempotent;
+    const bool nonIdempotent = !this->isIdempotent();
     const EndpointCall call { endpoint,      this->request.request,  this->request.organisation, this->request.deadline,
                               nonIdempotent, this->connectionLimit() };
     attempt->call = this->context.endpointSender.send(
         call, [self = this->shared_from_this(), attempt](const CallOutcome &outcome) {
             self->handleOutcome(attempt, outcome);
         });
-    return true;
 }
 
 bool ServiceCall::isHedgeUseful(const ServiceEndpoint &endpoint, TimePoint now) const
@@ -214,14 +207,18 @@
         std::max(1.0, fleetLimit * this->context.endpoints.fleetShare() + roundingTolerance));
 }
 
-void ServiceCall::handleOutcome(const AttemptPtr &attempt, const CallOutcome &outcome)
+void ServiceCall::handleOutcome(const ServiceAttemptPtr &attempt, const CallOutcome &outcome)
 {
     if (attempt->ended) {
         return;
     }
     attempt->ended = true;
     attempt->result = outcome.result;
-    this->recordStats(*attempt, outcome);
+    const TimePoint now = this->context.clock.now();
+    attempt->recordOutcome(outcome, now);
+    if (outcome.result == CallResult::Answered && !isFailure(outcome.response)) {
+        this->context.latencies.record(this->request.route->name, now - attempt->startedAt);
+    }
     if (this->finished) {
         return;
     }
@@ -236,46 +233,16 @@
     }
 }
 
-void ServiceCall::recordStats(const Attempt &attempt, const CallOutcome &outcome)
-{
-    const TimePoint now = this->context.clock.now();
-    EndpointStats &stats = attempt.endpoint->stats;
-    switch (outcome.result) {
-    case CallResult::Answered:
-        if (outcome.response.status >= firstServerError || outcome.response.signature.empty()) {
-            stats.requestFailed(attempt.token, now);
-        } else {
-            stats.requestSucceeded(attempt.token, now);
-            this->context.latencies.record(this->request.route->name, now - attempt.startedAt);
-        }
-        return;
-    case CallResult::NotRun:
-        stats.requestRejected(attempt.token, now);
-        return;
-    case CallResult::NotSent:
-        // The endpoint has asked for fewer requests while this one waited for a connection; it has not failed.
-        if (attempt.endpoint->wantsNoRequests(now)) {
-            stats.requestCancelled(attempt.token, now);
-            return;
-        }
-        stats.requestFailed(attempt.token, now);
-        return;
-    case CallResult::Lost:
-        stats.requestFailed(attempt.token, now);
-        return;
-    }
-}
-
 bool ServiceCall::finishIfConclusive(const CallOutcome &outcome)
 {
-    const bool nonIdempotent = this->request.route->idempotency == Idempotency::NonIdempotent;
+    const bool nonIdempotent = !this->isIdempotent();
     switch (outcome.result) {
     case CallResult::Answered: {
         ServiceResult result;
         result.response = outcome.response;
         result.success = isSuccess(outcome.response);
         result.mayHaveRun = true;
-        if (result.success || nonIdempotent || outcome.response.status < firstServerError) {
+        if (result.success || nonIdempotent || !isServerError(outcome.response)) {
             this->finish(result);
             return true;
         }
@@ -304,20 +271,69 @@
 
 void ServiceCall::retryOrFinish()
 {
-    if (this->startAttempt(AttemptKind::Retry)) {
+    const StartResult result = this->startAttempt(AttemptKind::Retry);
+    if (result == StartResult::Started) {
         this->context.counters.counter("lycheewall_forwarding_retries_total", refusalCode(this->lastResult.reason))
             .add();
+        this->budgetWait.reset();
+        this->startChecks();
         return;
     }
-    if (!this->hasAttemptInFlight()) {
-        this->finishWithoutResponse();
+    if (this->isResponsePossible()) {
+        return;
+    }
+    if (result == StartResult::BudgetExhausted && this->waitForBudget()) {
+        this->scheduleCheck(budgetCheckInterval);
+        return;
     }
+    if (this->hasAttemptInFlight()) {
+        this->context.counters.counter("lycheewall_forwarding_gone_endpoints_total").add();
+    }
+    this->finishWithoutResponse();
+}
+
+bool ServiceCall::waitForBudget()
+{
+    const TimePoint now = this->context.clock.now();
+    if (this->budgetWait) {
+        return now < this->budgetWait->until;
+    }
+    if (!this->isIdempotent()) {
+        return false;
+    }
+    const bool mayHaveRun = this->interimResult().mayHaveRun;
+    const Duration limit = retryBudgetWaitLimit(this->request, this->expectedLatency, mayHaveRun, now);
+    if (this->context.retryBudget.expectedWait(this->service) > limit) {
+        return false;
+    }
+    this->budgetWait = BudgetWait { now + limit, this->context.retryBudget.addWaitingRetry(this->service) };
+    this->context.counters.counter("lycheewall_forwarding_budget_waits_total").add();
+    return true;
 }
 
 bool ServiceCall::hasAttemptInFlight() const
 {
     return std::any_of(
-        this->attempts.begin(), this->attempts.end(), [](const AttemptPtr &attempt) { return !attempt->ended; });
+        this->attempts.begin(), this->attempts.end(), [](const ServiceAttemptPtr &attempt) { return !attempt->ended; });
+}
+
+bool ServiceCall::isResponsePlausible() const
+{
+    const TimePoint now = this->context.clock.now();
+    const Duration limit = implausibleLatency(this->context.latencies, *this->request.route);
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [&](const ServiceAttemptPtr &attempt) {
+        return !attempt->ended && !attempt->isSilent(limit, now)
+            && !attempt->isGone(this->context.endpoints, limit, now);
+    });
+}
+
+bool ServiceCall::isResponsePossible() const
+{
+    const TimePoint now = this->context.clock.now();
+    const Duration limit = implausibleLatency(this->context.latencies, *this->request.route);
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [&](const ServiceAttemptPtr &attempt) {
+        return !attempt->ended && !attempt->isGone(this->context.endpoints, limit, now);
+    });
 }
 
 void ServiceCall::finish(const ServiceResult &result)
@@ -326,7 +342,8 @@
         return;
     }
     this->finished = true;
-    this->hedgeTimer.reset();
+    this->checkTimer.reset();
+    this->budgetWait.reset();
     this->cancelAttempts();
     const ResultCallback callback = std::move(this->done);
     this->done = nullptr;
@@ -339,7 +356,8 @@
         return;
     }
     this->finished = true;
-    this->hedgeTimer.reset();
+    this->checkTimer.reset();
+    this->budgetWait.reset();
     this->done = nullptr;
     this->cancelAttempts();
 }
@@ -347,9 +365,8 @@
 ServiceResult ServiceCall::interimResult() const
 {
     ServiceResult result = this->lastResult;
-    for (const AttemptPtr &attempt : this->attempts) {
-        result.mayHaveRun
-            = result.mayHaveRun || (!attempt->ended && (!attempt->call || attempt->call->mayHaveBeenSent()));
+    for (const ServiceAttemptPtr &attempt : this->attempts) {
+        result.mayHaveRun = result.mayHaveRun || attempt->mayBeRunning();
     }
     return result;
 }
@@ -363,9 +380,11 @@
 {
     const TimePoint now = this->context.clock.now();
     std::string text = this->service.value() + ':';
-    for (const AttemptPtr &attempt : this->attempts) {
-        text += attempt->endpoint->record.id.value() + '/' + std::to_string(toMilliseconds(now - attempt->startedAt))
-            + '/' + (attempt->ended ? callResultName(attempt->result) : "waiting") + ',';
+    for (const ServiceAttemptPtr &attempt : this->attempts) {
+        text += attempt->describe(now) + ',';
+    }
+    if (this->budgetWait) {
+        text += "awaits-retry-budget,";
     }
     return text;
 }
@@ -373,15 +392,8 @@
 void ServiceCall::cancelAttempts()
 {
     const TimePoint now = this->context.clock.now();
-    for (const AttemptPtr &attempt : this->attempts) {
-        if (attempt->ended) {
-            continue;
-        }
-        attempt->ended = true;
-        attempt->endpoint->stats.requestCancelled(attempt->token, now);
-        if (attempt->call) {
-            attempt->call->cancel(cancelGracePeriod);
-        }
+    for (const ServiceAttemptPtr &attempt : this->attempts) {
+        attempt->cancel(now, cancelGracePeriod);
     }
 }
 
@@ -401,26 +413,51 @@
     return std::max(earliest, latest);
 }
 
-void ServiceCall::scheduleHedge(Duration delay)
+void ServiceCall::scheduleCheck(Duration delay)
 {
-    this->hedgeTimer = this->context.timers.after(delay, [weak = this->weak_from_this()] {
+    if (this->context.clock.now() + delay >= this->request.deadline) {
+        return;
+    }
+    this->checkTimer = this->context.timers.after(delay, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->tryHedge();
+            self->check();
         }
     });
 }
 
-void ServiceCall::tryHedge()
+Duration ServiceCall::checkInterval() const
 {
-    if (this->finished || this->history->sent >= this->request.maxAttempts()) {
-        return;
+    if (this->budgetWait) {
+        return budgetCheckInterval;
     }
-    if (this->startAttempt(AttemptKind::Hedge)) {
-        this->context.counters.counter("lycheewall_forwarding_hedges_total").add();
+    const bool canHedge = !this->isHedged && this->history->sent < this->request.maxAttempts();
+    return canHedge ? hedgeRetryInterval : silenceCheckInterval;
+}
+
+void ServiceCall::check()
+{
+    if (this->finished) {
         return;
     }
-    if (this->context.clock.now() + hedgeRetryInterval < this->request.deadline) {
-        this->scheduleHedge(hedgeRetryInterval);
+    this->checkTimer.reset();
+    for (const ServiceAttemptPtr &attempt : this->attempts) {
+        attempt->observeRemoval(this->context.clock.now());
+    }
+    if (this->isResponsePlausible()) {
+        this->tryHedge();
+    } else {
+        this->retryOrFinish();
+    }
+    if (!this->finished && !this->checkTimer) {
+        this->scheduleCheck(this->checkInterval());
+    }
+}
+
+void ServiceCall::tryHedge()
+{
+    if (!this->isHedged && this->startAttempt(AttemptKind::Hedge) == StartResult::Started) {
+        this->isHedged = true;
+        this->context.counters.counter("lycheewall_forwarding_hedges_total").add();
     }
 }
 
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwardingcontext.h"
+#include "forwarding/serviceattempt.h"
 
 #include <functional>
 
@@ -46,9 +47,13 @@
 };
 
 /**
- * One request to one service: the first attempt, retries after failures and at most one hedge, an extra attempt while
- * another one is in flight. Keeps to the maximum number of attempts and to the retry budget. A request that must not
- * run twice is retried only if it is certain that the previous endpoint did not run it.
+ * One request to one service: the first attempt, retries after failures and hedges, extra attempts while another one is
+ * in flight. Keeps to the maximum number of attempts and to the retry budget. A request that must not run twice is
+ * retried only if it is certain that the previous endpoint did not run it.
+ *
+ * An idempotent request is also retried when its endpoint has been silent for implausibly long; the silent attempt may
+ * still respond. It ends early only if the feed says in addition that the endpoint is gone, and no retry is possible. A
+ * retry that the budget does not allow may wait for it, see retryBudgetWaitLimit().
  * Thread safety: none; used on the thread of the request loop.
  */
 class ServiceCall : public std::enable_shared_from_this<ServiceCall>
@@ -99,18 +104,14 @@
     std::string describe() const;
 
 private:
-    struct Attempt
+    enum class AttemptKind { First, Retry, Hedge };
+    enum class StartResult { Started, Impossible, BudgetExhausted };
+    /// A retry that waits for the retry budget, until @p until.
+    struct BudgetWait
     {
-        EndpointPtr endpoint;
-        EndpointStats::Token token = 0;
-        TimePoint startedAt;
-        std::shared_ptr<OutgoingCall> call;
-        bool usesBudget = false;
-        bool ended = false;
-        CallResult result = CallResult::Answered;
+        TimePoint until;
+        FleetRetryBudget::WaitTicketPtr ticket;
     };
-    using AttemptPtr = std::shared_ptr<Attempt>;
-    enum class AttemptKind { First, Retry, Hedge };
 
     ServiceCall(ForwardingContext &context,
                 const AdmittedRequest &request,
@@ -118,22 +119,32 @@
                 ResultCallback done);
 
     void startFirstAttempt(AttemptKind kind);
-    void scheduleHedgeIfAllowed();
-    /// Finishes the call when no attempt is in flight and none can be made.
+    /// Starts the checks that lead to hedges and to the retry of silent attempts.
+    void startChecks();
+    void scheduleCheck(Duration delay);
+    void check();
+    Duration checkInterval() const;
+    /// Finishes the call when no response is expected and no attempt can be made.
     void finishWithoutResponse();
     /// Endpoints that the next attempt must not go to.
     std::vector<EndpointId> excludedEndpoints() const;
-    bool startAttempt(AttemptKind kind);
+    StartResult startAttempt(AttemptKind kind);
+    void sendAttempt(const EndpointPtr &endpoint, bool usesBudget, TimePoint now);
     bool isHedgeUseful(const ServiceEndpoint &endpoint, TimePoint now) const;
     std::size_t connectionLimit() const;
-    void handleOutcome(const AttemptPtr &attempt, const CallOutcome &outcome);
-    void recordStats(const Attempt &attempt, const CallOutcome &outcome);
+    void handleOutcome(const ServiceAttemptPtr &attempt, const CallOutcome &outcome);
     bool finishIfConclusive(const CallOutcome &outcome);
     void retryOrFinish();
+    bool isIdempotent() const;
+    /// True if the request may go on waiting for the retry budget; begins to wait if it is worth it.
+    bool waitForBudget();
+    bool hasAttemptInFlight() const;
+    /// True if an attempt is in flight that is neither silent nor gone.
+    bool isResponsePlausible() const;
+    /// True if an attempt is in flight whose endpoint is not gone.
+    bool isResponsePossible() const;
     void finish(const ServiceResult &result);
     void cancelAttempts();
-    bool hasAttemptInFlight() const;
-    void scheduleHedge(Duration delay);
     void tryHedge();
 
     ForwardingContext &context;
@@ -141,14 +152,16 @@
     ServiceId service;
     ResultCallback done;
     Duration expectedLatency;
-    std::vector<AttemptPtr> attempts;
+    std::vector<ServiceAttemptPtr> attempts;
     AttemptHistoryPtr history;
     /// Endpoints of the zone in which another instance may have sent the request.
     std::vector<EndpointId> otherZoneEndpoints;
     bool isHedge = false;
     bool finished = false;
     ServiceResult lastResult;
-    Subscription hedgeTimer;
+    std::optional<BudgetWait> budgetWait;
+    bool isHedged = false;
+    Subscription checkTimer;
 };
 
 }
--- a/Tests/forwarding/fleetretrybudgettest.cpp
+++ b/Tests/forwarding/fleetretrybudgettest.cpp
@@ -163,6 +163,23 @@
     BOOST_TEST(!retryBudget.tryAcquire(ServiceId("s")));
 }
 
+// Guards against hedges that take the budget for which a failed request waits, and against a wait that does not count
+// the retries that wait already.
+BOOST_AUTO_TEST_CASE(waitingRetriesComeFirst)
+{
+    ManualClock clock;
+    Random random(1);
+    FleetRetryBudget retryBudget(limits, clock, random);
+    const ServiceId service("s");
+    const Duration firstWait = retryBudget.expectedWait(service);
+    FleetRetryBudget::WaitTicketPtr ticket = retryBudget.addWaitingRetry(service);
+    BOOST_TEST((retryBudget.expectedWait(service) > firstWait));
+    clock.advance(firstWait + Milliseconds(1));
+    BOOST_TEST(!retryBudget.tryAcquire(service, ExtraAttempt::Hedge));
+    ticket.reset();
+    BOOST_TEST(retryBudget.tryAcquire(service, ExtraAttempt::Hedge));
+}
+
 // Guards against a budget that is used up by attempts that were never sent.
 BOOST_AUTO_TEST_CASE(refundsUnsentAttempts)
 {
