HttpClient: Fail at once on a status outside 200 to 599

Cause: a response of the store or of another instance with status 000, 099 or above 599, or an interim one, was read like an answer: its body was waited for until the transfer timed out, and a status such as 600 was then given to the reader.

The client checks the status as soon as the header has arrived, reports FeedError::MalformedResponse and closes the connection. Interim responses fail too: no request asks for one, and they could go on without end. Error responses of 200 to 599 are unchanged.

HttpClientTest/invalidStatusFailsAtOnce covers 000, 099, 100, 103, 600 and 999, each with a body that never arrives.

--- a/Source/gateway/httpclient.cpp
+++ b/Source/gateway/httpclient.cpp
@@ -27,6 +27,9 @@
 /// Far below the memory of an instance, as the body is copied while it grows.
 constexpr std::uint64_t responseBodyLimit = std::uint64_t { 16 } * 1024 * 1024;
 
+constexpr unsigned minFinalStatus = 200;
+constexpr unsigned maxStatus = 599;
+
 std::error_code toFeedError(const beast::error_code &error)
 {
     if (error == http::error::body_limit) {
@@ -118,6 +121,11 @@
             this->fail(error);
             return;
         }
+        if (this->parser.is_header_done() && !this->hasValidStatus()) {
+            this->closeConnection();
+            this->done(make_error_code(FeedError::MalformedResponse));
+            return;
+        }
         if (this->parser.is_done()) {
             this->succeed();
             return;
@@ -130,6 +138,13 @@
         this->read();
     }
 
+    /// False for interim responses too: no request asks for one, and they could go on without end.
+    bool hasValidStatus() const
+    {
+        const unsigned status = this->parser.get().result_int();
+        return status >= minFinalStatus && status <= maxStatus;
+    }
+
     void succeed()
     {
         this->connection->stream.expires_never();
@@ -140,6 +155,7 @@
         HttpClientResponse response;
         response.status = static_cast<int>(this->parser.get().result_int());
         response.body = std::move(this->parser.get().body());
+        response.header = std::move(this->parser.get().base());
         this->done(std::move(response));
     }
 
--- a/Source/gateway/httpclient.h
+++ b/Source/gateway/httpclient.h
@@ -4,6 +4,7 @@
 #include "feed/feederror.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,7 +14,9 @@
 
 struct HttpClientResponse
 {
+    /// 200 to 599.
     int status = 0;
+    boost::beast::http::fields header;
     std::string body;
 };
 
@@ -21,8 +24,8 @@
  * Sends GET requests to one address, one at a time, over a persistent connection. A connection on which a request
  * failed is never reused.
  * Thread safety: none; used on the thread of the request loop. Errors: FeedError::TimedOut,
- * FeedError::ResponseTooLarge, or FeedError::Unreachable for all other failures, including a response that is not valid
- * HTTP.
+ * FeedError::ResponseTooLarge, FeedError::MalformedResponse for a status that is not final or not valid, or
+ * FeedError::Unreachable for all other failures, including a response that is not valid HTTP.
  */
 class HttpClient
 {
--- a/Tests/gateway/httpclienttest.cpp
+++ b/Tests/gateway/httpclienttest.cpp
@@ -158,6 +158,29 @@
     }
 }
 
+// Guards against statuses that mean nothing and are taken for an answer, and against waiting for the rest of such a
+// response, or for the final one behind interim responses without end.
+BOOST_AUTO_TEST_CASE(invalidStatusFailsAtOnce)
+{
+    for (const std::string status : { "000", "099", "100", "103", "600", "999" }) {
+        boost::asio::io_context io;
+        std::string response = "HTTP/1.1 " + status + " X\r\nContent-Length: 100\r\n\r\n";
+        response += response;
+        RawHttpServer server(io, [&response](int) { return response; });
+        HttpClient client(io, server.address());
+        std::optional<Result<HttpClientResponse>> result;
+        client.get(
+            "/", std::chrono::seconds(5), [&result](const Result<HttpClientResponse> &received) { result = received; });
+        runFor(io, std::chrono::milliseconds(300));
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_REQUIRE(result.has_value());
+            BOOST_TEST((!result->has_value() && result->error() == FeedError::MalformedResponse));
+            BOOST_TEST(server.closedConnections == 1);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
