--- a/Source/feed/feedapplier.cpp
+++ b/Source/feed/feedapplier.cpp
@@ -11,6 +11,9 @@
 /// Endpoints whose entries expired while the store was unavailable register again within about two seconds after it is
 /// available again.
 constexpr Duration removalGracePeriod = Milliseconds(2200);
+/// Operators write an evacuation that the store has lost again within this time. Longer than the time for endpoints: an
+/// early end sends requests into the zone, a late one leaves its endpoints idle for a while.
+constexpr Duration evacuationGracePeriod = std::chrono::seconds(5);
 
 Log &logger()
 {
@@ -30,13 +33,27 @@
     this->deferRemovalsUntil = this->context.clock.now() + removalGracePeriod;
 }
 
+void FeedApplier::storeRestored()
+{
+    this->storeRecovered();
+    this->deferOlderRecordsUntil = this->deferRemovalsUntil;
+    this->deferEvacuationEndsUntil = this->context.clock.now() + evacuationGracePeriod;
+    // What was written again since an earlier restoration may be lost again.
+    for (const auto &[id, change] : this->deferredChanges) {
+        this->deferChange(id, change.record);
+    }
+    for (const auto &[zone, timer] : this->deferredEvacuationEnds) {
+        this->deferEvacuationEnd(zone);
+    }
+}
+
 void FeedApplier::apply(const FeedEvent &event)
 {
     const FeedChange change = this->context.decoder.decode(event);
     if (const auto *table = std::get_if<RouteTableChange>(&change)) {
         this->applyTable(*table);
     } else if (const auto *endpoint = std::get_if<EndpointUpdate>(&change)) {
-        this->applyEndpoint(*endpoint);
+        this->applyEndpoint(*endpoint, event.reappeared);
     } else if (const auto *removal = std::get_if<EndpointRemoval>(&change)) {
         this->applyRemoval(*removal);
     } else if (const auto *evacuation = std::get_if<ZoneEvacuation>(&change)) {
@@ -62,31 +79,82 @@
     logger().info("Route table version " + std::to_string(change.table->version()) + " is current.");
 }
 
-void FeedApplier::applyEndpoint(const EndpointUpdate &change)
+bool FeedApplier::mayBeOutdated(const EndpointRecord &record, bool hasReappeared) const
+{
+    if (this->context.clock.now() >= this->deferOlderRecordsUntil) {
+        return false;
+    }
+    const EndpointPtr endpoint = this->context.endpoints.find(record.id);
+    if (!endpoint) {
+        return hasReappeared;
+    }
+    const EndpointRecord &current = endpoint->record;
+    // A process that drains does not become ready again.
+    const bool undoesDrain = record.processStartMs == current.processStartMs && current.draining && !record.draining;
+    return record.processStartMs < current.processStartMs || undoesDrain;
+}
+
+void FeedApplier::applyEndpoint(const EndpointUpdate &change, bool hasReappeared)
+{
+    if (this->mayBeOutdated(change.record, hasReappeared)) {
+        logger().info("Endpoint " + change.record.id.value()
+                      + " has an older record since the store was restored; it is deferred.");
+        this->deferChange(change.record.id, change.record);
+        return;
+    }
+    this->deferredChanges.erase(change.record.id);
+    this->updateEndpoint(change.record);
+}
+
+void FeedApplier::updateEndpoint(const EndpointRecord &record)
 {
-    this->deferredRemovals.erase(change.record.id);
-    this->context.endpoints.addOrUpdate(change.record, this->context.clock.now());
-    logger().info("Endpoint " + change.record.id.value() + " of service " + change.record.service.value() + " at "
-                  + change.record.address + (change.record.draining ? " is draining." : " is ready."));
+    this->context.endpoints.addOrUpdate(record, this->context.clock.now());
+    logger().info("Endpoint " + record.id.value() + " of service " + record.service.value() + " at " + record.address
+                  + (record.draining ? " is draining." : " is ready."));
 }
 
 void FeedApplier::applyRemoval(const EndpointRemoval &change)
 {
-    const TimePoint now = this->context.clock.now();
-    if (now >= this->deferRemovalsUntil) {
-        this->context.endpoints.remove(change.id);
-        logger().info("Endpoint " + change.id.value() + " was removed.");
+    if (this->context.clock.now() < this->deferRemovalsUntil) {
+        this->deferChange(change.id, std::nullopt);
         return;
     }
-    this->deferredRemovals[change.id] = this->context.timers.after(
-        this->deferRemovalsUntil - now, [this, id = change.id] {
-            this->context.endpoints.remove(id);
-            logger().info("Endpoint " + id.value() + " was removed: it did not register again after the store outage.");
-        });
+    this->removeEndpoint(change.id, "");
+}
+
+void FeedApplier::removeEndpoint(const EndpointId &id, const std::string &reason)
+{
+    this->deferredChanges.erase(id);
+    this->context.endpoints.remove(id);
+    logger().info("Endpoint " + id.value() + " was removed" + reason + ".");
+}
+
+void FeedApplier::deferChange(const EndpointId &id, std::optional<EndpointRecord> record)
+{
+    DeferredChange &change = this->deferredChanges[id];
+    change.record = std::move(record);
+    change.timer = this->context.timers.after(this->deferRemovalsUntil - this->context.clock.now(),
+                                              [this, id] { this->applyDeferredChange(id); });
+}
+
+void FeedApplier::applyDeferredChange(const EndpointId &id)
+{
+    const std::optional<EndpointRecord> record = std::move(this->deferredChanges.at(id).record);
+    this->deferredChanges.erase(id);
+    if (record) {
+        this->updateEndpoint(*record);
+    } else {
+        this->removeEndpoint(id, ": it did not register again after the store outage");
+    }
 }
 
 void FeedApplier::applyEvacuation(const ZoneId &zone, bool isEvacuated)
 {
+    if (!isEvacuated && this->context.clock.now() < this->deferEvacuationEndsUntil) {
+        this->deferEvacuationEnd(zone);
+        return;
+    }
+    this->deferredEvacuationEnds.erase(zone);
     if (isEvacuated) {
         this->evacuatedZones.insert(zone);
     } else {
@@ -96,4 +164,11 @@
     logger().info("Zone " + zone.value() + (isEvacuated ? " is evacuated." : " is no longer evacuated."));
 }
 
+void FeedApplier::deferEvacuationEnd(const ZoneId &zone)
+{
+    this->deferredEvacuationEnds[zone]
+        = this->context.timers.after(this->deferEvacuationEndsUntil - this->context.clock.now(),
+                                     [this, zone] { this->applyEvacuation(zone, false); });
+}
+
 }
--- a/Source/feed/feederror.cpp
+++ b/Source/feed/feederror.cpp
@@ -32,6 +32,8 @@
             return "bad-answer";
         case FeedError::ResponseTooLarge:
             return "too-large";
+        case FeedError::OutdatedEra:
+            return "old-era";
         }
         return "unknown";
     }
--- a/Source/feed/feederror.h
+++ b/Source/feed/feederror.h
@@ -13,7 +13,9 @@
     Refused,
     HistoryCompacted,
     MalformedResponse,
-    ResponseTooLarge
+    ResponseTooLarge,
+    /// The response is of an older era of the store than one that is already known.
+    OutdatedEra
 };
 std::error_code make_error_code(FeedError error);
 
--- a/Source/feed/feedevent.h
+++ b/Source/feed/feedevent.h
@@ -1,44 +1,44 @@
 #pragma once
 
 #include "core/clock.h"
+#include "feed/feedposition.h"
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace Lycheewall
 {
 
-/// Revision of the store. Increases with each change of any entry.
-using Revision = std::uint64_t;
-
 /// One change of one entry, or the current state of an entry in a listing.
 struct FeedEvent
 {
     std::string key;
     std::string value;
+    /// In the era of the page, batch or replica that holds the event.
     Revision revision = 0;
     bool deleted = false;
+    /// The store went back to a copy with this entry, which had been removed. Set by the replica for its listener.
+    bool reappeared = false;
 };
 
 /// One page of a listing of all entries.
 struct FeedPage
 {
     std::vector<FeedEvent> items;
-    /// The items include all changes up to this revision. Later changes are delivered by watches.
-    Revision revision = 0;
+    /// The items include all changes up to this position. Later changes are delivered by watches.
+    FeedPosition position;
     bool hasMore = false;
     /// Age of the source's own feed data at the time of the request. Zero for the store itself; negative if the source
     /// confirmed its data after the request.
     Duration age {};
 };
 
-/// Changes after a given revision.
+/// Changes after a given position.
 struct FeedBatch
 {
     std::vector<FeedEvent> events;
-    /// The events include all changes up to this revision.
-    Revision revision = 0;
+    /// The events include all changes up to this position.
+    FeedPosition position;
     /// As in FeedPage.
     Duration age {};
     /// True if the source has later changes, which did not fit into the response.
--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -106,10 +106,22 @@
         this->handleFailure(page ? make_error_code(FeedError::Busy) : page.error());
         return;
     }
+    const FeedPosition position = page.value().position;
+    if (!this->acceptEra(position.era)) {
+        this->listing = Listing();
+        this->handleFailure(make_error_code(FeedError::OutdatedEra));
+        return;
+    }
+    if (this->listing.started && this->listing.position.era != position.era) {
+        // Pages of two eras do not add up to a state of the store.
+        this->listing = Listing();
+        this->scheduleRead(Duration::zero());
+        return;
+    }
     if (!this->listing.started) {
         this->listing.started = true;
         // Later pages may hold newer entries; the watch delivers the changes since the first page.
-        this->listing.revision = page.value().revision;
+        this->listing.position = position;
         this->listing.confirmedUntil = startedAt - page.value().age;
     }
     this->listing.items.insert(this->listing.items.end(), page.value().items.begin(), page.value().items.end());
@@ -117,9 +129,12 @@
         this->scheduleRead(Duration::zero());
         return;
     }
-    const Listing complete = std::move(this->listing);
-    this->listing = Listing();
-    if (complete.revision < this->context.replica.revision()) {
+    this->applyListing(std::exchange(this->listing, Listing()));
+}
+
+void FeedReader::applyListing(const Listing &complete)
+{
+    if (complete.position < this->context.replica.position()) {
         // The listing of this source is older than the replica.
         this->handleFailure(make_error_code(FeedError::Busy));
         return;
@@ -127,11 +142,32 @@
     this->needsListing = false;
     this->handleSuccess();
     this->confirm(complete.confirmedUntil);
-    this->context.replica.replace(complete.items, complete.revision);
+    if (!this->context.replica.isEmpty() && this->context.replica.position().era < complete.position.era) {
+        this->context.restored();
+    }
+    this->context.replica.replace(complete.items, complete.position);
     this->context.updated();
     this->scheduleRead(Duration::zero());
 }
 
+bool FeedReader::acceptEra(StoreEra era)
+{
+    if (era < this->knownEra) {
+        return false;
+    }
+    if (this->knownEra < era) {
+        this->knownEra = era;
+        this->checkedPosition.reset();
+        this->needsListing = true;
+        if (!this->context.replica.isEmpty()) {
+            this->context.counters.counter("lycheewall_feed_era_changes_total").add();
+            logger().warn("The store has come back from an older copy of its data, as era "
+                          + std::to_string(era.value()) + "; listing all entries.");
+        }
+    }
+    return true;
+}
+
 Duration FeedReader::watchTimeout() const
 {
     if (!this->usingStore) {
@@ -142,7 +178,7 @@
 
 void FeedReader::watch(TimePoint startedAt)
 {
-    this->source().watch(this->context.replica.revision(),
+    this->source().watch(this->context.replica.position(),
                          this->watchTimeout(),
                          [this, startedAt](const Result<FeedBatch> &batch) { this->handleBatch(startedAt, batch); });
 }
@@ -151,7 +187,7 @@
 {
     this->storeRequestSentAt.reset();
     if (!batch && requiresListing(batch.error())) {
-        logger().info("The changes after revision " + std::to_string(this->context.replica.revision())
+        logger().info("The changes after revision " + std::to_string(this->context.replica.position().revision)
                       + " cannot be read (" + batch.error().message() + "); listing all entries.");
         this->needsListing = true;
         this->scheduleRead(Duration::zero());
@@ -161,7 +197,16 @@
         this->handleFailure(batch ? make_error_code(FeedError::Busy) : batch.error());
         return;
     }
+    if (!this->acceptEra(batch.value().position.era)) {
+        this->handleFailure(make_error_code(FeedError::OutdatedEra));
+        return;
+    }
     this->handleSuccess();
+    if (batch.value().position.era != this->context.replica.position().era) {
+        // The watch asked for the changes after a revision of an older era, which the source has given out again.
+        this->scheduleRead(Duration::zero());
+        return;
+    }
     // While the source has later changes, its age says nothing about this replica.
     if (!this->usingStore && !batch.value().hasMore) {
         this->confirm(startedAt - batch.value().age);
@@ -171,7 +216,7 @@
         this->context.recovered();
     }
     this->context.replica.apply(batch.value());
-    this->confirmCheckedRevision();
+    this->confirmCheckedPosition();
     this->context.updated();
     if (batch.value().hasMore) {
         this->scheduleRead(Duration::zero());
@@ -188,53 +233,75 @@
         return;
     }
     this->checkInFlight = true;
-    this->context.revisionSource.currentRevision(
-        [this, startedAt = this->context.clock.now()](const Result<Revision> &revision) {
+    this->context.revisionSource.currentPosition(
+        [this, startedAt = this->context.clock.now()](const Result<FeedPosition> &position) {
             this->checkInFlight = false;
-            this->handleRevision(startedAt, revision);
+            this->handlePosition(startedAt, position);
         });
 }
 
-void FeedReader::handleRevision(TimePoint startedAt, const Result<Revision> &revision)
+void FeedReader::handlePosition(TimePoint startedAt, const Result<FeedPosition> &position)
 {
-    if (!revision) {
-        this->context.counters.counter("lycheewall_feed_check_failures_total", revision.error().message()).add();
+    if (!position) {
+        this->context.counters.counter("lycheewall_feed_check_failures_total", position.error().message()).add();
         if (this->usingStore) {
             // The watch itself would only notice seconds later that the store is unavailable.
             this->context.store.cancelUnanswered();
         }
         return;
     }
-    this->checkedRevision = CheckedRevision { revision.value(), startedAt };
-    this->confirmCheckedRevision();
+    const bool wasWatching = !this->needsListing;
+    const bool isAccepted = this->acceptEra(position.value().era);
+    if (wasWatching && this->needsListing) {
+        this->cancelWatchOfOlderEra();
+    }
+    if (!isAccepted) {
+        const std::error_code error = FeedError::OutdatedEra;
+        this->context.counters.counter("lycheewall_feed_check_failures_total", error.message()).add();
+        return;
+    }
+    if (position.value().era != this->context.replica.position().era) {
+        return;
+    }
+    this->checkedPosition = CheckedPosition { position.value(), startedAt };
+    this->confirmCheckedPosition();
     this->context.updated();
-    if (this->checkedRevision) {
+    if (this->checkedPosition) {
         this->overdueTimer
             = this->context.timers.after(this->settings.overdueResponseDelay, [this] { this->cancelOverdueRequest(); });
     }
 }
 
+void FeedReader::cancelWatchOfOlderEra()
+{
+    // The watch may wait for a revision that the new era reaches much later.
+    if (this->storeRequestSentAt) {
+        this->isRequestCancelled = true;
+        this->context.store.cancelUnanswered();
+    }
+}
+
 void FeedReader::cancelOverdueRequest()
 {
     // A younger request may still be answered in time.
     const bool isOverdue = this->storeRequestSentAt
         && this->context.clock.now() - *this->storeRequestSentAt >= this->settings.overdueResponseDelay;
-    if (!this->checkedRevision || !isOverdue) {
+    if (!this->checkedPosition || !isOverdue) {
         return;
     }
-    this->isOverdueRequestCancelled = true;
+    this->isRequestCancelled = true;
     this->context.counters.counter("lycheewall_feed_overdue_responses_total").add();
     logger().warn("The store has not reported its changes after revision "
-                  + std::to_string(this->context.replica.revision()) + ", although it is at revision "
-                  + std::to_string(this->checkedRevision->revision) + "; the request is cancelled.");
+                  + std::to_string(this->context.replica.position().revision) + ", although it is at revision "
+                  + std::to_string(this->checkedPosition->position.revision) + "; the request is cancelled.");
     this->context.store.cancelUnanswered();
 }
 
-void FeedReader::confirmCheckedRevision()
+void FeedReader::confirmCheckedPosition()
 {
-    if (this->checkedRevision && this->context.replica.revision() >= this->checkedRevision->revision) {
-        this->confirm(this->checkedRevision->startedAt);
-        this->checkedRevision.reset();
+    if (this->checkedPosition && !(this->context.replica.position() < this->checkedPosition->position)) {
+        this->confirm(this->checkedPosition->startedAt);
+        this->checkedPosition.reset();
     }
 }
 
@@ -259,7 +326,7 @@
 
 void FeedReader::handleSuccess()
 {
-    this->isOverdueRequestCancelled = false;
+    this->isRequestCancelled = false;
     if (this->usingStore) {
         this->storeBackoff = this->settings.initialStoreBackoff;
     }
@@ -276,7 +343,7 @@
 
 void FeedReader::handleFailure(const std::error_code &error)
 {
-    if (std::exchange(this->isOverdueRequestCancelled, false)) {
+    if (std::exchange(this->isRequestCancelled, false)) {
         this->scheduleRead(Duration::zero());
         return;
     }
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -73,7 +73,8 @@
  * Keeps the replica up to date: lists all entries once, then watches for changes. Reads from the store or from another
  * instance, depending on the source policy and on which sources work. A watch at the store does not prove that nothing
  * has changed, because it may receive nothing for a while, or its response may be lost. Periodic checks of the store's
- * revision prove it; a watch that does not report a change that a check has shown is replaced by a new one.
+ * position prove it; a watch that does not report a change that a check has shown is replaced by a new one. Once any
+ * response names a newer era, all entries are listed again, and responses of older eras are refused.
  * Thread safety: none; used on the thread of the request loop.
  */
 class FeedReader
@@ -92,6 +93,8 @@
         FeedSourcePolicy &sourcePolicy;
         /// Called when the feed data is fresh again after an outage.
         std::function<void()> recovered;
+        /// Called before the first listing of a newer era is applied.
+        std::function<void()> restored;
         /// Called after each successful read or check.
         std::function<void()> updated;
     };
@@ -108,15 +111,15 @@
     struct Listing
     {
         std::vector<FeedEvent> items;
-        Revision revision = 0;
+        FeedPosition position;
         /// Time up to which the first page holds all changes.
         TimePoint confirmedUntil;
         bool started = false;
     };
-    /// A revision of the store that the replica may not have reached yet, and the time when the check was started.
-    struct CheckedRevision
+    /// A position of the store that the replica may not have reached yet, and the time when the check was started.
+    struct CheckedPosition
     {
-        Revision revision = 0;
+        FeedPosition position;
         TimePoint startedAt;
     };
 
@@ -128,9 +131,14 @@
     void watch(TimePoint startedAt);
     void handlePage(TimePoint startedAt, const Result<FeedPage> &page);
     void handleBatch(TimePoint startedAt, const Result<FeedBatch> &batch);
+    /// Applies a listing whose pages have all arrived.
+    void applyListing(const Listing &complete);
+    /// Returns false if @p era is older than one that is known. A newer one requires a listing.
+    bool acceptEra(StoreEra era);
     void checkRevision();
-    void handleRevision(TimePoint startedAt, const Result<Revision> &revision);
-    void confirmCheckedRevision();
+    void handlePosition(TimePoint startedAt, const Result<FeedPosition> &position);
+    void cancelWatchOfOlderEra();
+    void confirmCheckedPosition();
     void cancelOverdueRequest();
     bool isFreshEnough(Duration age) const;
     void confirm(TimePoint time);
@@ -152,11 +160,13 @@
     std::map<InstanceId, TimePoint> peerBackoffUntil;
     bool failing = false;
     bool checkInFlight = false;
-    std::optional<CheckedRevision> checkedRevision;
+    std::optional<CheckedPosition> checkedPosition;
+    /// The newest era that a response has named. The replica may not have reached it yet.
+    StoreEra knownEra;
     /// When the request in flight to the store was sent; std::nullopt if there is none.
     std::optional<TimePoint> storeRequestSentAt;
-    /// The request in flight was cancelled as overdue. The store itself works.
-    bool isOverdueRequestCancelled = false;
+    /// This instance has cancelled the request in flight to the store, which itself works.
+    bool isRequestCancelled = false;
     Subscription timer;
     Subscription checkTimer;
     Subscription overdueTimer;
--- a/Source/feed/feedreplica.cpp
+++ b/Source/feed/feedreplica.cpp
@@ -1,6 +1,7 @@
 #include "feed/feedreplica.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Lycheewall
 {
@@ -31,8 +32,8 @@
     }
     const bool wasPresent = existing != this->entries.end() && !existing->second.deleted;
     this->store(event);
-    if (this->listener && (wasPresent || !event.deleted)) {
-        this->listener(event);
+    if (wasPresent || !event.deleted) {
+        this->notify(event);
     }
 }
 
@@ -67,17 +68,32 @@
 
 void FeedReplica::apply(const FeedBatch &batch)
 {
+    if (batch.position.era != this->currentPosition.era) {
+        return;
+    }
     for (const FeedEvent &event : batch.events) {
         this->applyEvent(event);
     }
-    this->currentRevision = std::max(this->currentRevision, batch.revision);
+    this->currentPosition = std::max(this->currentPosition, batch.position);
 }
 
-void FeedReplica::replace(const std::vector<FeedEvent> &items, Revision listedRevision)
+void FeedReplica::replace(const std::vector<FeedEvent> &items, FeedPosition listedPosition)
 {
-    if (this->initialised && listedRevision < this->currentRevision) {
+    if (this->initialised && listedPosition < this->currentPosition) {
         return;
     }
+    if (this->currentPosition.era < listedPosition.era) {
+        this->enterEra(items, listedPosition.revision);
+    } else {
+        this->updateEntries(items, listedPosition.revision);
+    }
+    this->currentPosition = std::max(this->currentPosition, listedPosition);
+    this->historyStart = this->currentPosition.revision;
+    this->initialised = true;
+}
+
+void FeedReplica::updateEntries(const std::vector<FeedEvent> &items, Revision listedRevision)
+{
     std::set<std::string> listedKeys;
     for (const FeedEvent &item : items) {
         listedKeys.insert(item.key);
@@ -91,18 +107,48 @@
     }
     for (const FeedEvent &event : missing) {
         this->store(event);
-        if (this->listener) {
-            this->listener(event);
-        }
+        this->notify(event);
     }
     // A listing does not name the entries that were added and removed since the previous one, so other instances cannot
     // resume from an earlier revision.
     while (!this->removals.empty()) {
         this->forgetRemoval(std::pair<Revision, std::string>(*this->removals.begin()));
     }
-    this->currentRevision = std::max(this->currentRevision, listedRevision);
-    this->historyStart = this->currentRevision;
-    this->initialised = true;
+}
+
+void FeedReplica::enterEra(const std::vector<FeedEvent> &items, Revision listedRevision)
+{
+    // Revisions of two eras cannot be compared, so the listing counts even where its revisions are lower.
+    std::map<std::string, FeedEvent> previous = std::exchange(this->entries, {});
+    this->byRevision.clear();
+    this->removals.clear();
+    for (const FeedEvent &item : items) {
+        this->store(item);
+        const auto before = previous.find(item.key);
+        if (before == previous.end()) {
+            this->notify(item);
+            continue;
+        }
+        const FeedEvent &entry = before->second;
+        if (entry.deleted || entry.revision != item.revision || entry.value != item.value) {
+            FeedEvent event = item;
+            event.reappeared = entry.deleted;
+            this->notify(event);
+        }
+        previous.erase(before);
+    }
+    for (const auto &[key, entry] : previous) {
+        if (!entry.deleted) {
+            this->notify({ key, {}, listedRevision, true });
+        }
+    }
+}
+
+void FeedReplica::notify(const FeedEvent &event) const
+{
+    if (this->listener) {
+        this->listener(event);
+    }
 }
 
 bool FeedReplica::isEmpty() const
@@ -110,26 +156,32 @@
     return !this->initialised;
 }
 
-Revision FeedReplica::revision() const
+FeedPosition FeedReplica::position() const
+{
+    return this->currentPosition;
+}
+
+bool FeedReplica::coversHistoryAfter(FeedPosition after) const
 {
-    return this->currentRevision;
+    return this->initialised && after.era == this->currentPosition.era && after.revision >= this->historyStart;
 }
 
-Result<FeedBatch> FeedReplica::changesAfter(Revision after, std::size_t maxBytes) const
+Result<FeedBatch> FeedReplica::changesAfter(FeedPosition after, std::size_t maxBytes) const
 {
-    if (!this->initialised || after < this->historyStart) {
+    if (!this->coversHistoryAfter(after)) {
         return make_error_code(FeedError::HistoryCompacted);
     }
     FeedBatch batch;
-    batch.revision = this->currentRevision;
+    batch.position = this->currentPosition;
     std::size_t bytes = 0;
-    for (auto change = this->byRevision.lower_bound({ after + 1, {} }); change != this->byRevision.end(); ++change) {
+    for (auto change = this->byRevision.lower_bound({ after.revision + 1, {} }); change != this->byRevision.end();
+         ++change) {
         const FeedEvent &event = this->entries.at(change->second);
         bytes += sizeInBytes(event);
         // The changes of one revision stay together, because the reader resumes after a whole revision.
         const bool startsRevision = !batch.events.empty() && batch.events.back().revision != event.revision;
         if (bytes > maxBytes && startsRevision) {
-            batch.revision = batch.events.back().revision;
+            batch.position.revision = batch.events.back().revision;
             batch.hasMore = true;
             break;
         }
@@ -138,16 +190,16 @@
     return batch;
 }
 
-bool FeedReplica::hasChangesAfter(Revision after) const
+bool FeedReplica::hasChangesAfter(FeedPosition after) const
 {
-    return !this->initialised || after < this->historyStart
-        || this->byRevision.lower_bound({ after + 1, {} }) != this->byRevision.end();
+    return !this->coversHistoryAfter(after)
+        || this->byRevision.lower_bound({ after.revision + 1, {} }) != this->byRevision.end();
 }
 
 FeedPage FeedReplica::listAfter(const std::string &afterKey, std::size_t maxBytes) const
 {
     FeedPage page;
-    page.revision = this->currentRevision;
+    page.position = this->currentPosition;
     std::size_t bytes = 0;
     for (auto entry = this->entries.upper_bound(afterKey); entry != this->entries.end(); ++entry) {
         if (entry->second.deleted) {
--- a/Source/feed/feedreplica.h
+++ b/Source/feed/feedreplica.h
@@ -14,8 +14,8 @@
 /**
  * A copy of the store's entries, from which other instances can read as from the store. Of each entry it keeps the
  * latest change only, removals included, so its size does not depend on how often an entry changes. It never moves
- * backwards: older revisions of an entry or of the store are ignored.
- * Thread safety: none; used on the thread of the request loop.
+ * backwards: older positions of the store and older revisions of an entry within an era are ignored. It enters a new
+ * era with a complete listing. Thread safety: none; used on the thread of the request loop.
  */
 class FeedReplica
 {
@@ -25,26 +25,27 @@
     /// Called for each change that is new to this replica.
     void setListener(Listener listener);
 
-    /// Applies the changes that a watch returned.
+    /// Applies the changes that a watch returned. Ignores those of another era.
     void apply(const FeedBatch &batch);
 
-    /// Applies a complete listing that began at @p revision. Entries that are missing in it and not newer than it are
+    /// Applies a complete listing that began at @p position. Entries that are missing in it and not newer than it are
     /// removed.
-    void replace(const std::vector<FeedEvent> &items, Revision revision);
+    void replace(const std::vector<FeedEvent> &items, FeedPosition position);
 
     /// True until the first complete listing was applied.
     bool isEmpty() const;
 
-    /// Revision up to which the replica holds all changes.
-    Revision revision() const;
+    /// Position up to which the replica holds all changes.
+    FeedPosition position() const;
 
-    /// The latest change of each entry that has changed after revision @p after, the oldest first. They end after about
+    /// The latest change of each entry that has changed after @p after, the oldest first. They end after about
     /// @p maxBytes, with FeedBatch::hasMore, but make progress: a single larger change is returned whole. The age is
-    /// not set. Error: FeedError::HistoryCompacted if removals after @p after may have been forgotten.
-    Result<FeedBatch> changesAfter(Revision after, std::size_t maxBytes) const;
+    /// not set. Error: FeedError::HistoryCompacted if @p after is of another era, or if removals after it may have been
+    /// forgotten.
+    Result<FeedBatch> changesAfter(FeedPosition after, std::size_t maxBytes) const;
 
     /// True if changesAfter() would return an error or at least one change.
-    bool hasChangesAfter(Revision after) const;
+    bool hasChangesAfter(FeedPosition after) const;
 
     /// Current entries after @p afterKey in the order of their keys, from the first if it is empty; limited to about
     /// @p maxBytes with FeedPage::hasMore. The age is not set.
@@ -54,7 +55,12 @@
     std::vector<FeedEvent> items() const;
 
 private:
+    /// True if the history since @p after is complete.
+    bool coversHistoryAfter(FeedPosition after) const;
     void applyEvent(const FeedEvent &event);
+    void updateEntries(const std::vector<FeedEvent> &items, Revision listedRevision);
+    void enterEra(const std::vector<FeedEvent> &items, Revision listedRevision);
+    void notify(const FeedEvent &event) const;
     void store(const FeedEvent &event);
     void forgetOldRemovals();
     void forgetRemoval(const std::pair<Revision, std::string> &removal);
@@ -67,7 +73,7 @@
     std::set<std::pair<Revision, std::string>> removals;
     /// Removals up to this revision may have been forgotten.
     Revision historyStart = 0;
-    Revision currentRevision = 0;
+    FeedPosition currentPosition;
     bool initialised = false;
 };
 
--- a/Source/feed/feedsource.h
+++ b/Source/feed/feedsource.h
@@ -22,8 +22,9 @@
     /// Reads a page of the entries after @p afterKey in the order of their keys; from the first entry if it is empty.
     virtual void list(const std::string &afterKey, std::function<void(Result<FeedPage>)> done) = 0;
 
-    /// Waits up to @p timeout for changes after revision @p after. The batch is empty if there were none.
-    virtual void watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done) = 0;
+    /// Waits up to @p timeout for changes after @p after. The batch is empty if there were none. A batch of another era
+    /// than that of @p after does not say what has changed.
+    virtual void watch(FeedPosition after, Duration timeout, std::function<void(Result<FeedBatch>)> done) = 0;
 
     /// Cancels the request in flight unless its response has begun to arrive; its callback gets FeedError::Unreachable.
     /// A response that arrives in parts has time limits of its own. If no request is in flight, the next one uses a new
@@ -32,7 +33,7 @@
 };
 
 /**
- * Reports the current revision of the store.
+ * Reports the current position of the store.
  * Thread safety: none; used on the thread of the request loop. Errors: FeedError.
  */
 class RevisionSource
@@ -40,9 +41,9 @@
 public:
     virtual ~RevisionSource() = default;
 
-    /// Requests the current revision. Precondition: no other request of this source is in flight. @p done is called
+    /// Requests the current position. Precondition: no other request of this source is in flight. @p done is called
     /// once, never from within the call.
-    virtual void currentRevision(std::function<void(Result<Revision>)> done) = 0;
+    virtual void currentPosition(std::function<void(Result<FeedPosition>)> done) = 0;
 };
 
 }
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -100,6 +100,7 @@
                *store.revision,
                feedSourcePolicy,
                [this] { this->feedApplier.storeRecovered(); },
+               [this] { this->feedApplier.storeRestored(); },
                [this] {
                    this->handleFeedUpdate();
                } })
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -24,6 +24,8 @@
 /// Size of the entries in a response, apart from a single larger one.
 constexpr std::size_t maxResponseBytes = std::size_t { 128 } * 1024;
 constexpr int hexBase = 16;
+/// Fields that each request to watch has. The era follows them, except in requests of older programs.
+constexpr int requiredWatchFields = 2;
 /// A watch gets a response without changes when the replica became fresher by this much.
 constexpr Duration minimumFreshnessGain = Milliseconds(300);
 constexpr int statusGone = 410;
@@ -88,7 +90,8 @@
     AuxiliaryResponse response;
     response.contentType = "application/cbor";
     const Json json { { "e", toJson(batch.events) },
-                      { "at", batch.revision },
+                      { "at", batch.position.revision },
+                      { "era", batch.position.era.value() },
                       { "age", toMilliseconds(batch.age) },
                       { "more", batch.hasMore } };
     Json::to_cbor(json, response.body);
@@ -114,7 +117,8 @@
     try {
         FeedBatch batch;
         batch.events = eventsFromJson(json.at("e"));
-        batch.revision = json.at("at").get<Revision>();
+        // Instances of older programs name no era.
+        batch.position = { StoreEra(json.value("era", std::uint64_t { 0 })), json.at("at").get<Revision>() };
         // The age was truncated to milliseconds; the data must not appear fresher than it is.
         batch.age = Milliseconds(json.at("age").get<std::int64_t>() + 1);
         batch.hasMore = json.value("more", false);
@@ -143,18 +147,18 @@
                          }
                          FeedPage page;
                          page.items = batch.value().events;
-                         page.revision = batch.value().revision;
+                         page.position = batch.value().position;
                          page.age = batch.value().age;
                          page.hasMore = batch.value().hasMore;
                          done(std::move(page));
                      });
 }
 
-void PeerFeedSource::watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done)
+void PeerFeedSource::watch(FeedPosition after, Duration timeout, std::function<void(Result<FeedBatch>)> done)
 {
     const auto timeoutMs = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
-    const std::string target
-        = std::string(watchTarget) + std::to_string(after) + "&wait=" + std::to_string(timeoutMs.count());
+    const std::string target = std::string(watchTarget) + std::to_string(after.revision)
+        + "&wait=" + std::to_string(timeoutMs.count()) + "&era=" + std::to_string(after.era.value());
     this->client.get(
         target, timeoutMs + roundTripAllowance, [done = std::move(done)](const Result<HttpClientResponse> &response) {
             done(parseBatch(response));
@@ -192,23 +196,40 @@
         this->list(*afterKey, respond);
         return;
     }
-    unsigned long long after = 0;
+    unsigned long long revision = 0;
     long timeoutMs = 0;
-    if (std::sscanf(target.c_str(), "/feed/watch?after=%llu&wait=%ld", &after, &timeoutMs) != 2) {
+    unsigned long long era = 0;
+    const int fields
+        = std::sscanf(target.c_str(), "/feed/watch?after=%llu&wait=%ld&era=%llu", &revision, &timeoutMs, &era);
+    if (fields < requiredWatchFields) {
         respond({ statusNotFound, "text/plain", "unknown" });
         return;
     }
+    const bool namesEra = fields > requiredWatchFields;
+    const FeedPosition after = namesEra ? FeedPosition { StoreEra(era), revision } : this->positionOf(revision);
+    if (this->replica.position().era < after.era) {
+        respond({ statusNotReady, "text/plain", "older era" });
+        return;
+    }
     const Duration timeout = std::min<Duration>(Milliseconds(std::max(0L, timeoutMs)), maxWatchTimeout);
     this->watch(after, timeout, std::move(respond));
 }
 
+FeedPosition PeerFeedServer::positionOf(Revision revision) const
+{
+    // A reader of an older program knows revisions only and is served as the store serves a watch: a revision that the
+    // current era has not reached is of an older one.
+    const FeedPosition current = this->replica.position();
+    return { revision <= current.revision ? current.era : StoreEra(), revision };
+}
+
 void PeerFeedServer::list(const std::string &afterKey, const AuxiliaryServer::Respond &respond) const
 {
     const FeedPage page = this->replica.listAfter(afterKey, maxResponseBytes);
-    respond(cborResponse({ page.items, page.revision, this->freshness.age(), page.hasMore }));
+    respond(cborResponse({ page.items, page.position, this->freshness.age(), page.hasMore }));
 }
 
-void PeerFeedServer::watch(Revision after, Duration timeout, AuxiliaryServer::Respond respond)
+void PeerFeedServer::watch(FeedPosition after, Duration timeout, AuxiliaryServer::Respond respond)
 {
     PendingWatch pending;
     pending.after = after;
--- a/Source/gateway/peerfeed.h
+++ b/Source/gateway/peerfeed.h
@@ -22,7 +22,7 @@
     PeerFeedSource(boost::asio::io_context &io, const std::string &address);
 
     void list(const std::string &afterKey, std::function<void(Result<FeedPage>)> done) override;
-    void watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done) override;
+    void watch(FeedPosition after, Duration timeout, std::function<void(Result<FeedBatch>)> done) override;
     void cancelUnanswered() override;
 
 private:
@@ -43,8 +43,8 @@
                    const FeedReplica &replica,
                    const FeedFreshness &freshness);
 
-    /// Handles "/feed/list" and "/feed/watch". Other targets get 404, and a watch of a revision that the history no
-    /// longer covers gets 410. While the replica is empty, all get 503.
+    /// Handles "/feed/list" and "/feed/watch". Other targets get 404, and a watch of a position that the history does
+    /// not cover gets 410. All get 503 while the replica is empty, and a watch of a newer era than the replica's too.
     void handle(const std::string &target, AuxiliaryServer::Respond respond);
 
     /// Must be called after the replica or its freshness has changed; responds to the watches that this completes.
@@ -54,7 +54,7 @@
     /// A watch that has no response yet.
     struct PendingWatch
     {
-        Revision after = 0;
+        FeedPosition after;
         TimePoint receivedAt;
         /// FeedFreshness::confirmedUntil() when the request arrived.
         std::optional<TimePoint> confirmedUntil;
@@ -63,7 +63,9 @@
     };
 
     void list(const std::string &afterKey, const AuxiliaryServer::Respond &respond) const;
-    void watch(Revision after, Duration timeout, AuxiliaryServer::Respond respond);
+    /// Position after which a reader watches that names only a revision.
+    FeedPosition positionOf(Revision revision) const;
+    void watch(FeedPosition after, Duration timeout, AuxiliaryServer::Respond respond);
     bool hasUpdate(const PendingWatch &pending) const;
     void respondTo(const PendingWatch &pending) const;
 
--- a/Tests/feed/feedappliertest.cpp
+++ b/Tests/feed/feedappliertest.cpp
@@ -1,6 +1,7 @@
 #include "feed/feedapplier.h"
 
 #include "core/manualclock.h"
+#include "feed/feedreplica.h"
 #include "forwarding/fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -13,7 +14,8 @@
 namespace
 {
 
-/// Decodes keys of the form "table/NAME" (the version is the value), "endpoint/ID" and "zone/ZONE".
+/// Decodes keys of the form "table/NAME" (the version is the value), "endpoint/ID" ("draining", or the start of the
+/// process) and "zone/ZONE".
 class FakeDecoder : public FeedDecoder
 {
 public:
@@ -39,6 +41,8 @@
         record.id = EndpointId(name);
         record.service = ServiceId("s");
         record.zone = ZoneId("z");
+        record.draining = event.value == "draining";
+        record.processStartMs = std::atoi(event.value.c_str());
         return EndpointUpdate { record };
     }
 };
@@ -116,6 +120,91 @@
     BOOST_TEST(this->counters.value("lycheewall_feed_ignored_entries_total{reason=\"unknown\"}") == 1U);
 }
 
+// Guards against an older configuration, with a key that was withdrawn in the lost seconds, that comes into force when
+// the store goes back.
+BOOST_FIXTURE_TEST_CASE(restoredStoreDoesNotBringOlderTableBack, Fixture)
+{
+    FeedReplica replica;
+    replica.setListener([this](const FeedEvent &event) { this->feedApplier.apply(event); });
+    replica.replace({ { "table/x", "7", 20, false } }, { {}, 20 });
+    this->feedApplier.storeRestored();
+    replica.replace({ { "table/x", "6", 12, false } }, { StoreEra(1), 14 });
+    BOOST_TEST(this->forwarder.table()->version() == 7U);
+    replica.apply({ { { "table/x", "7", 15, false } }, { StoreEra(1), 15 }, {}, false });
+    BOOST_TEST(this->forwarder.table()->version() == 7U);
+    replica.apply({ { { "table/x", "8", 16, false } }, { StoreEra(1), 16 }, {}, false });
+    BOOST_TEST(this->forwarder.table()->version() == 8U);
+}
+
+// Guards against requests into a zone whose evacuation the store has lost, and against a zone that stays evacuated
+// although the operator does not request it again.
+BOOST_FIXTURE_TEST_CASE(lostEvacuationContinuesUntilWrittenAgain, Fixture)
+{
+    for (const bool isWrittenAgain : { true, false }) {
+        this->apply("endpoint/e", "");
+        this->apply("zone/z", "");
+        this->feedApplier.storeRestored();
+        this->apply("zone/z", "", true);
+        this->clock.advance(Milliseconds(1500));
+        BOOST_TEST(!this->isAvailable("e"));
+        if (isWrittenAgain) {
+            this->apply("zone/z", "");
+        }
+        this->clock.advance(std::chrono::seconds(10));
+        BOOST_TEST(this->isAvailable("e") == !isWrittenAgain);
+    }
+}
+
+// Guards against requests to an endpoint whose drain, removal or new start the store has lost.
+BOOST_FIXTURE_TEST_CASE(lostEndpointStatesContinueUntilWrittenAgain, Fixture)
+{
+    this->apply("endpoint/drains", "draining");
+    this->apply("endpoint/restarted", "20");
+    this->feedApplier.storeRestored();
+    this->apply("endpoint/drains", "");
+    this->apply("endpoint/restarted", "10");
+    FeedEvent removedBefore { "endpoint/removed", "", 1, false };
+    removedBefore.reappeared = true;
+    this->feedApplier.apply(removedBefore);
+    BOOST_TEST(!this->isAvailable("drains"));
+    BOOST_TEST(!this->isAvailable("removed"));
+    BOOST_TEST(this->endpoints.find(EndpointId("restarted"))->record.processStartMs == 20);
+    this->clock.advance(Milliseconds(1000));
+    this->apply("endpoint/drains", "draining");
+    this->clock.advance(Milliseconds(1500));
+    BOOST_TEST(!this->isAvailable("drains"));
+    // These were not written again, so the store is right.
+    BOOST_TEST(this->isAvailable("removed"));
+    BOOST_TEST(this->endpoints.find(EndpointId("restarted"))->record.processStartMs == 10);
+}
+
+// Guards against the removal of endpoints that have registered again, when the store goes back once more and loses that
+// too.
+BOOST_FIXTURE_TEST_CASE(secondRestorationDefersAgain, Fixture)
+{
+    this->apply("endpoint/e", "");
+    this->feedApplier.storeRestored();
+    this->apply("endpoint/e", "", true);
+    this->clock.advance(Milliseconds(2000));
+    this->feedApplier.storeRestored();
+    this->clock.advance(Milliseconds(2000));
+    BOOST_TEST(this->isAvailable("e"));
+    this->clock.advance(Milliseconds(300));
+    BOOST_TEST(!this->isAvailable("e"));
+}
+
+// Guards against a deferred record that brings an endpoint back after its removal, when the timer is late.
+BOOST_FIXTURE_TEST_CASE(removalEndsDeferredRecord, Fixture)
+{
+    this->apply("endpoint/e", "draining");
+    this->feedApplier.storeRestored();
+    this->apply("endpoint/e", "");
+    this->clock.advanceWithoutTimers(std::chrono::seconds(3));
+    this->apply("endpoint/e", "", true);
+    this->clock.advance(Milliseconds(100));
+    BOOST_TEST(!this->endpoints.find(EndpointId("e")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/feed/feedreadertest.cpp
+++ b/Tests/feed/feedreadertest.cpp
@@ -1,6 +1,4 @@
-#include "feed/feedreader.h"
-
-#include "core/manualclock.h"
+#include "feed/feedreaderfixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,141 +10,6 @@
 namespace
 {
 
-/// Time that the client of the fake store waits for a response beyond the timeout of a watch.
-constexpr Duration responseTimeout = Milliseconds(700);
-
-/// A source with responses set by the test. While it is unresponsive, requests end by their timeouts.
-class FakeSource : public FeedSource, public RevisionSource
-{
-public:
-    explicit FakeSource(ManualClock &manualClock)
-        : clock(manualClock)
-    {
-    }
-
-    void list(const std::string &afterKey, std::function<void(Result<FeedPage>)> done) override
-    {
-        ++this->calls;
-        if (this->unresponsive || this->failing) {
-            this->schedule(this->unresponsive ? Milliseconds(1500) : Milliseconds(1),
-                           [done, this] { done(this->error()); });
-            return;
-        }
-        FeedPage page;
-        page.revision = this->latestRevision;
-        page.age = this->age;
-        for (const FeedEvent &item : this->items) {
-            if (item.key > afterKey && page.items.size() < this->pageSize) {
-                page.items.push_back(item);
-            }
-        }
-        page.hasMore = !page.items.empty() && page.items.back().key != this->items.back().key;
-        this->schedule(Milliseconds(4), [done, page] { done(page); });
-    }
-
-    void watch(Revision after, Duration timeout, std::function<void(Result<FeedBatch>)> done) override
-    {
-        ++this->calls;
-        this->watchCallback = done;
-        this->watchDeadline = this->clock.now() + timeout + responseTimeout;
-        if (this->unresponsive) {
-            this->watchTimer = this->clock.after(timeout + responseTimeout, [this] { this->endWatch(this->error()); });
-            return;
-        }
-        if (this->failing || after < this->historyStart || this->areWatchesTooLarge) {
-            const std::error_code reason = this->failing ? this->error() : this->watchError();
-            this->watchTimer = this->clock.after(Milliseconds(1), [this, reason] { this->endWatch(reason); });
-            return;
-        }
-        FeedBatch batch;
-        batch.revision = this->latestRevision;
-        batch.age = this->age;
-        for (const FeedEvent &event : this->events) {
-            if (event.revision > after) {
-                batch.events.push_back(event);
-            }
-        }
-        const Duration delay = batch.events.empty() ? timeout : this->responseTime;
-        this->watchTimer = this->clock.after(delay, [this, batch] { this->endWatch(batch); });
-    }
-
-    /// Makes a change. The watch in flight reports it after the response time, unless its response is lost.
-    void change(const FeedEvent &event, bool isResponseLost)
-    {
-        this->events.push_back(event);
-        this->latestRevision = event.revision;
-        if (!this->watchCallback) {
-            return;
-        }
-        if (isResponseLost) {
-            this->watchTimer = this->clock.after(this->watchDeadline - this->clock.now(),
-                                                 [this] { this->endWatch(make_error_code(FeedError::TimedOut)); });
-            return;
-        }
-        const FeedBatch batch { { event }, event.revision, {}, false };
-        this->watchTimer = this->clock.after(this->responseTime, [this, batch] { this->endWatch(batch); });
-    }
-
-    void cancelUnanswered() override
-    {
-        if (this->watchCallback) {
-            this->watchTimer = this->clock.after(Duration::zero(), [this] { this->endWatch(this->error()); });
-        }
-    }
-
-    void currentRevision(std::function<void(Result<Revision>)> done) override
-    {
-        ++this->calls;
-        if (this->unresponsive || this->failing) {
-            this->schedule(this->unresponsive ? Milliseconds(600) : Milliseconds(1),
-                           [done, this] { done(this->error()); });
-            return;
-        }
-        this->schedule(this->responseTime, [done, latestRevision = this->latestRevision] { done(latestRevision); });
-    }
-
-    std::vector<FeedEvent> items;
-    std::vector<FeedEvent> events;
-    Revision latestRevision = 10;
-    Revision historyStart = 0;
-    Duration age {};
-    Duration responseTime = Milliseconds(4);
-    std::size_t pageSize = 500;
-    bool unresponsive = false;
-    bool failing = false;
-    bool areWatchesTooLarge = false;
-    int calls = 0;
-
-private:
-    std::error_code error() const
-    {
-        return this->unresponsive ? FeedError::TimedOut : FeedError::Unreachable;
-    }
-    std::error_code watchError() const
-    {
-        return this->areWatchesTooLarge ? FeedError::ResponseTooLarge : FeedError::HistoryCompacted;
-    }
-    void schedule(Duration delay, std::function<void()> action)
-    {
-        this->timers.push_back(this->clock.after(delay, std::move(action)));
-    }
-    void endWatch(const Result<FeedBatch> &batch)
-    {
-        const auto callback = std::move(this->watchCallback);
-        this->watchCallback = nullptr;
-        if (callback) {
-            callback(batch);
-        }
-    }
-
-    ManualClock &clock;
-    std::vector<Subscription> timers;
-    Subscription watchTimer;
-    /// When the client gives up the watch in flight.
-    TimePoint watchDeadline;
-    std::function<void(Result<FeedBatch>)> watchCallback;
-};
-
 /// Another instance at the end of a slow link. A response that takes longer than the limit is not received.
 class SlowSource : public FeedSource
 {
@@ -160,7 +23,7 @@
     {
         this->respond<FeedPage>(this->replica.listAfter(afterKey, responseBytes), std::move(done));
     }
-    void watch(Revision after, Duration /*timeout*/, std::function<void(Result<FeedBatch>)> done) override
+    void watch(FeedPosition after, Duration /*timeout*/, std::function<void(Result<FeedBatch>)> done) override
     {
         this->respond<FeedBatch>(this->replica.changesAfter(after, responseBytes), std::move(done));
     }
@@ -201,67 +64,20 @@
     std::vector<Subscription> timers;
 };
 
-class FakeSourcePolicy : public FeedSourcePolicy
-{
-public:
-    bool shouldReadStore() const override
-    {
-        return this->readsStoreNow;
-    }
-    std::vector<FeedPeer> candidatePeers() override
-    {
-        return this->candidates;
-    }
-    bool readsStoreNow = true;
-    std::vector<FeedPeer> candidates;
-};
-
-struct Fixture
-{
-    Fixture()
-    {
-        this->replica.setListener([this](const FeedEvent &event) { this->receivedEvents.push_back(event); });
-        this->store.items = { { "a", "1", 3, false }, { "b", "2", 5, false } };
-    }
-
-    ManualClock clock;
-    Counters counters;
-    FeedReplica replica;
-    FeedFreshness freshness { clock };
-    FakeSource store { clock };
-    FakeSourcePolicy sourcePolicy;
-    std::vector<FeedEvent> receivedEvents;
-    int recoveries = 0;
-    int updates = 0;
-    FeedReader reader { {},
-                        { clock,
-                          clock,
-                          counters,
-                          replica,
-                          freshness,
-                          store,
-                          store,
-                          sourcePolicy,
-                          [this] { ++this->recoveries; },
-                          [this] {
-                              ++this->updates;
-                          } } };
-};
-
 }
 
 // Guards against entries that are lost between two pages of a listing.
-BOOST_FIXTURE_TEST_CASE(listsAllPages, Fixture)
+BOOST_FIXTURE_TEST_CASE(listsAllPages, FeedReaderFixture)
 {
     this->store.pageSize = 1;
     this->reader.start();
     this->clock.advance(Milliseconds(100));
     BOOST_TEST(this->replica.items().size() == 2U);
-    BOOST_TEST(this->replica.revision() == 10U);
+    BOOST_TEST(this->replica.position().revision == 10U);
 }
 
 // Guards against requests that are refused because of stale feed data while the store is available and nothing changes.
-BOOST_FIXTURE_TEST_CASE(staysFreshWithoutChanges, Fixture)
+BOOST_FIXTURE_TEST_CASE(staysFreshWithoutChanges, FeedReaderFixture)
 {
     this->reader.start();
     for (int step = 0; step < 100; ++step) {
@@ -273,7 +89,7 @@
 }
 
 // Guards against stale feed data on instances that read from this one, although this one has confirmed its own data.
-BOOST_FIXTURE_TEST_CASE(reportsEachConfirmation, Fixture)
+BOOST_FIXTURE_TEST_CASE(reportsEachConfirmation, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(std::chrono::seconds(2));
@@ -283,7 +99,7 @@
 }
 
 // Guards against unnecessary calls, which are billed: an idle reader must make no more than about one call per second.
-BOOST_FIXTURE_TEST_CASE(idleReaderMakesFewStoreCalls, Fixture)
+BOOST_FIXTURE_TEST_CASE(idleReaderMakesFewStoreCalls, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(std::chrono::seconds(20));
@@ -292,7 +108,7 @@
 
 // Guards against a watch that waits on an unresponsive connection long after the store is available again
 // (songlam-search trouble-3).
-BOOST_FIXTURE_TEST_CASE(resumesSoonAfterUnresponsiveStore, Fixture)
+BOOST_FIXTURE_TEST_CASE(resumesSoonAfterUnresponsiveStore, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(std::chrono::seconds(2));
@@ -306,7 +122,7 @@
 
 // Guards against an old configuration that stays in use for seconds because the response that reports the new one is
 // lost, while the store answers everything else.
-BOOST_FIXTURE_TEST_CASE(changeArrivesSoonAfterItsResponseIsLost, Fixture)
+BOOST_FIXTURE_TEST_CASE(changeArrivesSoonAfterItsResponseIsLost, FeedReaderFixture)
 {
     constexpr Duration maxDelay = std::chrono::seconds(3);
     this->reader.start();
@@ -316,14 +132,14 @@
     for (int repetition = 0; repetition < 12; ++repetition) {
         this->store.change({ "c", std::to_string(revision), revision, false }, true);
         this->clock.advance(maxDelay);
-        BOOST_TEST(this->replica.revision() == revision);
+        BOOST_TEST(this->replica.position().revision == revision);
         this->clock.advance(Milliseconds(10'070));
         ++revision;
     }
 }
 
 // Guards against giving up the requests to a store that is slow: each would be sent again and answered too late again.
-BOOST_FIXTURE_TEST_CASE(slowResponseIsNotTakenForLost, Fixture)
+BOOST_FIXTURE_TEST_CASE(slowResponseIsNotTakenForLost, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(Milliseconds(2050));
@@ -332,7 +148,7 @@
     for (int repetition = 0; repetition < 12; ++repetition) {
         this->store.change({ "c", std::to_string(revision), revision, false }, false);
         this->clock.advance(Milliseconds(1070));
-        BOOST_TEST(this->replica.revision() == revision);
+        BOOST_TEST(this->replica.position().revision == revision);
         ++revision;
     }
     BOOST_TEST(this->counters.counter("lycheewall_feed_overdue_responses_total").value() == 0U);
@@ -340,7 +156,7 @@
 
 // Guards against removing endpoints whose entries expired during an outage: they are about to register again. The
 // removals may arrive before the first check.
-BOOST_FIXTURE_TEST_CASE(recoveryIsReportedBeforeChanges, Fixture)
+BOOST_FIXTURE_TEST_CASE(recoveryIsReportedBeforeChanges, FeedReaderFixture)
 {
     std::vector<int> recoveriesAtChanges;
     this->replica.setListener([&](const FeedEvent &) { recoveriesAtChanges.push_back(this->recoveries); });
@@ -359,7 +175,7 @@
 }
 
 // Guards against a flood of calls, which are billed, to a store that resets connections.
-BOOST_FIXTURE_TEST_CASE(backsOffFromFailingStore, Fixture)
+BOOST_FIXTURE_TEST_CASE(backsOffFromFailingStore, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(std::chrono::seconds(2));
@@ -370,7 +186,7 @@
 }
 
 // Guards against an instance that stops serving because the store rejects it, while other instances have fresh data.
-BOOST_FIXTURE_TEST_CASE(followsPeerWhileStoreFails, Fixture)
+BOOST_FIXTURE_TEST_CASE(followsPeerWhileStoreFails, FeedReaderFixture)
 {
     const auto peer = std::make_shared<FakeSource>(this->clock);
     peer->items = this->store.items;
@@ -390,19 +206,19 @@
 }
 
 // Guards against a source with older data that moves the replica backwards.
-BOOST_FIXTURE_TEST_CASE(ignoresOlderData, Fixture)
+BOOST_FIXTURE_TEST_CASE(ignoresOlderData, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(Milliseconds(500));
-    this->replica.replace({ { "a", "0", 1, false } }, 4);
+    this->replica.replace({ { "a", "0", 1, false } }, { {}, 4 });
     BOOST_TEST(this->replica.items().size() == 2U);
-    this->replica.apply({ { { "a", "0", 2, false } }, 4, {} });
+    this->replica.apply({ { { "a", "0", 2, false } }, { {}, 4 }, {} });
     BOOST_TEST(this->replica.items().front().value == "1");
-    BOOST_TEST(this->replica.revision() == 10U);
+    BOOST_TEST(this->replica.position().revision == 10U);
 }
 
 // Guards against removed entries that are kept because the store no longer has the history with their removal.
-BOOST_FIXTURE_TEST_CASE(listsAgainAfterHistoryCompaction, Fixture)
+BOOST_FIXTURE_TEST_CASE(listsAgainAfterHistoryCompaction, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(Milliseconds(500));
@@ -419,7 +235,7 @@
 }
 
 // Guards against repeating a watch whose response is larger than the limit, with the same result each time.
-BOOST_FIXTURE_TEST_CASE(listsAgainAfterTooLargeResponse, Fixture)
+BOOST_FIXTURE_TEST_CASE(listsAgainAfterTooLargeResponse, FeedReaderFixture)
 {
     this->reader.start();
     this->clock.advance(Milliseconds(500));
@@ -433,22 +249,22 @@
 
 // Guards against an instance that falls behind while the configuration changes often, and then requests more with each
 // read than its link can transfer in time: it would never have a current configuration again.
-BOOST_FIXTURE_TEST_CASE(slowReaderCatchesUpAfterManyChanges, Fixture)
+BOOST_FIXTURE_TEST_CASE(slowReaderCatchesUpAfterManyChanges, FeedReaderFixture)
 {
     const auto peer = std::make_shared<SlowSource>(this->clock);
     const std::string configuration(60'000, 'c');
     Revision revision = 10;
-    peer->replica.replace({ { "config", configuration, 3, false } }, revision);
+    peer->replica.replace({ { "config", configuration, 3, false } }, { {}, revision });
     this->sourcePolicy.readsStoreNow = false;
     this->sourcePolicy.candidates = { { InstanceId("peer"), peer } };
     this->reader.start();
     this->clock.advance(std::chrono::seconds(1));
-    BOOST_REQUIRE(this->replica.revision() == revision);
+    BOOST_REQUIRE(this->replica.position().revision == revision);
     // 50 versions arrive while the instance is paused, and further ones while it catches up.
     const auto changeConfiguration = [&] {
         ++revision;
         peer->replica.apply(
-            { { { "config", configuration + std::to_string(revision), revision, false } }, revision, {} });
+            { { { "config", configuration + std::to_string(revision), revision, false } }, { {}, revision }, {} });
     };
     for (int version = 0; version < 50; ++version) {
         changeConfiguration();
@@ -457,27 +273,28 @@
         this->clock.advance(Milliseconds(250));
         changeConfiguration();
     }
-    BOOST_TEST(this->replica.revision() + 8 >= revision);
+    BOOST_TEST(this->replica.position().revision + 8 >= revision);
     BOOST_TEST((this->freshness.age() <= Milliseconds(1500)));
 }
 
 // Guards against feed data that appears current although the source has further changes for this instance.
-BOOST_FIXTURE_TEST_CASE(incompleteBatchDoesNotConfirmFreshness, Fixture)
+BOOST_FIXTURE_TEST_CASE(incompleteBatchDoesNotConfirmFreshness, FeedReaderFixture)
 {
     const auto peer = std::make_shared<SlowSource>(this->clock);
-    peer->replica.replace({}, 10);
+    peer->replica.replace({}, { {}, 10 });
     this->sourcePolicy.readsStoreNow = false;
     this->sourcePolicy.candidates = { { InstanceId("peer"), peer } };
     this->reader.start();
     this->clock.advance(Milliseconds(200));
     const auto confirmedUntil = this->freshness.confirmedUntil();
     for (Revision revision = 11; revision < 15; ++revision) {
-        peer->replica.apply(
-            { { { "key-" + std::to_string(revision), std::string(100'000, 'v'), revision, false } }, revision, {} });
+        peer->replica.apply({ { { "key-" + std::to_string(revision), std::string(100'000, 'v'), revision, false } },
+                              { {}, revision },
+                              {} });
     }
-    while (this->replica.revision() < 14) {
+    while (this->replica.position().revision < 14) {
         this->clock.advance(Milliseconds(10));
-        if (this->replica.revision() < 14 && this->replica.revision() > 10) {
+        if (this->replica.position().revision < 14 && this->replica.position().revision > 10) {
             BOOST_TEST((this->freshness.confirmedUntil() <= *confirmedUntil + Milliseconds(300)));
         }
     }
--- a/Tests/gateway/peerfeedtest.cpp
+++ b/Tests/gateway/peerfeedtest.cpp
@@ -5,6 +5,7 @@
 #include "runtime/asiotimerservice.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 namespace Lycheewall
@@ -29,7 +30,7 @@
         this->freshness.confirm(this->clock.now());
     }
 
-    Result<FeedBatch> watch(Revision after, Duration wait)
+    Result<FeedBatch> watch(FeedPosition after, Duration wait)
     {
         std::optional<Result<FeedBatch>> result;
         this->feed->watch(after, wait, [&result](const Result<FeedBatch> &batch) { result = batch; });
@@ -52,14 +53,14 @@
 // Guards against entries that are changed by the transfer to another instance, such as binary values.
 BOOST_FIXTURE_TEST_CASE(listsAllEntries, Fixture)
 {
-    this->replica.replace({ { "a", std::string("\0\xff", 2), 3, false }, { "b", "2", 5, false } }, 9);
+    this->replica.replace({ { "a", std::string("\0\xff", 2), 3, false }, { "b", "2", 5, false } }, { {}, 9 });
     std::optional<Result<FeedPage>> result;
     this->feed->list("", [&result](const Result<FeedPage> &page) { result = page; });
     BOOST_REQUIRE(runUntil(this->io, [&result] { return result.has_value(); }));
     const FeedPage &page = result->value();
     BOOST_TEST(page.items.size() == 2U);
     BOOST_TEST((page.items.front().value == std::string("\0\xff", 2)));
-    BOOST_TEST(page.revision == 9U);
+    BOOST_TEST(page.position.revision == 9U);
     BOOST_TEST(!page.hasMore);
 }
 
@@ -71,7 +72,7 @@
     for (Revision revision = 1; revision <= 5; ++revision) {
         entries.push_back({ "key &?" + std::to_string(revision), std::string(100'000, 'v'), revision, false });
     }
-    this->replica.replace(entries, 9);
+    this->replica.replace(entries, { {}, 9 });
     std::vector<std::string> keys;
     bool hasMore = true;
     while (hasMore && keys.size() < 6) {
@@ -91,21 +92,22 @@
 // Guards against an instance that requests many changes at once, while it is behind, and does not receive the response.
 BOOST_FIXTURE_TEST_CASE(watchResponseIsLimited, Fixture)
 {
-    this->replica.replace({}, 9);
+    this->replica.replace({}, { {}, 9 });
     for (Revision revision = 10; revision < 15; ++revision) {
-        this->replica.apply(
-            { { { "key-" + std::to_string(revision), std::string(100'000, 'v'), revision, false } }, revision, {} });
+        this->replica.apply({ { { "key-" + std::to_string(revision), std::string(100'000, 'v'), revision, false } },
+                              { {}, revision },
+                              {} });
     }
-    const auto batch = this->watch(9, Milliseconds(100));
+    const auto batch = this->watch({ {}, 9 }, Milliseconds(100));
     BOOST_TEST(batch.value().events.size() == 1U);
     BOOST_TEST(batch.value().hasMore);
-    BOOST_TEST(batch.value().revision == 10U);
+    BOOST_TEST(batch.value().position.revision == 10U);
 }
 
 // Guards against a process that ends or responds with entries of its choice when a request has an invalid key.
 BOOST_FIXTURE_TEST_CASE(rejectsInvalidListKey, Fixture)
 {
-    this->replica.replace({}, 9);
+    this->replica.replace({}, { {}, 9 });
     int status = 0;
     this->feedServer.handle("/feed/list?after=zz",
                             [&status](const AuxiliaryResponse &response) { status = response.status; });
@@ -115,25 +117,27 @@
 // Guards against delaying a change until the wait of a watch is over.
 BOOST_FIXTURE_TEST_CASE(changeCompletesWatch, Fixture)
 {
-    this->replica.replace({}, 9);
+    this->replica.replace({}, { {}, 9 });
     std::optional<Result<FeedBatch>> result;
-    this->feed->watch(9, std::chrono::seconds(4), [&result](const Result<FeedBatch> &batch) { result = batch; });
+    this->feed->watch(
+        { {}, 9 }, std::chrono::seconds(4), [&result](const Result<FeedBatch> &batch) { result = batch; });
     runFor(this->io, std::chrono::milliseconds(20));
     BOOST_TEST(!result.has_value());
-    this->replica.apply({ { { "a", "1", 11, false } }, 12, {} });
+    this->replica.apply({ { { "a", "1", 11, false } }, { {}, 12 }, {} });
     this->feedServer.replicaUpdated();
     BOOST_REQUIRE(runUntil(this->io, [&result] { return result.has_value(); }));
     BOOST_TEST(result->value().events.at(0).key == "a");
-    BOOST_TEST(result->value().revision == 12U);
+    BOOST_TEST(result->value().position.revision == 12U);
 }
 
 // Guards against feed data that becomes stale on its way through two instances, because the first one does not forward
 // a confirmation of its freshness at once.
 BOOST_FIXTURE_TEST_CASE(confirmationCompletesWatch, Fixture)
 {
-    this->replica.replace({}, 9);
+    this->replica.replace({}, { {}, 9 });
     std::optional<Result<FeedBatch>> result;
-    this->feed->watch(9, std::chrono::seconds(4), [&result](const Result<FeedBatch> &batch) { result = batch; });
+    this->feed->watch(
+        { {}, 9 }, std::chrono::seconds(4), [&result](const Result<FeedBatch> &batch) { result = batch; });
     runFor(this->io, std::chrono::milliseconds(400));
     BOOST_TEST(!result.has_value());
     this->freshness.confirm(this->clock.now());
@@ -147,9 +151,9 @@
 // Guards against feed data that appears fresher than it is: each response states the age of the other instance's data.
 BOOST_FIXTURE_TEST_CASE(responseStatesAge, Fixture)
 {
-    this->replica.replace({}, 9);
+    this->replica.replace({}, { {}, 9 });
     runFor(this->io, std::chrono::milliseconds(30));
-    const auto batch = this->watch(9, Milliseconds(20));
+    const auto batch = this->watch({ {}, 9 }, Milliseconds(20));
     BOOST_TEST(batch.value().events.empty());
     BOOST_TEST((batch.value().age >= Milliseconds(30)));
 }
@@ -158,9 +162,54 @@
 // against reading from an instance whose replica is still empty.
 BOOST_FIXTURE_TEST_CASE(rejectsWatchWithoutDataOrHistory, Fixture)
 {
-    BOOST_TEST((this->watch(9, {}).error() == FeedError::Busy));
-    this->replica.replace({}, 9);
-    BOOST_TEST((this->watch(4, {}).error() == FeedError::HistoryCompacted));
+    BOOST_TEST((this->watch({ {}, 9 }, {}).error() == FeedError::Busy));
+    this->replica.replace({}, { {}, 9 });
+    BOOST_TEST((this->watch({ {}, 4 }, {}).error() == FeedError::HistoryCompacted));
+}
+
+// Guards against entries and revisions of one era that are taken for those of another one on their way between
+// instances.
+BOOST_FIXTURE_TEST_CASE(readersOfOtherErasAreTold, Fixture)
+{
+    this->replica.replace({ { "a", "1", 3, false } }, { StoreEra(2), 9 });
+    BOOST_TEST(this->watch({ StoreEra(2), 9 }, {}).value().position == this->replica.position());
+    BOOST_TEST((this->watch({ StoreEra(1), 9 }, {}).error() == FeedError::HistoryCompacted));
+    BOOST_TEST((this->watch({ StoreEra(3), 9 }, {}).error() == FeedError::Busy));
+}
+
+// Guards against a reader that waits for changes of an era that has ended meanwhile.
+BOOST_FIXTURE_TEST_CASE(newEraCompletesWatch, Fixture)
+{
+    this->replica.replace({}, { {}, 9 });
+    std::optional<Result<FeedBatch>> result;
+    this->feed->watch(
+        { {}, 9 }, std::chrono::seconds(4), [&result](const Result<FeedBatch> &batch) { result = batch; });
+    runFor(this->io, std::chrono::milliseconds(20));
+    this->replica.replace({}, { StoreEra(1), 9 });
+    this->feedServer.replicaUpdated();
+    BOOST_REQUIRE(runUntil(this->io, [&result] { return result.has_value(); }));
+    BOOST_TEST((result->error() == FeedError::HistoryCompacted));
+}
+
+// Guards against instances of older programs, which name no era, that list all entries without end or resume from a
+// revision that the store has lost.
+BOOST_FIXTURE_TEST_CASE(olderProgramsNameNoEra, Fixture)
+{
+    this->replica.replace({}, { StoreEra(2), 9 });
+    const auto statusOf = [this](const std::string &target) {
+        int status = 0;
+        this->feedServer.handle(target, [&status](const AuxiliaryResponse &response) { status = response.status; });
+        return status;
+    };
+    BOOST_TEST(statusOf("/feed/watch?after=9&wait=0") == 200);
+    BOOST_TEST(statusOf("/feed/watch?after=10&wait=0") == 410);
+    const auto body = nlohmann::json::to_cbor({ { "e", nlohmann::json::array() }, { "at", 12 }, { "age", 0 } });
+    RawHttpServer olderProgram(this->io, [&body](int) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + std::string(body.begin(), body.end());
+    });
+    this->feed = std::make_unique<PeerFeedSource>(this->io, olderProgram.address());
+    BOOST_TEST(this->watch({ StoreEra(2), 9 }, {}).value().position == (FeedPosition { StoreEra(0), 12 }));
 }
 
 // Guards against a reader that waits for an instance that does not accept connections.
@@ -168,7 +217,7 @@
 {
     this->server.reset();
     this->feed = std::make_unique<PeerFeedSource>(this->io, "127.0.0.1:1");
-    BOOST_TEST((this->watch(9, {}).error() == FeedError::Unreachable));
+    BOOST_TEST((this->watch({ {}, 9 }, {}).error() == FeedError::Unreachable));
 }
 
 // Guards against a response to a HEAD request with a body, which the caller would read as the next response.
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -308,17 +308,18 @@
 BOOST_AUTO_TEST_CASE(decodesStoreResponses)
 {
     const auto page = decodeRange(R"({"items":[{"Key":"k","Value":"bm9kZS0x","Revision":4,"Created":2,"Lease":0},
-        {"Key":"l","Value":"YQ==","Revision":5}],"HasMore":true,"At":9})");
+        {"Key":"l","Value":"YQ==","Revision":5}],"HasMore":true,"At":9})",
+                                  StoreEra(2));
     BOOST_REQUIRE(page);
     BOOST_TEST(page.value().items.at(0).value == "node-1");
     BOOST_TEST(page.value().items.at(1).value == "a");
     BOOST_TEST(page.value().hasMore);
-    BOOST_TEST(page.value().revision == 9U);
-    const auto batch = decodeWatch(R"({"events":[{"Key":"k","Revision":10,"Deleted":true}],"At":11})");
+    BOOST_TEST(page.value().position == (FeedPosition { StoreEra(2), 9 }));
+    const auto batch = decodeWatch(R"({"events":[{"Key":"k","Revision":10,"Deleted":true}],"At":11})", {});
     BOOST_REQUIRE(batch);
     BOOST_TEST(batch.value().events.at(0).deleted);
-    BOOST_TEST((decodeRange("{}").error() == FeedError::MalformedResponse));
-    BOOST_TEST((decodeWatch("cut").error() == FeedError::MalformedResponse));
+    BOOST_TEST((decodeRange("{}", {}).error() == FeedError::MalformedResponse));
+    BOOST_TEST((decodeWatch("cut", {}).error() == FeedError::MalformedResponse));
 }
 
 // Guards against misread settings, and against an invalid change of the file that replaces valid settings.
