--- a/Source/forwarding/retrypolicy.cpp
+++ b/Source/forwarding/retrypolicy.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// Nearly all responses arrive within the quantile; endpoints that are slow, but alive, are several times slower.
+/// The quantile is what slow responses of healthy endpoints take. A slow endpoint that is alive can take a multiple.
 constexpr double slowestQuantile = 0.99;
 constexpr int implausibleMultiple = 4;
 /// Endpoints pause for a good fraction of a second without being gone.
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -429,7 +429,7 @@
     if (this->budgetWait) {
         return budgetCheckInterval;
     }
-    const bool canHedge = !this->isHedged && this->history->sent < this->request.maxAttempts();
+    const bool canHedge = !this->hedgeSent && this->history->sent < this->request.maxAttempts();
     return canHedge ? hedgeRetryInterval : silenceCheckInterval;
 }
 
@@ -454,8 +454,8 @@
 
 void ServiceCall::tryHedge()
 {
-    if (!this->isHedged && this->startAttempt(AttemptKind::Hedge) == StartResult::Started) {
-        this->isHedged = true;
+    if (!this->hedgeSent && this->startAttempt(AttemptKind::Hedge) == StartResult::Started) {
+        this->hedgeSent = true;
         this->context.counters.counter("lycheewall_forwarding_hedges_total").add();
     }
 }
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -119,9 +119,10 @@
                 ResultCallback done);
 
     void startFirstAttempt(AttemptKind kind);
-    /// Starts the checks that lead to hedges and to the retry of silent attempts.
+    /// Begins the periodic checks of an idempotent request, at the time at which a hedge is due.
     void startChecks();
     void scheduleCheck(Duration delay);
+    /// Hedges while a response is plausible, otherwise retries, goes on waiting for the budget, or ends the call.
     void check();
     Duration checkInterval() const;
     /// Finishes the call when no response is expected and no attempt can be made.
@@ -134,6 +135,8 @@
     std::size_t connectionLimit() const;
     void handleOutcome(const ServiceAttemptPtr &attempt, const CallOutcome &outcome);
     bool finishIfConclusive(const CallOutcome &outcome);
+    /// Retries after a failure. If that is impossible and no response can come, begins to wait for the budget or
+    /// finishes the call.
     void retryOrFinish();
     bool isIdempotent() const;
     /// True if the request may go on waiting for the retry budget; begins to wait if it is worth it.
@@ -156,11 +159,13 @@
     AttemptHistoryPtr history;
     /// Endpoints of the zone in which another instance may have sent the request.
     std::vector<EndpointId> otherZoneEndpoints;
+    /// True if the call as a whole is a hedge, see startHedge().
     bool isHedge = false;
+    /// True once the call has sent a hedge of its own.
+    bool hedgeSent = false;
     bool finished = false;
     ServiceResult lastResult;
     std::optional<BudgetWait> budgetWait;
-    bool isHedged = false;
     Subscription checkTimer;
 };
 
--- a/Tests/forwarding/fanoutexchangetest.cpp
+++ b/Tests/forwarding/fanoutexchangetest.cpp
@@ -101,6 +101,25 @@
     BOOST_TEST(this->call(1).cancelled);
 }
 
+// Guards against a query that fails because the retry budget of one shard is exhausted for a moment, long before the
+// latency objective.
+BOOST_AUTO_TEST_CASE(shardRetryWaitsForBudget)
+{
+    this->routeToShards(1);
+    this->route.latencyObjective = Milliseconds(1500);
+    this->route.timeout = std::chrono::seconds(3);
+    this->retryBudget.setLimits({ 0, 50, std::chrono::seconds(10) });
+    this->start();
+    this->call(0).finish(CallResult::Lost);
+    this->call(1).finish(CallResult::Answered, 200, middle);
+    BOOST_TEST(this->replies.empty());
+    this->clock.advance(Milliseconds(800));
+    BOOST_REQUIRE(this->endpointSender.calls.size() == 3U);
+    this->call(2).finish(CallResult::Answered, 200, low);
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies[0].merged->missingShards == 0U);
+}
+
 // Guards against shard calls that continue, and against a reply, after the caller has disconnected.
 BOOST_AUTO_TEST_CASE(cancelStopsAllShardCalls)
 {
