Feed: Confirm no keys by a copy that has lost withdrawals

Cause: after the store went back, the listing of the copy confirmed the feed data at once.

FeedFreshness keeps two ages. age(), by which requests are accepted, counts no confirmation of the two seconds after the first listing of a new era; replicaAge(), which gossip, the feed between instances and the reader use, counts all of them, so that instances still find a source. Without a rise both are equal.

StoreEraTest/restoredCopyDoesNotConfirmKeys shows the case without a network.

--- a/Source/feed/feedfreshness.cpp
+++ b/Source/feed/feedfreshness.cpp
@@ -12,18 +12,35 @@
 
 void FeedFreshness::confirm(TimePoint time)
 {
-    this->latestConfirmed = this->confirmed ? std::max(this->latestConfirmed, time) : time;
-    this->confirmed = true;
+    this->latestConfirmed = std::max(this->latestConfirmed.value_or(time), time);
+    if (!this->completeFrom || time >= *this->completeFrom) {
+        this->latestComplete = std::max(this->latestComplete.value_or(time), time);
+    }
+}
+
+void FeedFreshness::storeRestored(Duration rewriteTime)
+{
+    this->completeFrom = this->clock.now() + rewriteTime;
 }
 
 Duration FeedFreshness::age() const
 {
-    return this->confirmed ? this->clock.now() - this->latestConfirmed : Duration::max();
+    return this->timeSince(this->latestComplete);
+}
+
+Duration FeedFreshness::replicaAge() const
+{
+    return this->timeSince(this->latestConfirmed);
+}
+
+Duration FeedFreshness::timeSince(const std::optional<TimePoint> &time) const
+{
+    return time ? this->clock.now() - *time : Duration::max();
 }
 
 std::optional<TimePoint> FeedFreshness::confirmedUntil() const
 {
-    return this->confirmed ? std::optional(this->latestConfirmed) : std::nullopt;
+    return this->latestConfirmed;
 }
 
 }
--- a/Source/feed/feedfreshness.h
+++ b/Source/feed/feedfreshness.h
@@ -8,7 +8,7 @@
 {
 
 /**
- * Upper bound of the age of this instance's feed data.
+ * Upper bounds of the age of this instance's feed data.
  * Thread safety: none; used on the thread of the request loop.
  */
 class FeedFreshness
@@ -16,19 +16,34 @@
 public:
     explicit FeedFreshness(const Clock &clock);
 
-    /// Confirms that all changes up to @p time are known. Times before an earlier confirmation are ignored.
+    /// Confirms that the replica holds all changes that the store had at @p time. Times before an earlier confirmation
+    /// are ignored.
     void confirm(TimePoint time);
 
-    /// Time since the latest confirmed time; Duration::max() before the first confirmation.
+    /// The store has come back from an older copy. What it has lost is written again within @p rewriteTime; until then
+    /// a confirmation does not show that all acknowledged changes are known, such as the withdrawal of a key.
+    void storeRestored(Duration rewriteTime);
+
+    /// Time since the latest moment up to which all acknowledged changes are known; Duration::max() before the first
+    /// confirmation. Decides whether requests are accepted.
     Duration age() const;
 
-    /// Latest time up to which all changes are known; std::nullopt before the first confirmation.
+    /// Time since the latest confirmation, whatever the store has lost; Duration::max() before the first one. Decides
+    /// whether sources of the feed work.
+    Duration replicaAge() const;
+
+    /// Latest confirmed time; std::nullopt before the first confirmation.
     std::optional<TimePoint> confirmedUntil() const;
 
 private:
+    Duration timeSince(const std::optional<TimePoint> &time) const;
+
     const Clock &clock;
-    bool confirmed = false;
-    TimePoint latestConfirmed;
+    std::optional<TimePoint> latestConfirmed;
+    /// The latest confirmed time apart from those at which the store had lost changes.
+    std::optional<TimePoint> latestComplete;
+    /// When the changes that the store has lost last are written again.
+    std::optional<TimePoint> completeFrom;
 };
 
 }
--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -141,10 +141,11 @@
     }
     this->needsListing = false;
     this->handleSuccess();
-    this->confirm(complete.confirmedUntil);
     if (!this->context.replica.isEmpty() && this->context.replica.position().era < complete.position.era) {
+        this->context.freshness.storeRestored(this->settings.rewriteTime);
         this->context.restored();
     }
+    this->confirm(complete.confirmedUntil);
     this->context.replica.replace(complete.items, complete.position);
     this->context.updated();
     this->scheduleRead(Duration::zero());
@@ -321,7 +322,7 @@
 
 bool FeedReader::isUnavailable() const
 {
-    return this->context.freshness.age() > this->settings.outageThreshold;
+    return this->context.freshness.replicaAge() > this->settings.outageThreshold;
 }
 
 void FeedReader::handleSuccess()
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -67,6 +67,8 @@
     Duration maxPeerAge = Milliseconds(2500);
     /// If the feed data was older than this before it was renewed, the store is taken to have been unavailable.
     Duration outageThreshold = Milliseconds(2800);
+    /// Operators write what a restored store has lost again within this time.
+    Duration rewriteTime = std::chrono::seconds(2);
 };
 
 /**
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -142,7 +142,7 @@
     message.zone = this->settings.zone;
     message.callerAddress = this->settings.callerAddress;
     message.peerAddress = this->settings.peerAddress;
-    const Duration age = this->context.freshness.age();
+    const Duration age = this->context.freshness.replicaAge();
     message.feedAgeMs = age == Duration::max() ? -1 : toMilliseconds(age);
     message.readsStore = this->context.readsStore();
     message.cpuUsage = this->context.cpuUsage();
--- a/Source/gateway/peerfeed.cpp
+++ b/Source/gateway/peerfeed.cpp
@@ -226,7 +226,7 @@
 void PeerFeedServer::list(const std::string &afterKey, const AuxiliaryServer::Respond &respond) const
 {
     const FeedPage page = this->replica.listAfter(afterKey, maxResponseBytes);
-    respond(cborResponse({ page.items, page.position, this->freshness.age(), page.hasMore }));
+    respond(cborResponse({ page.items, page.position, this->freshness.replicaAge(), page.hasMore }));
 }
 
 void PeerFeedServer::watch(FeedPosition after, Duration timeout, AuxiliaryServer::Respond respond)
@@ -261,7 +261,7 @@
     }
     // The reader counts the age from the time of its request. The age is negative if the replica was confirmed later.
     const Duration elapsed = this->clock.now() - pending.receivedAt;
-    changes.value().age = this->freshness.age() - elapsed;
+    changes.value().age = this->freshness.replicaAge() - elapsed;
     pending.respond(cborResponse(changes.value()));
 }
 
--- a/Tests/feed/storeeratest.cpp
+++ b/Tests/feed/storeeratest.cpp
@@ -58,7 +58,7 @@
     this->store.change({ "c", "3", 5, false }, false);
     this->clock.advance(noticeTime);
     BOOST_TEST(this->valueOf("c") == "3");
-    BOOST_TEST((this->freshness.age() <= Milliseconds(1100)));
+    BOOST_TEST((this->freshness.replicaAge() <= Milliseconds(1100)));
 }
 
 // Guards against removing the entries that the store has lost before the removals are deferred.
@@ -115,12 +115,32 @@
     this->clock.advance(std::chrono::seconds(3));
     BOOST_TEST(this->position() == at(1, 4));
     BOOST_TEST(this->valueOf("b").empty());
-    BOOST_TEST((this->freshness.age() >= std::chrono::seconds(2)));
+    BOOST_TEST((this->freshness.replicaAge() >= std::chrono::seconds(2)));
     BOOST_TEST(this->counters.value("lycheewall_feed_failures_total{reason=\"old-era\"}") >= 1U);
     peer->restore({ { "a", "1", 3, false }, { "d", "4", 6, false } }, 6);
     this->clock.advance(std::chrono::seconds(2));
     BOOST_TEST(this->position() == at(1, 6));
-    BOOST_TEST((this->freshness.age() <= std::chrono::seconds(1)));
+    BOOST_TEST((this->freshness.replicaAge() <= std::chrono::seconds(1)));
+}
+
+// Guards against accepting a key whose withdrawal this instance has missed and the store has lost: the listing of the
+// copy shows the key as valid until the operator writes the withdrawal again.
+BOOST_FIXTURE_TEST_CASE(restoredCopyDoesNotConfirmKeys, Fixture)
+{
+    this->startFor(std::chrono::seconds(2));
+    this->store.unresponsive = true;
+    this->clock.advance(std::chrono::seconds(4));
+    this->store.restore({ { "a", "1", 3, false } }, 4);
+    this->store.unresponsive = false;
+    const TimePoint restoredAt = this->clock.now();
+    while (this->position() != at(1, 4) && this->clock.now() < restoredAt + std::chrono::seconds(3)) {
+        this->clock.advance(Milliseconds(10));
+    }
+    this->clock.advance(Milliseconds(1900));
+    BOOST_TEST((this->freshness.age() >= Milliseconds(5900)));
+    BOOST_TEST((this->freshness.replicaAge() <= Milliseconds(1100)));
+    this->clock.advance(Milliseconds(1100));
+    BOOST_TEST((this->freshness.age() <= Milliseconds(1100)));
 }
 
 // Guards against an instance that stays in the middle era when the store goes back again while it lists.
@@ -156,7 +176,7 @@
     BOOST_TEST(this->position() == at(2, 11));
     BOOST_TEST(this->valueOf("a").empty());
     BOOST_TEST(this->restorations == 1);
-    BOOST_TEST((this->freshness.age() <= Milliseconds(1500)));
+    BOOST_TEST((this->freshness.replicaAge() <= Milliseconds(1500)));
 }
 
 // Guards against applying, and confirming by, a response that left the store before it went back.
