--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -189,18 +189,33 @@
     std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
 }
 
+/// With each third seed, the store comes back from a copy that it made before it went away.
+bool restoresCopy(unsigned seed)
+{
+    return seed % 3 == 0;
+}
+
 /// Takes the store away for some time, at most once every few seconds.
 void disturbStore(Surroundings &surroundings, Observations &observations, unsigned seed, double until)
 {
     std::mt19937 random(seed);
     std::uniform_real_distribution<double> pause(1, 4);
+    std::uniform_real_distribution<double> rewriteDelay(0.2, 1.5);
     while (elapsedSeconds() + pause.max() < until) {
+        surroundings.inStore([](StoreStandin &store) { store.makeCopy(); });
         sleepFor(pause(random));
         const double from = elapsedSeconds();
         surroundings.inStore([](StoreStandin &store) { store.setDown(true); });
         sleepFor(pause(random));
+        if (restoresCopy(seed)) {
+            surroundings.inStore([](StoreStandin &store) { store.restoreCopy(); });
+        }
         surroundings.inStore([](StoreStandin &store) { store.setDown(false); });
         observations.record(StoreOutage { from, elapsedSeconds() });
+        if (restoresCopy(seed)) {
+            sleepFor(rewriteDelay(random));
+            surroundings.inStore([](StoreStandin &store) { store.rewriteLost(); });
+        }
     }
 }
 
