--- a/Tests/soak/singleinstance.cpp
+++ b/Tests/soak/singleinstance.cpp
@@ -15,6 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr int portsOfInstance = 10;
+constexpr int lastPeerPortOffset = 7;
 constexpr int firstPortOfAll = 22900;
 constexpr auto startTimeout = 20s;
 
@@ -61,7 +62,47 @@
     std::filesystem::remove_all(this->folder);
 }
 
-bool SingleInstance::start(const nlohmann::json &configuration, const std::map<std::string, std::string> &entriesById)
+boost::asio::ip::tcp::endpoint SingleInstance::address(Listener listener) const
+{
+    int port = this->firstPort;
+    switch (listener) {
+    case Listener::Callers:
+        break;
+    case Listener::Peers:
+        port += 1;
+        break;
+    case Listener::Metrics:
+        port += 2;
+        break;
+    case Listener::Readiness:
+        port += lastPeerPortOffset + 1;
+        break;
+    case Listener::Directory:
+        port += lastPeerPortOffset + 2;
+        break;
+    }
+    return { boost::asio::ip::make_address(this->ip), static_cast<std::uint16_t>(port) };
+}
+
+std::string SingleInstance::settings() const
+{
+    const auto text = [this](Listener listener) {
+        return "\"" + this->ip + ":" + std::to_string(this->address(listener).port()) + "\"\n";
+    };
+    std::string settings = "NodeName: \"instance\"\nIp: \"" + this->ip + "\"\nZone: \"z\"\nSeedNodes: []\n";
+    settings += "ListenAddresses:\n  Front: " + text(Listener::Callers);
+    settings += "  Ready: " + text(Listener::Readiness);
+    settings += "  directory: " + text(Listener::Directory);
+    settings += "InternalPortRange: [" + std::to_string(this->firstPort + 1) + ", "
+        + std::to_string(this->firstPort + lastPeerPortOffset) + "]\n";
+    settings += "Bounds:\n  GracePeriodS: " + std::to_string(this->gracePeriod) + "\n";
+    settings += "platform:\n  Address: \"" + this->store.address() + "\"\n";
+    return settings;
+}
+
+bool SingleInstance::start(const nlohmann::json &configuration,
+                           const std::map<std::string, std::string> &entriesById,
+                           const std::string &moreSettings)
 {
     this->store.set("op/config", configuration.dump());
     for (const auto &[id, entry] : entriesById) {
@@ -69,12 +110,7 @@
     }
     this->thread = std::thread([this] { this->io.run(); });
     const std::string settingsFile = this->folder + "/settings.yaml";
-    Integration::writeFile(
-        settingsFile,
-        "NodeName: \"instance\"\nIp: \"" + this->ip + "\"\nZone: \"z\"\nListenAddresses:\n  Front: \"" + this->ip + ":"
-            + std::to_string(this->firstPort) + "\"\nInternalPortRange: [" + std::to_string(this->firstPort + 1) + ", "
-            + std::to_string(this->firstPort + portsOfInstance - 1) + "]\nSeedNodes: []\nBounds:\n" + "  GracePeriodS: "
-            + std::to_string(this->gracePeriod) + "\nplatform:\n  Address: \"" + this->store.address() + "\"\n");
+    Integration::writeFile(settingsFile, this->settings() + moreSettings);
     ::setenv("LYCHEEWALL_CONFIG", settingsFile.c_str(), 1);
     const char *otherProgram = std::getenv("LYCHEEWALL_TESTED_PROGRAM");
     this->instance = Integration::Process(
@@ -99,7 +135,7 @@
     boost::asio::io_context requestIo;
     boost::asio::ip::tcp::socket socket(requestIo);
     boost::system::error_code error;
-    socket.connect({ boost::asio::ip::make_address(this->ip), static_cast<std::uint16_t>(this->firstPort) }, error);
+    socket.connect(this->address(Listener::Callers), error);
     std::this_thread::sleep_until(sendAt);
     http::request<http::string_body> request(http::string_to_verb(method), path, 11);
     request.set(http::field::host, "instance.example");
--- a/Tests/soak/singleinstance.h
+++ b/Tests/soak/singleinstance.h
@@ -20,6 +20,9 @@
                            const std::string &service,
                            std::chrono::milliseconds timeout);
 
+/// The listening sockets of an instance.
+enum class Listener { Callers, Peers, Metrics, Readiness, Directory };
+
 /**
  * One instance as a process, and its store, which runs in a thread of its own together with the endpoints that the test
  * creates on its io_context. Callers reach the instance at an address of its own.
@@ -32,8 +35,11 @@
     ~SingleInstance();
 
     /// Publishes the configuration and the endpoints, starts the instance and waits until it is ready and knows all
-    /// endpoints. Returns false if it does not become ready. Precondition: called once.
-    bool start(const nlohmann::json &configuration, const std::map<std::string, std::string> &entriesById);
+    /// endpoints. @p moreSettings is appended to the settings file. Returns false if the instance does not become
+    /// ready. Precondition: called once.
+    bool start(const nlohmann::json &configuration,
+               const std::map<std::string, std::string> &entriesById,
+               const std::string &moreSettings = "");
 
     /// Sends one request at @p sendAt over a connection that was opened before. Returns its status, 0 without a reply.
     /// Thread safety: any thread.
@@ -43,10 +49,14 @@
                     std::chrono::milliseconds deadline,
                     std::chrono::steady_clock::time_point sendAt) const;
 
+    boost::asio::ip::tcp::endpoint address(Listener listener) const;
     boost::asio::io_context &context();
     Integration::Process &process();
 
 private:
+    /// The content of the settings file.
+    std::string settings() const;
+
     std::string folder = "/tmp/lycheewall-instance-XXXXXX";
     std::string ip;
     int firstPort;
