--- a/Tests/soak/clientcrowdtest.cpp
+++ b/Tests/soak/clientcrowdtest.cpp
@@ -79,7 +79,8 @@
     return repeat("a:\r\n", bytes);
 }
 
-/// The beginning of a request with very many header fields.
+/// The beginning of a request with very many header fields. The parser takes them one by one, rather than all at the
+/// end of the head, if the path has an even length.
 std::string unfinishedHead(const std::string &path, std::size_t bytes)
 {
     return "GET " + path + " HTTP/1.1\r\n" + requestEnd + smallFields(bytes);
@@ -301,7 +302,7 @@
 
 BOOST_FIXTURE_TEST_CASE(unfinishedHeadsAtPeerListener, Fixture)
 {
-    this->runCrowd(Listener::Peers, { unfinishedHead("/feed/list?after=", std::size_t { 15 } * 1024) });
+    this->runCrowd(Listener::Peers, { unfinishedHead("/feed/list?after=0", std::size_t { 15 } * 1024) });
 }
 
 BOOST_FIXTURE_TEST_CASE(slowReadersOfMetrics, Fixture)
