Gateway: Bound what all accepted connections hold

ConnectionBudget bounds memory and sockets of all listeners. It ends the connections that hold most for the longest time, refuses incomplete requests with 503, and admits complete ones only if there is memory and a descriptor for them. Header fields count with their nodes, strings and buffers with their capacity. The auxiliary servers read with a time limit for each request and count in the same budget. Incomplete responses count with the capacity of their body, and their bound follows from the memory; idle endpoint connections release the request that they sent. An accept that fails is repeated after 50 ms.

Ruled out: limits for each connection or address, and a fixed mmap threshold (docs/design/door.md).

--- a/Source/core/refusal.cpp
+++ b/Source/core/refusal.cpp
@@ -44,6 +44,7 @@
     "connection-lost",
     "outcome-unknown",
     "shutting-down",
+    "memory-exceeded",
 };
 
 class RefusalCategory : public std::error_category
--- a/Source/core/refusal.h
+++ b/Source/core/refusal.h
@@ -44,6 +44,7 @@
     ConnectionLost,
     OutcomeUnknown,
     ShuttingDown,
+    MemoryExceeded,
     Count
 };
 
--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/auxiliaryserver.h"
 
 #include "core/log.h"
+#include "gateway/requestmemory.h"
 #include "runtime/httppayload.h"
 #include "runtime/listener.h"
 
@@ -23,38 +24,101 @@
 constexpr auto writeTimeout = std::chrono::seconds(5);
 /// Length of the accept queue; a full queue delays the connections of callers by seconds.
 constexpr int backlog = 1024;
+/// Delay of the next accept after one that has failed.
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+constexpr std::size_t readSize = 4096;
 constexpr std::uint32_t headerLimit = 16 * 1024;
+/// Time from the first bytes of a request to its end.
+constexpr auto requestTimeout = std::chrono::seconds(5);
 
 }
 
-class AuxiliaryServer::Connection : public std::enable_shared_from_this<Connection>
+class AuxiliaryServer::Connection : public std::enable_shared_from_this<Connection>, private ConnectionBudget::Holder
 {
 public:
-    Connection(asio::ip::tcp::socket socket, Handler &requestHandler)
+    Connection(asio::ip::tcp::socket socket, ConnectionBudget &connectionBudget, Handler &requestHandler)
         : stream(std::move(socket))
+        , budget(connectionBudget)
         , handler(requestHandler)
     {
     }
+    ~Connection() override
+    {
+        this->budget.remove(*this);
+    }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
 
-    void read()
+    /// Starts reading requests. The connection is closed if there are too many.
+    void start()
+    {
+        if (this->budget.add(*this)) {
+            this->beginRequest();
+        }
+    }
+
+private:
+    using Phase = ConnectionBudget::Phase;
+
+    void beginRequest()
     {
         this->parser.emplace();
         this->parser->header_limit(headerLimit);
+        this->parser->eager(true);
         this->stream.expires_after(idleTimeout);
-        http::async_read(this->stream,
-                         this->buffer,
-                         *this->parser,
-                         [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-                             if (!error) {
-                                 self->handle();
-                             }
-                         });
+        this->updateBudget(Phase::Idle);
+        if (this->phase == Phase::Closed) {
+            return;
+        }
+        if (this->buffer.size() > 0) {
+            this->parse();
+        } else {
+            this->read();
+        }
+    }
+
+    void read()
+    {
+        this->stream.async_read_some(
+            this->buffer.prepare(readSize),
+            [self = this->shared_from_this()](const beast::error_code &error, std::size_t size) {
+                if (!error) {
+                    self->buffer.commit(size);
+                    self->parse();
+                }
+            });
+    }
+
+    void parse()
+    {
+        beast::error_code error;
+        while (this->buffer.size() > 0 && !error && !this->parser->is_done()) {
+            this->buffer.consume(this->parser->put(this->buffer.data(), error));
+        }
+        if (error && error != http::error::need_more) {
+            return;
+        }
+        if (this->parser->is_done()) {
+            this->handle();
+            return;
+        }
+        if (this->phase == Phase::Idle) {
+            this->stream.expires_after(requestTimeout);
+        }
+        this->updateBudget(Phase::Receiving);
+        if (this->phase == Phase::Receiving) {
+            this->read();
+        }
     }
 
-private:
     void handle()
     {
         this->stream.expires_never();
+        // The response can be requested again, also when the handler responds later.
+        this->updateBudget(Phase::Idle);
+        if (this->phase == Phase::Closed) {
+            return;
+        }
         const auto &message = this->parser->get();
         this->keepAlive = message.keep_alive();
         this->handler(std::string(message.target()),
@@ -65,34 +129,64 @@
 
     void write(const AuxiliaryResponse &handlerResponse)
     {
+        if (this->phase == Phase::Closed) {
+            return;
+        }
+        // Many responses may become ready at the same time, and the memory of ended connections is released later.
+        if (!this->budget.hasRoomFor(handlerResponse.body.size())) {
+            this->endForShortage(ConnectionBudget::Resource::Memory);
+            return;
+        }
         this->response = {};
         this->response.result(static_cast<unsigned>(handlerResponse.status));
         this->response.set(http::field::content_type, handlerResponse.contentType);
         this->response.body() = handlerResponse.body;
         this->response.keep_alive(this->keepAlive);
         preparePayload(this->response, this->parser->get().method());
+        this->updateBudget(Phase::Sending);
+        if (this->phase == Phase::Closed) {
+            return;
+        }
         this->stream.expires_after(writeTimeout);
         http::async_write(this->stream,
                           this->response,
                           [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
                               if (!error && self->keepAlive) {
-                                  self->read();
+                                  self->response = {};
+                                  self->beginRequest();
                               }
                           });
     }
 
+    void updateBudget(Phase newPhase)
+    {
+        this->phase = newPhase;
+        const std::size_t bytes = sizeof(Connection) + socketMemoryBytes + this->buffer.capacity()
+            + memoryOf(this->parser->get()) + this->response.body().capacity();
+        this->budget.update(*this, newPhase, bytes);
+    }
+
+    void endForShortage(ConnectionBudget::Resource /*resource*/) override
+    {
+        this->phase = Phase::Closed;
+        this->budget.update(*this, Phase::Closed, sizeof(Connection) + this->response.body().capacity());
+        this->stream.close();
+    }
+
     beast::tcp_stream stream;
+    ConnectionBudget &budget;
     Handler &handler;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::empty_body>> parser;
     http::response<http::string_body> response;
+    Phase phase = Phase::Idle;
     bool keepAlive = true;
 };
 
 Result<std::unique_ptr<AuxiliaryServer>>
-AuxiliaryServer::create(asio::io_context &io, const std::string &address, Handler handler)
+AuxiliaryServer::create(asio::io_context &io, const std::string &address, ConnectionBudget &budget, Handler handler)
 {
-    std::unique_ptr<AuxiliaryServer> server(new AuxiliaryServer(io, std::move(handler)));
+    std::unique_ptr<AuxiliaryServer> server(new AuxiliaryServer(io, budget, std::move(handler)));
     const auto listening = listenOn(server->acceptor, address, backlog);
     if (!listening) {
         return listening.error();
@@ -101,8 +195,10 @@
     return server;
 }
 
-AuxiliaryServer::AuxiliaryServer(asio::io_context &io, Handler requestHandler)
+AuxiliaryServer::AuxiliaryServer(asio::io_context &io, ConnectionBudget &connectionBudget, Handler requestHandler)
     : acceptor(io)
+    , acceptTimer(io)
+    , budget(connectionBudget)
     , handler(std::move(requestHandler))
 {
 }
@@ -119,13 +215,27 @@
             return;
         }
         if (error) {
-            Log::component("side").warn("Could not accept a connection to an auxiliary server: " + error.message()
-                                        + ".");
-        } else {
-            std::make_shared<Connection>(std::move(socket), this->handler)->read();
+            this->handleAcceptError(error);
+            return;
         }
+        std::make_shared<Connection>(std::move(socket), this->budget, this->handler)->start();
         this->accept();
     });
 }
 
+void AuxiliaryServer::handleAcceptError(const boost::system::error_code &error)
+{
+    Log::component("side").warn("Could not accept a connection to an auxiliary server: " + error.message() + ".");
+    if (error == asio::error::no_descriptors) {
+        this->budget.releaseDescriptors();
+    }
+    // The connection stays in the queue, so that the next accept would fail at once.
+    this->acceptTimer.expires_after(acceptRetryDelay);
+    this->acceptTimer.async_wait([this](const boost::system::error_code &waitError) {
+        if (!waitError) {
+            this->accept();
+        }
+    });
+}
+
 }
--- /dev/null
+++ b/Source/gateway/connectionbudget.cpp
@@ -0,0 +1,302 @@
+#include "gateway/connectionbudget.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+/// Memory of an instance without connections: the program, the route table and the state of the fleet.
+constexpr std::size_t baseBytes = 32 * mebibyte;
+/// Accepted connections and incomplete responses of endpoints get this share of the remaining memory each. The rest is
+/// for what is not counted, such as fragmentation of the heap.
+constexpr std::size_t shareNumerator = 3;
+constexpr std::size_t shareDenominator = 8;
+constexpr std::size_t minMemoryBytes = 2 * mebibyte;
+constexpr std::size_t maxResponseBytes = 32 * mebibyte;
+/// Descriptors that the platform keeps for files, and those of listeners, timers, the store and the other instances.
+constexpr std::size_t fileDescriptors = 200;
+constexpr std::size_t ownDescriptors = 32;
+constexpr std::size_t minSockets = 16;
+/// Share of the sockets that is kept for connections to endpoints.
+constexpr std::size_t endpointShareDenominator = 4;
+/// Connections are ended until this fraction of the limit is free, so that the search for them is rare.
+constexpr std::size_t freedMemoryDenominator = 8;
+constexpr std::size_t freedConnectionsDenominator = 32;
+/// Large requests leave a quarter of the memory to small ones.
+constexpr std::size_t largeRequestBytes = std::size_t { 32 } * 1024;
+constexpr std::size_t reservedForSmallDenominator = 4;
+
+using Phase = ConnectionBudget::Phase;
+using Resource = ConnectionBudget::Resource;
+
+bool isEnding(Phase phase)
+{
+    return phase == Phase::Closing || phase == Phase::Closed;
+}
+
+const char *reasonOf(Resource resource)
+{
+    return resource == Resource::Memory ? "memory" : "descriptors";
+}
+
+std::size_t saturatingSubtract(std::size_t value, std::size_t amount)
+{
+    return value > amount ? value - amount : 0;
+}
+
+}
+
+ConnectionLimits ConnectionLimits::ofMachine(std::size_t memoryLimitBytes, std::size_t maxDescriptors)
+{
+    const std::size_t available = saturatingSubtract(memoryLimitBytes, baseBytes);
+    const std::size_t share = std::max(minMemoryBytes, available / shareDenominator * shareNumerator);
+    ConnectionLimits limits;
+    limits.memoryBytes = share;
+    limits.responseBytes = std::min(maxResponseBytes, share);
+    limits.sockets = std::max(minSockets, saturatingSubtract(maxDescriptors, fileDescriptors + ownDescriptors));
+    return limits;
+}
+
+ConnectionBudget::ConnectionBudget(const Clock &budgetClock,
+                                   Counters &budgetCounters,
+                                   const ConnectionLimits &connectionLimits)
+    : clock(budgetClock)
+    , counters(budgetCounters)
+    , currentLimits(connectionLimits)
+{
+}
+
+void ConnectionBudget::setLimits(const ConnectionLimits &limits)
+{
+    this->currentLimits = limits;
+}
+
+void ConnectionBudget::setEndpointSockets(SocketCount count)
+{
+    this->endpointSockets = std::move(count);
+}
+
+bool ConnectionBudget::add(Holder &holder)
+{
+    const std::size_t limit = this->maxConnections();
+    if (this->connectionCount() >= limit) {
+        this->reduceConnections(limit - std::max<std::size_t>(1, limit / freedConnectionsDenominator));
+    }
+    if (this->connectionCount() >= limit) {
+        this->counters.counter("lycheewall_front_connections_rejected_total").add();
+        return false;
+    }
+    holder.phase = Phase::Idle;
+    holder.phaseSince = this->clock.now();
+    this->holders.insert(&holder);
+    return true;
+}
+
+void ConnectionBudget::remove(Holder &holder)
+{
+    if (this->holders.count(&holder) > 0) {
+        this->setBytes(holder, 0);
+        this->setPhase(holder, Phase::Closing);
+        this->holders.erase(&holder);
+    }
+}
+
+void ConnectionBudget::update(Holder &holder, Phase phase, std::size_t bytes)
+{
+    if (this->holders.count(&holder) == 0) {
+        return;
+    }
+    this->setPhase(holder, phase);
+    this->setBytes(holder, bytes);
+    const std::size_t limit = this->currentLimits.memoryBytes;
+    if (this->remainingBytes() > limit) {
+        this->reduceMemory(limit - limit / freedMemoryDenominator);
+    }
+}
+
+void ConnectionBudget::setPhase(Holder &holder, Phase phase)
+{
+    if (holder.phase == phase) {
+        return;
+    }
+    const std::size_t bytes = holder.heldBytes;
+    this->setBytes(holder, 0);
+    this->closedCount = this->closedCount + (phase == Phase::Closed ? 1 : 0) - (holder.phase == Phase::Closed ? 1 : 0);
+    holder.wasServed = holder.wasServed || (holder.phase == Phase::Sending && phase == Phase::Idle);
+    holder.phase = phase;
+    holder.phaseSince = this->clock.now();
+    this->setBytes(holder, bytes);
+}
+
+void ConnectionBudget::setBytes(Holder &holder, std::size_t bytes)
+{
+    const auto replaceIn = [&holder, bytes](std::size_t &sum) {
+        sum = sum - holder.heldBytes + bytes;
+    };
+    replaceIn(this->totalBytes);
+    if (isEnding(holder.phase)) {
+        replaceIn(this->endingBytes);
+    }
+    if (holder.phase == Phase::Serving) {
+        replaceIn(this->servingBytes);
+    }
+    holder.heldBytes = bytes;
+}
+
+std::optional<Resource>
+ConnectionBudget::startServing(Holder &holder, std::size_t bytes, std::size_t endpointSocketsNeeded)
+{
+    const std::size_t limit = this->currentLimits.memoryBytes;
+    const std::size_t reserved = bytes > largeRequestBytes ? limit / reservedForSmallDenominator : 0;
+    // A single request is served whatever its size.
+    if (this->servingBytes > 0 && this->servingBytes + bytes + reserved > limit) {
+        return Resource::Memory;
+    }
+    const Phase previousPhase = holder.phase;
+    this->setPhase(holder, Phase::Serving);
+    const std::size_t used = this->connectionCount() + this->endpointSocketCount() + endpointSocketsNeeded;
+    if (used > this->currentLimits.sockets) {
+        const std::size_t excess = used - this->currentLimits.sockets;
+        this->reduceConnections(saturatingSubtract(this->connectionCount(), excess));
+    }
+    if (this->connectionCount() + this->endpointSocketCount() + endpointSocketsNeeded > this->currentLimits.sockets) {
+        this->setPhase(holder, previousPhase);
+        return Resource::Descriptors;
+    }
+    this->update(holder, Phase::Serving, bytes);
+    return std::nullopt;
+}
+
+bool ConnectionBudget::hasRoomFor(std::size_t bytes) const
+{
+    return this->totalBytes + bytes <= this->currentLimits.memoryBytes;
+}
+
+void ConnectionBudget::releaseDescriptors()
+{
+    const std::size_t count = this->connectionCount();
+    this->reduceConnections(saturatingSubtract(count, 1 + count / freedConnectionsDenominator));
+}
+
+std::size_t ConnectionBudget::heldBytes() const
+{
+    return this->totalBytes;
+}
+
+std::size_t ConnectionBudget::connectionCount() const
+{
+    return this->holders.size() - this->closedCount;
+}
+
+const ConnectionLimits &ConnectionBudget::limits() const
+{
+    return this->currentLimits;
+}
+
+std::size_t ConnectionBudget::remainingBytes() const
+{
+    return this->totalBytes - this->endingBytes;
+}
+
+std::size_t ConnectionBudget::endpointSocketCount() const
+{
+    return this->endpointSockets ? this->endpointSockets() : 0;
+}
+
+std::size_t ConnectionBudget::maxConnections() const
+{
+    const std::size_t all = this->currentLimits.sockets;
+    const std::size_t keptForEndpoints = std::max(this->endpointSocketCount(), all / endpointShareDenominator);
+    return std::max<std::size_t>(1, saturatingSubtract(all, keptForEndpoints));
+}
+
+ConnectionBudget::Holders ConnectionBudget::orderedByMemory() const
+{
+    struct Candidate
+    {
+        Holder *holder;
+        /// An idle connection holds little, and its client may use it again; it is ended after all others.
+        bool isIdle;
+        /// Memory times the time for which it has been held, in byte milliseconds.
+        double weight;
+    };
+    std::vector<Candidate> candidates;
+    const TimePoint now = this->clock.now();
+    for (Holder *holder : this->holders) {
+        if (holder->phase != Phase::Serving && !isEnding(holder->phase) && holder->heldBytes > 0) {
+            const double held = fractionalMilliseconds(now - holder->phaseSince) + 1;
+            candidates.push_back(
+                { holder, holder->phase == Phase::Idle, static_cast<double>(holder->heldBytes) * held });
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return std::make_pair(left.isIdle, -left.weight) < std::make_pair(right.isIdle, -right.weight);
+    });
+    Holders ordered;
+    for (const Candidate &candidate : candidates) {
+        ordered.push_back(candidate.holder);
+    }
+    return ordered;
+}
+
+ConnectionBudget::Holders ConnectionBudget::orderedByProgress() const
+{
+    Holders candidates;
+    for (Holder *holder : this->holders) {
+        if (holder->phase != Phase::Serving && holder->phase != Phase::Closed) {
+            candidates.push_back(holder);
+        }
+    }
+    // First connections that end anyway, then those that have not been of use yet.
+    const auto key = [](const Holder *holder) {
+        return std::make_tuple(holder->phase != Phase::Closing, holder->wasServed, holder->phaseSince);
+    };
+    std::sort(candidates.begin(), candidates.end(), [&key](const Holder *left, const Holder *right) {
+        return key(left) < key(right);
+    });
+    return candidates;
+}
+
+void ConnectionBudget::reduceMemory(std::size_t target)
+{
+    if (this->reducing) {
+        return;
+    }
+    this->reducing = true;
+    for (Holder *holder : this->orderedByMemory()) {
+        if (this->remainingBytes() <= target) {
+            break;
+        }
+        this->end(*holder, Resource::Memory);
+    }
+    this->reducing = false;
+}
+
+void ConnectionBudget::reduceConnections(std::size_t target)
+{
+    if (this->reducing) {
+        return;
+    }
+    this->reducing = true;
+    for (Holder *holder : this->orderedByProgress()) {
+        if (this->connectionCount() <= target) {
+            break;
+        }
+        this->end(*holder, Resource::Descriptors);
+    }
+    this->reducing = false;
+}
+
+void ConnectionBudget::end(Holder &holder, Resource resource)
+{
+    this->counters.counter("lycheewall_front_connections_ended_total", reasonOf(resource)).add();
+    this->setPhase(holder, Phase::Closing);
+    holder.endForShortage(resource);
+}
+
+}
--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -159,7 +159,7 @@
     }
     this->parse();
     if (this->state == State::Busy) {
-        this->memory->update(*this, this->parser->get().body().size() + this->buffer.size());
+        this->memory->update(*this, this->parser->get().body().capacity() + this->buffer.capacity());
     }
     this->startRead();
 }
@@ -238,6 +238,8 @@
     const auto self = this->shared_from_this();
     this->memory->update(*this, 0);
     if (reusable) {
+        // The body would be kept until the next request.
+        this->message = {};
         this->state = State::Idle;
         this->idleSince = this->clock.now();
     } else {
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -318,6 +318,11 @@
     }
 }
 
+void EndpointConnectionPool::setResponseMemoryLimit(std::size_t bytes)
+{
+    this->responseMemory->setTotalLimit(bytes);
+}
+
 std::size_t EndpointConnectionPool::connectionCount() const
 {
     return this->endpointByConnection.size();
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -34,6 +34,9 @@
     /// expire. Ends the calls that wait for a connection to such an endpoint, as not sent.
     void closeUnusableConnections();
 
+    /// Sets the greatest size of all incomplete responses together.
+    void setResponseMemoryLimit(std::size_t bytes);
+
     /// Number of connections to all endpoints, including those that are being established.
     std::size_t connectionCount() const;
 
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -1,8 +1,10 @@
 #include "gateway/frontconnection.h"
 
 #include "core/log.h"
+#include "gateway/requestmemory.h"
 #include "runtime/httppayload.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -26,7 +28,13 @@
 /// The connection is closed if a reply could not be sent completely within this time.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
 /// No more bytes are read while more than this many bytes of pipelined requests are buffered.
-constexpr std::size_t pipelineLimit = std::size_t { 64 } * 1024;
+constexpr std::size_t pipelineLimit = std::size_t { 16 } * 1024;
+/// A buffer that has grown beyond this is released when it is empty.
+constexpr std::size_t keptBufferBytes = 2 * readSize;
+/// Requests with smaller bodies count as if they were sent to one endpoint only, which saves looking up the route.
+constexpr std::size_t smallBodyBytes = 4096;
+/// When a caller that was refused for a shortage may try again. The connections that caused it have ended by then.
+constexpr Duration shortageRetryAfter = Milliseconds(250);
 
 Refusal refusalForParseError(const boost::system::error_code &error)
 {
@@ -56,12 +64,70 @@
 {
 }
 
-void FrontConnection::start()
+FrontConnection::~FrontConnection()
 {
+    this->context.budget.remove(*this);
+}
+
+bool FrontConnection::start()
+{
+    if (!this->context.budget.add(*this)) {
+        this->state = State::Closed;
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
+        return false;
+    }
     boost::system::error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->beginRequest();
     this->startRead();
+    return true;
+}
+
+ConnectionBudget::Phase FrontConnection::budgetPhase() const
+{
+    switch (this->state) {
+    case State::Reading:
+        return this->requestStarted ? ConnectionBudget::Phase::Receiving : ConnectionBudget::Phase::Idle;
+    case State::Serving:
+        return ConnectionBudget::Phase::Serving;
+    case State::Writing:
+        return ConnectionBudget::Phase::Sending;
+    case State::Closing:
+        return ConnectionBudget::Phase::Closing;
+    case State::Closed:
+        break;
+    }
+    return ConnectionBudget::Phase::Closed;
+}
+
+std::size_t FrontConnection::connectionBytes() const
+{
+    return sizeof(FrontConnection) + socketMemoryBytes + this->buffer.capacity();
+}
+
+std::size_t FrontConnection::receivedBytes() const
+{
+    return this->parser ? this->headerBytes + this->parser->get().body().capacity() : 0;
+}
+
+void FrontConnection::updateBudget()
+{
+    const std::size_t bytes
+        = this->connectionBytes() + this->receivedBytes() + this->requestBytes + this->response.body().capacity();
+    this->context.budget.update(*this, this->budgetPhase(), bytes);
+}
+
+void FrontConnection::endForShortage(ConnectionBudget::Resource resource)
+{
+    const bool isIncomplete = this->state == State::Reading && this->requestStarted;
+    if (resource == ConnectionBudget::Resource::Memory && isIncomplete) {
+        this->refuse(Refusal::MemoryExceeded);
+    } else if (resource == ConnectionBudget::Resource::Memory && this->state == State::Reading) {
+        this->beginLingeringClose();
+    } else {
+        this->close();
+    }
 }
 
 void FrontConnection::beginRequest()
@@ -69,10 +135,13 @@
     this->parser.emplace();
     this->parser->eager(true);
     this->state = State::Reading;
+    this->headerBytes = 0;
+    this->requestBytes = 0;
     this->requestStarted = false;
     this->continueSent = false;
     this->idleSince = std::chrono::steady_clock::now();
     this->armTimer(callerLimits(this->context.forwarder).idleTimeout + timeoutMargin);
+    this->updateBudget();
 }
 
 void FrontConnection::startRequest()
@@ -90,11 +159,22 @@
         && !this->parser->chunked();
 }
 
+std::size_t FrontConnection::bufferLimit() const
+{
+    // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
+    return this->state == State::Reading
+        ? std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize)
+        : pipelineLimit;
+}
+
 void FrontConnection::startRead()
 {
-    if (this->reading || this->state == State::Closed || this->buffer.size() > pipelineLimit) {
+    if (this->reading || this->state == State::Closed || this->buffer.size() > this->bufferLimit()) {
         return;
     }
+    if (this->buffer.size() == 0 && this->buffer.capacity() > keptBufferBytes) {
+        this->buffer.shrink_to_fit();
+    }
     this->reading = true;
     this->socket.async_read_some(
         this->buffer.prepare(readSize),
@@ -121,12 +201,21 @@
         this->parse();
     }
     this->startRead();
+    if (this->state != State::Closed) {
+        this->updateBudget();
+    }
 }
 
 bool FrontConnection::parseAvailable(boost::system::error_code &error)
 {
     while (this->buffer.size() > 0 && !this->parser->is_done()) {
+        const bool hadHeader = this->parser->is_header_done();
         const std::size_t used = this->parser->put(this->buffer.data(), error);
+        if (!hadHeader) {
+            const auto *bytes = static_cast<const char *>(this->buffer.data().data());
+            this->headerBytes = this->parser->is_header_done() ? memoryOf(this->parser->get())
+                                                               : this->headerBytes + memoryOfHeaderText(bytes, used);
+        }
         this->buffer.consume(used);
         if (error == http::error::need_more) {
             error = {};
@@ -151,6 +240,10 @@
         this->refuse(refusalForParseError(error));
         return;
     }
+    if (!isComplete && this->buffer.size() > this->bufferLimit()) {
+        this->refuse(Refusal::HeaderTooLarge);
+        return;
+    }
     if (this->hasUnknownLength()) {
         this->refuse(Refusal::BadRequest);
         return;
@@ -185,21 +278,58 @@
     this->countedInFlight = true;
     ++this->context.requestsInFlight;
     ++this->context.requestsReceived;
-    const HttpRequestMessage message = this->parser->release();
-    this->keepAlive = message.keep_alive();
-    const auto decoded = this->context.codec.decode(message, this->context.clock.now());
-    if (!decoded) {
+    if (!this->decodeRequest()) {
         this->refuse(Refusal::BadRequest);
         return;
     }
-    this->request = decoded.value();
+    if (!this->admitToService()) {
+        return;
+    }
+    const CallerRequestPtr forwarded = this->request;
     const auto started = this->context.forwarder.forward(
-        this->request, [self = this->shared_from_this()](const ForwardReply &reply) { self->sendReply(reply); });
+        forwarded, [self = this->shared_from_this()](const ForwardReply &reply) { self->sendReply(reply); });
     if (this->state == State::Serving) {
         this->exchange = started;
     }
 }
 
+bool FrontConnection::decodeRequest()
+{
+    const HttpRequestMessage message = this->parser->release();
+    this->parser.reset();
+    this->keepAlive = message.keep_alive();
+    const auto decoded = this->context.codec.decode(message, this->context.clock.now());
+    if (!decoded) {
+        return false;
+    }
+    this->request = decoded.value();
+    return true;
+}
+
+std::size_t FrontConnection::endpointCount() const
+{
+    const auto &table = this->context.forwarder.table();
+    if (!table || this->request->body.size() < smallBodyBytes) {
+        return 1;
+    }
+    const Route *route = table->match(this->request->host, this->request->target);
+    return route == nullptr ? 1 : std::max<std::size_t>(1, route->shards.size());
+}
+
+bool FrontConnection::admitToService()
+{
+    const std::size_t endpoints = this->endpointCount();
+    this->requestBytes = (1 + endpoints) * memoryOf(*this->request);
+    const auto shortage
+        = this->context.budget.startServing(*this, this->connectionBytes() + this->requestBytes, endpoints);
+    if (!shortage) {
+        return true;
+    }
+    this->refuse(*shortage == ConnectionBudget::Resource::Memory ? Refusal::MemoryExceeded
+                                                                 : Refusal::TooManyConnections);
+    return false;
+}
+
 void FrontConnection::sendReply(const ForwardReply &reply)
 {
     if (this->state != State::Serving) {
@@ -216,6 +346,9 @@
     ForwardReply reply;
     reply.refusal = refusal;
     reply.notRun = true;
+    if (refusal == Refusal::MemoryExceeded || refusal == Refusal::TooManyConnections) {
+        reply.retryAfter = shortageRetryAfter;
+    }
     this->write(this->context.codec.encode(reply, this->request.get()), false);
 }
 
@@ -226,7 +359,14 @@
     this->response = std::move(message);
     this->response.keep_alive(this->keepAlive);
     preparePayload(this->response, this->method);
+    this->parser.reset();
+    this->request.reset();
+    this->requestBytes = 0;
     this->armTimer(writeTimeout);
+    this->updateBudget();
+    if (this->state != State::Writing) {
+        return;
+    }
     http::async_write(this->socket,
                       this->response,
                       [self = this->shared_from_this()](const boost::system::error_code &error, std::size_t) {
@@ -240,7 +380,7 @@
         this->countedInFlight = false;
         --this->context.requestsInFlight;
     }
-    this->request.reset();
+    this->response = {};
     if (this->state != State::Writing) {
         return;
     }
@@ -253,7 +393,7 @@
         return;
     }
     this->beginRequest();
-    if (this->buffer.size() > 0) {
+    if (this->state == State::Reading && this->buffer.size() > 0) {
         this->parse();
     }
     this->startRead();
@@ -294,6 +434,7 @@
     boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->armTimer(lingerTime);
+    this->updateBudget();
     this->startRead();
 }
 
@@ -349,6 +490,7 @@
     this->timer.cancel();
     boost::system::error_code ignored;
     this->socket.close(ignored);
+    this->updateBudget();
     this->onClosed(this);
 }
 
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -4,6 +4,7 @@
 #include "core/latencyhistogram.h"
 #include "forwarding/forwarder.h"
 #include "gateway/codecs.h"
+#include "gateway/connectionbudget.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +24,8 @@
     const CallerCodec &codec;
     /// Time from a completely received request to its reply.
     LatencyHistogram &requestDurations;
+    /// Bounds what the connections of all listeners hold.
+    ConnectionBudget &budget;
     /// True while the instance shuts down: each connection is closed after its reply.
     bool shuttingDown = false;
     /// Requests that were received completely since the start.
@@ -35,15 +38,19 @@
  * A connection of a caller. It serves one request at a time and cancels the request if the caller disconnects.
  * Thread safety: none; used on the thread of the request loop.
  */
-class FrontConnection : public std::enable_shared_from_this<FrontConnection>
+class FrontConnection : public std::enable_shared_from_this<FrontConnection>, private ConnectionBudget::Holder
 {
 public:
     using ClosedCallback = std::function<void(FrontConnection *)>;
 
     FrontConnection(boost::asio::ip::tcp::socket socket, FrontContext &context, ClosedCallback closed);
+    ~FrontConnection() override;
+    FrontConnection(const FrontConnection &) = delete;
+    FrontConnection &operator=(const FrontConnection &) = delete;
 
-    /// Starts reading requests. Precondition: owned by a shared pointer; called once.
-    void start();
+    /// Starts reading requests. Returns false if there are too many connections; this one is closed then, without a
+    /// callback. Precondition: owned by a shared pointer; called once.
+    bool start();
 
     /// Closes the connection unless a request is being received or served.
     void closeIfIdle();
@@ -56,6 +63,19 @@
     enum class State { Reading, Serving, Writing, Closing, Closed };
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    void endForShortage(ConnectionBudget::Resource resource) override;
+    /// Reports to the budget what the connection does and holds. May end the connection.
+    void updateBudget();
+    ConnectionBudget::Phase budgetPhase() const;
+    /// Memory of the connection without its request and its response.
+    std::size_t connectionBytes() const;
+    std::size_t receivedBytes() const;
+    /// Takes the complete request from the parser. Returns false if it is invalid.
+    bool decodeRequest();
+    /// Refuses the request unless the budget lets it be served.
+    bool admitToService();
+    /// Number of endpoints that the request is sent to at the same time.
+    std::size_t endpointCount() const;
     void startRead();
     void handleRead(const boost::system::error_code &error, std::size_t size);
     void beginRequest();
@@ -65,6 +85,8 @@
     bool hasUnknownLength() const;
     void parse();
     bool parseAvailable(boost::system::error_code &error);
+    /// Most unparsed bytes that are buffered.
+    std::size_t bufferLimit() const;
     void sendContinue();
     void serve();
     void sendReply(const ForwardReply &reply);
@@ -84,6 +106,10 @@
     boost::asio::steady_timer timer;
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
+    /// Estimated memory of the header fields in the parser.
+    std::size_t headerBytes = 0;
+    /// Memory of the request that is being served, with its copies.
+    std::size_t requestBytes = 0;
     State state = State::Reading;
     bool reading = false;
     bool requestStarted = false;
--- a/Source/gateway/frontserver.cpp
+++ b/Source/gateway/frontserver.cpp
@@ -15,6 +15,8 @@
 
 /// Length of the accept queue; a full queue delays the connections of callers by seconds.
 constexpr int backlog = 1024;
+/// Delay of the next accept after one that has failed.
+constexpr Duration acceptRetryDelay = Milliseconds(50);
 
 }
 
@@ -32,6 +34,7 @@
 
 FrontServer::FrontServer(asio::io_context &io, FrontContext &frontContext)
     : acceptor(io)
+    , acceptTimer(io)
     , context(frontContext)
 {
 }
@@ -43,15 +46,30 @@
             return;
         }
         if (error) {
-            this->context.counters.counter("lycheewall_front_accept_errors_total").add();
-            Log::component("front").warn("Could not accept a caller connection: " + error.message() + ".");
-        } else {
-            this->addConnection(std::move(socket));
+            this->handleAcceptError(error);
+            return;
         }
+        this->addConnection(std::move(socket));
         this->accept();
     });
 }
 
+void FrontServer::handleAcceptError(const boost::system::error_code &error)
+{
+    this->context.counters.counter("lycheewall_front_accept_errors_total").add();
+    Log::component("front").warn("Could not accept a caller connection: " + error.message() + ".");
+    if (error == asio::error::no_descriptors) {
+        this->context.budget.releaseDescriptors();
+    }
+    // The connection stays in the queue, so that the next accept would fail at once.
+    this->acceptTimer.expires_after(acceptRetryDelay);
+    this->acceptTimer.async_wait([this](const boost::system::error_code &waitError) {
+        if (!waitError && this->acceptor.is_open()) {
+            this->accept();
+        }
+    });
+}
+
 void FrontServer::addConnection(asio::ip::tcp::socket socket)
 {
     const auto connection = std::make_shared<FrontConnection>(
@@ -59,7 +77,9 @@
             this->connections.erase(closedConnection);
         });
     this->connections[connection.get()] = connection;
-    connection->start();
+    if (!connection->start()) {
+        this->connections.erase(connection.get());
+    }
 }
 
 void FrontServer::finishRequests()
--- a/Source/gateway/frontserver.h
+++ b/Source/gateway/frontserver.h
@@ -36,9 +36,11 @@
 private:
     FrontServer(boost::asio::io_context &io, FrontContext &context);
     void accept();
+    void handleAcceptError(const boost::system::error_code &error);
     void addConnection(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer acceptTimer;
     FrontContext &context;
     std::unordered_map<FrontConnection *, std::shared_ptr<FrontConnection>> connections;
 };
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -108,11 +108,22 @@
     , rateLimitShare(members)
     , directory(activeInstances)
     , feedServer(clock, timers, replica, freshness)
-    , frontContext { clock, counters, forwarder, codecs.callers, requestDurations }
+    , connectionBudget(clock, counters, ConnectionLimits())
+    , frontContext { clock, counters, forwarder, codecs.callers, requestDurations, connectionBudget }
     , signals(io)
     , cpuMeter(clock)
 {
     this->replica.setListener([this](const FeedEvent &event) { this->feedApplier.apply(event); });
+    this->connectionBudget.setEndpointSockets([this] { return this->pool.connectionCount(); });
+    this->applyMachineLimits();
+}
+
+void Gateway::applyMachineLimits()
+{
+    const ConnectionLimits limits
+        = ConnectionLimits::ofMachine(this->settings.memoryLimitBytes, this->settings.maxDescriptors);
+    this->connectionBudget.setLimits(limits);
+    this->pool.setResponseMemoryLimit(limits.responseBytes);
 }
 
 Result<void> Gateway::start()
@@ -189,7 +200,7 @@
         if (address.empty()) {
             return success();
         }
-        auto server = AuxiliaryServer::create(this->io, address, std::move(handler));
+        auto server = AuxiliaryServer::create(this->io, address, this->connectionBudget, std::move(handler));
         if (!server) {
             return server.error();
         }
@@ -323,7 +334,17 @@
 {
     respond({ statusOk,
               "text/plain; version=0.0.4",
-              this->counters.exposition() + this->requestDurations.exposition("lycheewall_front_duration_ms") });
+              this->counters.exposition() + this->connectionGauges()
+                  + this->requestDurations.exposition("lycheewall_front_duration_ms") });
+}
+
+std::string Gateway::connectionGauges() const
+{
+    const auto gauge = [](const std::string &name, std::size_t value) {
+        return "# TYPE " + name + " gauge\n" + name + ' ' + std::to_string(value) + '\n';
+    };
+    return gauge("lycheewall_front_open_connections", this->connectionBudget.connectionCount())
+        + gauge("lycheewall_front_held_bytes", this->connectionBudget.heldBytes());
 }
 
 void Gateway::awaitSignal()
@@ -362,8 +383,12 @@
     this->settings.shutdownServingTime = reloaded->shutdownServingTime;
     this->settings.shutdownTimeout = reloaded->shutdownTimeout;
     this->settings.addressTtl = reloaded->addressTtl;
+    this->settings.memoryLimitBytes = reloaded->memoryLimitBytes;
+    this->settings.maxDescriptors = reloaded->maxDescriptors;
+    this->applyMachineLimits();
     logger().info(
-        "Reloaded the settings: retry limits, feed age limits, seeds, shutdown times and the address TTL take effect.");
+        "Reloaded the settings: retry limits, feed age limits, seeds, shutdown times, the address TTL and the "
+        "limits of memory and descriptors take effect.");
 }
 
 void Gateway::logCounters()
@@ -371,6 +396,8 @@
     std::ostringstream cpuUsage;
     cpuUsage << "request-cores=" << this->requestLoad.cores() << " control-cores=" << this->requestLoad.controlCores()
              << " available-cores=" << this->self.cpuUsage.availableCores
+             << " connections=" << this->connectionBudget.connectionCount()
+             << " held-bytes=" << this->connectionBudget.heldBytes()
              << " carries-work=" << (this->activeInstances.isSelfActive() ? "yes" : "no");
     logger().info("Counters: " + cpuUsage.str() + ' ' + this->counters.summary());
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -82,6 +82,9 @@
     void awaitSignal();
     void reloadSettings();
     void logCounters();
+    void applyMachineLimits();
+    /// What all accepted connections hold, in the format of the metrics.
+    std::string connectionGauges() const;
     void beginShutdown();
     void stopServing();
     void stopWhenRequestsFinished();
@@ -119,6 +122,7 @@
     RateLimitShare rateLimitShare;
     InstanceDirectory directory;
     PeerFeedServer feedServer;
+    ConnectionBudget connectionBudget;
     FrontContext frontContext;
     std::unique_ptr<DatagramSocket> datagrams;
     std::unique_ptr<Gossip> gossip;
--- a/Source/gateway/gatewaysettings.h
+++ b/Source/gateway/gatewaysettings.h
@@ -29,6 +29,10 @@
     std::vector<std::string> seeds;
     /// CPU capacity that this process may use, in cores.
     double cpuCores = 1;
+    /// Memory and descriptors that this process may use. They bound the connections that it accepts; see
+    /// ConnectionLimits.
+    std::size_t memoryLimitBytes = std::size_t { 256 } * 1024 * 1024;
+    std::size_t maxDescriptors = 4096;
     FleetRetryLimits retryLimits;
     ForwarderSettings forwarding;
     FeedReaderSettings feed;
--- a/Source/gateway/responsememory.cpp
+++ b/Source/gateway/responsememory.cpp
@@ -3,6 +3,11 @@
 namespace Lycheewall
 {
 
+void ResponseMemory::setTotalLimit(std::size_t bytes)
+{
+    this->totalLimit = bytes;
+}
+
 void ResponseMemory::update(Holder &holder, std::size_t bytes)
 {
     if (bytes == holder.heldBytes) {
@@ -17,7 +22,7 @@
     if (bytes > maxResponseBytes) {
         holder.giveUpResponse();
     }
-    while (this->total > maxTotalBytes) {
+    while (this->total > this->totalLimit) {
         this->holdersBySize.rbegin()->second->giveUpResponse();
     }
 }
--- a/Source/gateway/responsememory.h
+++ b/Source/gateway/responsememory.h
@@ -32,9 +32,12 @@
 
     /// Greatest size of a response.
     static constexpr std::size_t maxResponseBytes = std::size_t { 4 } * 1024 * 1024;
-    /// Greatest size of all incomplete responses together. An instance has 160 MB of memory or more.
+    /// Greatest size of all incomplete responses together, unless setTotalLimit() sets another one.
     static constexpr std::size_t maxTotalBytes = std::size_t { 32 } * 1024 * 1024;
 
+    /// Sets the greatest size of all incomplete responses together. Takes effect at the next update().
+    void setTotalLimit(std::size_t bytes);
+
     /// Sets the size of the incomplete response of @p holder; 0 if it has none. Calls giveUpResponse() of @p holder if
     /// the response is too large, and of the holders of the largest responses, which may include @p holder, while all
     /// together are too large.
@@ -46,6 +49,7 @@
 private:
     std::set<std::pair<std::size_t, Holder *>> holdersBySize;
     std::size_t total = 0;
+    std::size_t totalLimit = maxTotalBytes;
 };
 
 }
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 
 namespace Lycheewall
 {
@@ -17,6 +18,9 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+constexpr std::size_t machineBytes = std::size_t { 256 } * 1024 * 1024;
+constexpr std::size_t machineDescriptors = 4096;
+
 /// A caller codec whose replies hold the body of the response, or the code of the refusal.
 class TestCallerCodec : public CallerCodec
 {
@@ -88,13 +92,17 @@
     Forwarder forwarder { {}, context, freshness };
     LatencyHistogram requestDurations;
     TestCallerCodec codec;
-    FrontContext front { clock, counters, forwarder, codec, requestDurations };
+    ConnectionBudget budget { clock, counters, ConnectionLimits::ofMachine(machineBytes, machineDescriptors) };
+    FrontContext front { clock, counters, forwarder, codec, requestDurations, budget };
     std::unique_ptr<FrontServer> server;
     tcp::socket socket { io };
     std::string received;
     bool reachedEndOfStream = false;
 };
 
+constexpr std::size_t largeBodyBytes = std::size_t { 256 } * 1024;
+const std::string headOfLargeBody
+    = "POST /x HTTP/1.1\r\nHost: host\r\nContent-Length: " + std::to_string(largeBodyBytes) + "\r\n\r\n";
 const std::string plainRequest = "GET /x HTTP/1.1\r\nHost: host\r\n\r\n";
 
 }
@@ -293,6 +301,71 @@
     BOOST_TEST(runUntil(this->io, [this] { return this->server->connectionCount() == 0; }));
 }
 
+// Guards against memory that grows with bodies whose last byte does not arrive, and against a refusal that does not
+// state the reason.
+BOOST_FIXTURE_TEST_CASE(incompleteRequestIsRefusedWhenMemoryIsShort, Fixture)
+{
+    this->tableContent.limits.bodyBytes = largeBodyBytes;
+    this->forwarder.setTable(this->table());
+    this->budget.setLimits({ largeBodyBytes / 2, largeBodyBytes, 100 });
+    this->send(headOfLargeBody + std::string(largeBodyBytes - 1, 'x'));
+    BOOST_TEST(this->receiveUntil("memory-exceeded"));
+    BOOST_TEST(this->endpointSender.calls.empty());
+    BOOST_TEST(runUntil(this->io, [this] { return this->budget.heldBytes() < largeBodyBytes / 2; }));
+}
+
+// Guards against header fields that are counted by their bytes only: their nodes need many times more.
+BOOST_FIXTURE_TEST_CASE(countsMemoryOfSmallHeaderFields, Fixture)
+{
+    constexpr std::size_t fields = 5000;
+    this->tableContent.limits.headerBytes = 8 * fields;
+    this->forwarder.setTable(this->table());
+    std::string head = "GET /x HTTP/1.1\r\n";
+    for (std::size_t count = 0; count < fields; ++count) {
+        head += "a:\r\n";
+    }
+    this->send(head);
+    BOOST_TEST(runUntil(this->io, [this] { return this->budget.heldBytes() > 64 * fields; }));
+}
+
+// Guards against a request that is passed on although the memory for its body and the copies of it is missing.
+BOOST_FIXTURE_TEST_CASE(requestBeyondMemoryIsRefusedAsNotRun, Fixture)
+{
+    this->tableContent.limits.bodyBytes = largeBodyBytes;
+    this->forwarder.setTable(this->table());
+    const std::string request = headOfLargeBody + std::string(largeBodyBytes, 'x');
+    this->budget.setLimits({ 3 * largeBodyBytes, largeBodyBytes, 100 });
+    this->send(request);
+    BOOST_REQUIRE(this->waitForCalls(1));
+    tcp::socket second(this->io);
+    second.connect({ boost::asio::ip::address_v4::loopback(), this->server->port() });
+    boost::asio::write(second, boost::asio::buffer(request));
+    std::swap(this->socket, second);
+    this->socket.non_blocking(true);
+    BOOST_TEST(this->receiveUntil("memory-exceeded"));
+    BOOST_TEST(this->endpointSender.calls.size() == 1U);
+    std::swap(this->socket, second);
+    this->call(0).finish(CallResult::Answered, 200, "served");
+    BOOST_TEST(this->receiveUntil("served"));
+}
+
+// Guards against running out of descriptors for clients that connect and send nothing, and against a request in flight
+// that is cut for them.
+BOOST_FIXTURE_TEST_CASE(idleConnectionsAreClosedWhenDescriptorsAreShort, Fixture)
+{
+    this->budget.setLimits({ largeBodyBytes, largeBodyBytes, 16 });
+    this->send(plainRequest);
+    BOOST_REQUIRE(this->waitForCalls(1));
+    std::deque<tcp::socket> idle;
+    for (int count = 0; count < 40; ++count) {
+        idle.emplace_back(this->io).connect({ boost::asio::ip::address_v4::loopback(), this->server->port() });
+        runFor(this->io, std::chrono::milliseconds(1));
+        BOOST_TEST(this->server->connectionCount() <= 12U);
+    }
+    this->call(0).finish(CallResult::Answered, 200, "served");
+    BOOST_TEST(this->receiveUntil("served"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/gateway/peerfeedtest.cpp
+++ b/Tests/gateway/peerfeedtest.cpp
@@ -15,12 +15,16 @@
 namespace
 {
 
+constexpr std::size_t machineBytes = std::size_t { 256 } * 1024 * 1024;
+constexpr std::size_t machineDescriptors = 4096;
+
 struct Fixture
 {
     Fixture()
     {
         this->server = AuxiliaryServer::create(this->io,
                                                "127.0.0.1:0",
+                                               this->budget,
                                                [this](const std::string &target, AuxiliaryServer::Respond respond) {
                                                    this->feedServer.handle(target, std::move(respond));
                                                })
@@ -40,6 +44,8 @@
     boost::asio::io_context io;
     BootTimeClock clock;
     AsioTimerService timers { io };
+    Counters counters;
+    ConnectionBudget budget { clock, counters, ConnectionLimits::ofMachine(machineBytes, machineDescriptors) };
     FeedReplica replica;
     FeedFreshness freshness { clock };
     PeerFeedServer feedServer { clock, timers, replica, freshness };
