Gateway: Release the parsers of ended connections at once

The auxiliary servers also read 1 KiB at a time now, and an operation that had completed before its connection was ended has no effect any more.

--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -26,7 +26,8 @@
 constexpr int backlog = 1024;
 /// Delay of the next accept after one that has failed.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-constexpr std::size_t readSize = 4096;
+/// Requests are short.
+constexpr std::size_t readSize = 1024;
 constexpr std::uint32_t headerLimit = 16 * 1024;
 /// Time from the first bytes of a request to its end.
 constexpr auto requestTimeout = std::chrono::seconds(5);
@@ -82,7 +83,8 @@
         this->stream.async_read_some(
             this->buffer.prepare(readSize),
             [self = this->shared_from_this()](const beast::error_code &error, std::size_t size) {
-                if (!error) {
+                // The read may have ended before the connection was closed.
+                if (!error && self->phase != Phase::Closed) {
                     self->buffer.commit(size);
                     self->parse();
                 }
@@ -151,7 +153,7 @@
         http::async_write(this->stream,
                           this->response,
                           [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-                              if (!error && self->keepAlive) {
+                              if (!error && self->keepAlive && self->phase != Phase::Closed) {
                                   self->response = {};
                                   self->beginRequest();
                               }
@@ -162,15 +164,16 @@
     {
         this->phase = newPhase;
         const std::size_t bytes = sizeof(Connection) + socketMemoryBytes + this->buffer.capacity()
-            + memoryOf(this->parser->get()) + this->response.body().capacity();
+            + (this->parser ? memoryOf(this->parser->get()) : 0) + this->response.body().capacity();
         this->budget.update(*this, newPhase, bytes);
     }
 
     void endForShortage(ConnectionBudget::Resource /*resource*/) override
     {
-        this->phase = Phase::Closed;
-        this->budget.update(*this, Phase::Closed, sizeof(Connection) + this->response.body().capacity());
+        // No pending operation uses the parser. The others release their memory when the event loop has ended them.
+        this->parser.reset();
         this->stream.close();
+        this->updateBudget(Phase::Closed);
     }
 
     beast::tcp_stream stream;
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -483,6 +483,7 @@
         return;
     }
     this->state = State::Closed;
+    this->parser.reset();
     if (this->countedInFlight) {
         this->countedInFlight = false;
         --this->context.requestsInFlight;
