Forwarding: Let the slack accrue only at the share of its time

Cause: a budget that was used for the first time, or again after a while, counted all the time before at the present share. An instance that becomes active in place of a lost one had at once what the lost one may have spent already: 30 extra attempts of a slack of 56 for a service that it had no or few requests for. Besides, a service with requests accrued at a share of up to an eighth until the instance had joined the fleet; with the random fraction at the start, 400 instances that restart every 3 s exceeded the limit.

The buckets are refilled before the share or the limits change, and no slack accrues to any service in the first 3 s. Services that are not in use yet have a bucket in common, which has no minimum capacity.

SecondAttemptTest, shardRetryWaitsForBudget and firstExtraAttemptsOfFleetAreSpread begin 3 s after the start of the instance, because they need a budget that accrues; what they check is unchanged.

--- a/Source/forwarding/fleetretrybudget.cpp
+++ b/Source/forwarding/fleetretrybudget.cpp
@@ -13,8 +13,8 @@
 constexpr double usedRatioFraction = 0.85;
 constexpr double usedCapacityFraction = 0.55;
 constexpr double usedRefillFraction = 0.25;
-/// A new instance has learned the size of the fleet after this time. Until then its share may be much too large, and
-/// the slack does not accrue to services without requests.
+/// A new instance has learned the size of the fleet after this time. Until then its share may be much too large, so the
+/// slack does not accrue.
 constexpr Duration shareSettlingTime = std::chrono::seconds(3);
 /// The expected wait of a budget that is not refilled.
 constexpr double longestWaitSeconds = 3600;
@@ -25,17 +25,22 @@
     : limits(retryLimits)
     , clock(budgetClock)
     , random(budgetRandom)
-    , accruesFrom(budgetClock.now() + shareSettlingTime)
 {
+    this->unusedBucket.refilledAt = budgetClock.now() + shareSettlingTime;
 }
 
 void FleetRetryBudget::setLimits(const FleetRetryLimits &newLimits)
 {
+    this->refillAll();
     this->limits = newLimits;
 }
 
 void FleetRetryBudget::setFleetShare(double newShare)
 {
+    if (newShare == this->fleetShare) {
+        return;
+    }
+    this->refillAll();
     this->fleetShare = newShare;
 }
 
@@ -49,22 +54,39 @@
     return usedRefillFraction * this->limits.slack * this->fleetShare / fractionalSeconds(this->limits.window);
 }
 
-FleetRetryBudget::Bucket &FleetRetryBudget::refilledBucket(const ServiceId &service)
+void FleetRetryBudget::refill(Bucket &bucket, double bucketCapacity) const
 {
     const TimePoint now = this->clock.now();
+    const double elapsed = std::max(0.0, fractionalSeconds(now - bucket.refilledAt));
+    bucket.tokens = std::min(bucket.tokens + this->refillRate() * elapsed, bucketCapacity);
+    bucket.refilledAt = std::max(bucket.refilledAt, now);
+}
+
+void FleetRetryBudget::refillAll()
+{
+    for (auto &[service, bucket] : this->buckets) {
+        this->refill(bucket, this->capacity());
+    }
+    this->refillUnusedBucket();
+}
+
+void FleetRetryBudget::refillUnusedBucket()
+{
+    // The minimum capacity of one extra attempt does not apply before the first use: added up over a large fleet, it
+    // could exceed the limit.
+    this->refill(this->unusedBucket, usedCapacityFraction * this->limits.slack * this->fleetShare);
+}
+
+FleetRetryBudget::Bucket &FleetRetryBudget::refilledBucket(const ServiceId &service)
+{
     const auto [entry, added] = this->buckets.try_emplace(service);
     Bucket &bucket = entry->second;
     if (added) {
-        // The minimum capacity of one extra attempt does not apply to the time before the first use: added up over a
-        // large fleet, it could exceed the limit.
-        const double accrued = this->refillRate() * std::max(0.0, fractionalSeconds(now - this->accruesFrom));
-        const double limit = usedCapacityFraction * this->limits.slack * this->fleetShare;
-        bucket.tokens = std::min(accrued, limit) + this->random.uniformReal();
-    } else {
-        bucket.tokens += this->refillRate() * fractionalSeconds(now - bucket.refilledAt);
+        this->refillUnusedBucket();
+        bucket.tokens = this->unusedBucket.tokens + this->random.uniformReal();
+        bucket.refilledAt = this->unusedBucket.refilledAt;
     }
-    bucket.tokens = std::min(bucket.tokens, this->capacity());
-    bucket.refilledAt = now;
+    this->refill(bucket, this->capacity());
     return bucket;
 }
 
@@ -98,7 +120,9 @@
     if (missing <= 0) {
         return Duration::zero();
     }
-    return fromSeconds(std::min(missing / std::max(this->refillRate(), 1 / longestWaitSeconds), longestWaitSeconds));
+    const double secondsToRefill = missing / std::max(this->refillRate(), 1 / longestWaitSeconds);
+    const Duration untilSettled = std::max(bucket.refilledAt - this->clock.now(), Duration::zero());
+    return untilSettled + fromSeconds(std::min(secondsToRefill, longestWaitSeconds));
 }
 
 FleetRetryBudget::WaitTicketPtr FleetRetryBudget::addWaitingRetry(const ServiceId &service)
--- a/Source/forwarding/fleetretrybudget.h
+++ b/Source/forwarding/fleetretrybudget.h
@@ -33,9 +33,9 @@
  * adds the ratio to the budget of the instance that serves it, and the slack is divided among the instances. So the sum
  * over all instances stays within the limit without any messages between them.
  *
- * The slack accrues to all services from shortly after the construction on, also before the first request. Shares are
- * often smaller than one extra attempt, so each budget begins at a random fraction of one: the extra attempts of a
- * fleet that has just started come in proportion to the time since its start.
+ * The slack accrues to all services from shortly after the construction on, also before the first request, at the share
+ * that applies at the time. Shares are often smaller than one extra attempt, so each budget begins at a random fraction
+ * of one: the extra attempts of a fleet that has just started come in proportion to the time since its start.
  *
  * No hedge is made while a retry waits for the budget: the request of the retry has nothing else to wait for.
  * Thread safety: none; used on the thread of the request loop.
@@ -76,6 +76,7 @@
     struct Bucket
     {
         double tokens = 0;
+        /// In the future until the share of a new instance has settled.
         TimePoint refilledAt;
         /// Waiting retries hold further references.
         WaitTicketPtr waitTicket = std::make_shared<WaitTicket>();
@@ -89,15 +90,20 @@
     double capacity() const;
     /// Extra attempts per second by which the slack refills a bucket.
     double refillRate() const;
+    void refill(Bucket &bucket, double bucketCapacity) const;
+    /// Refills all buckets by the present limits and share, before these change.
+    void refillAll();
+    void refillUnusedBucket();
     /// The token bucket of the service, refilled up to now.
     Bucket &refilledBucket(const ServiceId &service);
 
     FleetRetryLimits limits;
     const Clock &clock;
     Random &random;
-    TimePoint accruesFrom;
     double fleetShare = 1;
     std::unordered_map<ServiceId, Bucket> buckets;
+    /// What has accrued to each service that is not in use yet.
+    Bucket unusedBucket;
 };
 
 }
--- a/Tests/forwarding/fanoutexchangetest.cpp
+++ b/Tests/forwarding/fanoutexchangetest.cpp
@@ -109,6 +109,8 @@
     this->route.latencyObjective = Milliseconds(1500);
     this->route.timeout = std::chrono::seconds(3);
     this->retryBudget.setLimits({ 0, 50, std::chrono::seconds(10) });
+    // The retry budget of a new instance does not accrue before.
+    this->clock.advance(std::chrono::seconds(3));
     this->start();
     this->call(0).finish(CallResult::Lost);
     this->call(1).finish(CallResult::Answered, 200, middle);
--- a/Tests/forwarding/fleetretrybudgettest.cpp
+++ b/Tests/forwarding/fleetretrybudgettest.cpp
@@ -16,6 +16,8 @@
 
 const FleetRetryLimits limits { 0.2, 56, std::chrono::seconds(10) };
 
+constexpr double shareBeforeJoined = 1.0 / 8;
+
 /// Highest number of extra attempts in any window of the limits, divided by the number that the limits allow there.
 double maxUtilisation(const std::vector<double> &firstAttempts, const std::vector<double> &extraAttempts)
 {
@@ -42,6 +44,9 @@
     Duration idleTime {};
     /// Times after the first request at which all instances restart at once.
     std::vector<double> restartsAt {};
+    /// Time after a start until the instances know the size of the fleet. Until then each takes its share to be an
+    /// eighth.
+    Duration joinTime {};
     /// Each instance uses the slack of the whole fleet.
     bool ignoresFleetSize = false;
 };
@@ -52,11 +57,19 @@
     ManualClock clock;
     Random random(seed);
     std::vector<std::unique_ptr<FleetRetryBudget>> budgets(plan.instances);
+    Subscription joinTimer;
+    const auto setShares = [&](double share) {
+        for (const auto &retryBudget : budgets) {
+            retryBudget->setFleetShare(share);
+        }
+    };
+    const double finalShare = plan.ignoresFleetSize ? 1 : 1.0 / static_cast<double>(plan.instances);
     const auto restart = [&] {
         for (auto &retryBudget : budgets) {
             retryBudget = std::make_unique<FleetRetryBudget>(limits, clock, random);
-            retryBudget->setFleetShare(plan.ignoresFleetSize ? 1 : 1.0 / static_cast<double>(plan.instances));
         }
+        setShares(plan.joinTime == Duration::zero() ? finalShare : shareBeforeJoined);
+        joinTimer = clock.after(plan.joinTime, [&] { setShares(finalShare); });
     };
     restart();
     clock.advance(plan.idleTime);
@@ -120,6 +133,44 @@
     }
 }
 
+// Guards against the same when the instances know the size of the fleet only some time after each restart. Their shares
+// add up to several times the limit until then.
+BOOST_AUTO_TEST_CASE(unknownFleetSizeStaysWithinLimit)
+{
+    for (const std::uint64_t seed : { 1, 2, 3, 4 }) {
+        for (const std::size_t instances : { 84U, 400U }) {
+            FleetPlan plan;
+            plan.instances = instances;
+            plan.requestsPerSecond = static_cast<double>(instances);
+            plan.joinTime = Milliseconds(2100);
+            plan.restartsAt = { 4, 7, 10, 13, 16, 19 };
+            BOOST_TEST(simulateFleet(plan, seed) <= 1);
+        }
+    }
+}
+
+// Guards against a budget that counts the time before a rise of the share at the new share: when other instances become
+// active in place of lost ones, the fleet would use the slack of that time twice.
+BOOST_AUTO_TEST_CASE(shareDoesNotCountBackwards)
+{
+    ManualClock clock;
+    Random random(1);
+    FleetRetryBudget retryBudget(limits, clock, random);
+    retryBudget.setFleetShare(0.001);
+    const ServiceId used("used");
+    const ServiceId unused("unused");
+    retryBudget.recordFirstAttempt(used);
+    clock.advance(std::chrono::seconds(60));
+    retryBudget.setFleetShare(1);
+    for (const ServiceId &service : { used, unused }) {
+        int extraAttempts = 0;
+        while (retryBudget.tryAcquire(service)) {
+            ++extraAttempts;
+        }
+        BOOST_TEST(extraAttempts <= 1);
+    }
+}
+
 // Guards against an instance that can make no extra attempt for ten seconds and more after its first request to a
 // service, because its share of the slack only begins to accrue then.
 BOOST_AUTO_TEST_CASE(slackAccruesBeforeFirstRequest)
@@ -145,8 +196,8 @@
         budgets.back()->setFleetShare(1.0 / 56);
         BOOST_TEST(!budgets.back()->tryAcquire(ServiceId("s")));
     }
-    // Each instance accrues an eighth of an extra attempt in this time.
-    clock.advance(std::chrono::seconds(5));
+    // Each instance accrues an eighth of an extra attempt in the last five seconds of this time.
+    clock.advance(std::chrono::seconds(8));
     const auto count = std::count_if(
         budgets.begin(), budgets.end(), [](const auto &budget) { return budget->tryAcquire(ServiceId("s")); });
     constexpr double expected = instances / 8.0;
--- a/Tests/forwarding/secondattempttest.cpp
+++ b/Tests/forwarding/secondattempttest.cpp
@@ -28,6 +28,8 @@
         for (int sample = 0; sample < 30; ++sample) {
             this->latencies.record(this->route.name, Milliseconds(200));
         }
+        // The retry budget of a new instance does not accrue before.
+        this->clock.advance(std::chrono::seconds(3));
     }
 
     ~SecondAttemptFixture()
