Forwarding: Bound the wait for the retry budget by the deadline

Cause: the wait was bounded by the latency objective only. A request whose deadline is earlier waited for a budget that could not help it any more, and its caller got 504 at the deadline in place of 502 at once.

A request waits only if a retry can still get a response before the deadline.

failsAtOnceWhenBudgetComesAfterDeadline failed before (no reply after the crash). test_forwarding passes.

--- a/Source/forwarding/retrypolicy.cpp
+++ b/Source/forwarding/retrypolicy.cpp
@@ -38,6 +38,8 @@
     if (limit <= Duration::zero()) {
         limit = (request.deadline - now) / remainingTimeDivisor;
     }
+    // A retry that starts later cannot get a response before the deadline.
+    limit = std::min(limit, request.deadline - callerRoundTrip - typicalLatency - now);
     if (!mayHaveRun) {
         limit = std::min(limit, arrivedAt + objective / notRunObjectiveDivisor - now);
     }
--- a/Source/forwarding/retrypolicy.h
+++ b/Source/forwarding/retrypolicy.h
@@ -10,9 +10,9 @@
 Duration implausibleLatency(const LatencyModel &latencies, const Route &route);
 
 /// How long a failed request may wait for the retry budget without making the caller's result worse: until its retry
-/// would miss the latency objective or, once that cannot be reached any more, for a fraction of the remaining time. A
-/// caller that gets the failure instead can repeat the request itself. @p typicalLatency is that of one attempt; @p
-/// mayHaveRun is false if the request can be refused as not run.
+/// would miss the latency objective or, once that cannot be reached any more, for a fraction of the remaining time. The
+/// retry can always get a response before the deadline. A caller that gets the failure instead can repeat the request
+/// itself. @p typicalLatency is that of one attempt; @p mayHaveRun is false if the request can be refused as not run.
 Duration retryBudgetWaitLimit(const AdmittedRequest &request, Duration typicalLatency, bool mayHaveRun, TimePoint now);
 
 }
--- a/Tests/forwarding/secondattempttest.cpp
+++ b/Tests/forwarding/secondattempttest.cpp
@@ -115,6 +115,16 @@
     BOOST_TEST(this->isAnsweredWith(Refusal::OutcomeUnknown));
 }
 
+// Guards against a caller that is held to a deadline before the latency objective, by a wait for a budget that comes
+// too late for the retry.
+BOOST_AUTO_TEST_CASE(failsAtOnceWhenBudgetComesAfterDeadline)
+{
+    this->route.timeout = Milliseconds(500);
+    this->retryBudget.setFleetShare(largeShare);
+    this->startAndCrash();
+    BOOST_TEST(this->isAnsweredWith(Refusal::OutcomeUnknown));
+}
+
 // Guards against a wait until the deadline when other requests use up the budget meanwhile.
 BOOST_AUTO_TEST_CASE(waitForBudgetEndsBeforeObjective)
 {
