Forwarding: End the wait for the budget when a response is possible

Cause: a request whose endpoint is registered again, or no longer counts as gone, kept its place among the retries that wait for the budget until its end. It denied hedges to all requests to the service, its own included, and a later wait had its time used up.

waitForBudgetEndsWhenEndpointIsBack failed before (no hedge, although the budget allowed it). test_forwarding passes.

--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -280,6 +280,7 @@
         return;
     }
     if (this->isResponsePossible()) {
+        this->budgetWait.reset();
         return;
     }
     if (result == StartResult::BudgetExhausted && this->waitForBudget()) {
@@ -443,6 +444,7 @@
         attempt->observeRegistration(this->context.endpoints, this->context.clock.now());
     }
     if (this->isResponsePlausible()) {
+        this->budgetWait.reset();
         this->tryHedge();
     } else {
         this->retryOrFinish();
--- a/Tests/forwarding/secondattempttest.cpp
+++ b/Tests/forwarding/secondattempttest.cpp
@@ -264,6 +264,28 @@
     BOOST_TEST(this->replies.front().response.has_value());
 }
 
+// Guards against hedges that are denied until the end of a request that has waited for the budget, although it has its
+// endpoint back and needs no retry.
+BOOST_AUTO_TEST_CASE(waitForBudgetEndsWhenEndpointIsBack)
+{
+    this->removeBudget();
+    this->start();
+    const EndpointRecord record = this->call(0).call.endpoint->record;
+    this->clock.advance(std::chrono::seconds(2));
+    this->replaceEndpointOf(0);
+    this->retryBudget.setLimits({ 0, 10, std::chrono::seconds(10) });
+    this->retryBudget.setFleetShare(1);
+    this->clock.advance(Milliseconds(200));
+    BOOST_TEST(this->counters.value("lycheewall_forwarding_budget_waits_total") == 1U);
+    this->endpoints.addOrUpdate(record, this->clock.now());
+    this->clock.advance(Milliseconds(100));
+    BOOST_TEST(this->replies.empty());
+    this->retryBudget.setLimits({ 1, 208, std::chrono::seconds(10) });
+    this->retryBudget.recordFirstAttempt(ServiceId("s1"));
+    this->retryBudget.recordFirstAttempt(ServiceId("s1"));
+    BOOST_TEST(this->retryBudget.tryAcquire(ServiceId("s1"), ExtraAttempt::Hedge));
+}
+
 // Guards against a request that ends early because a registered endpoint is silent: it may still respond.
 BOOST_AUTO_TEST_CASE(silenceAloneDoesNotEndRequest)
 {
