--- a/Tests/platform/storefeedtest.cpp
+++ b/Tests/platform/storefeedtest.cpp
@@ -10,6 +10,21 @@
 
 BOOST_AUTO_TEST_SUITE(StoreFeedTest)
 
+namespace
+{
+
+/// The response to a list or a watch without entries, with the header field @p field.
+std::string responseWith(const std::string &field)
+{
+    const std::string body = R"({"events":[],"items":[],"At":9})";
+    std::string response = "HTTP/1.1 200 OK\r\n";
+    response += field;
+    response += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    return response + body;
+}
+
+}
+
 // Guards against an era that is misread, and against a response with an unreadable one that is taken for one without.
 BOOST_AUTO_TEST_CASE(responsesNameTheEra)
 {
@@ -23,10 +38,7 @@
     };
     for (const auto &[field, expected] : cases) {
         boost::asio::io_context io;
-        const std::string body = R"({"events":[],"items":[],"At":9})";
-        const std::string response
-            = "HTTP/1.1 200 OK\r\n" + field + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        RawHttpServer server(io, [&response](int) { return response; });
+        RawHttpServer server(io, [text = responseWith(field)](int) -> std::string { return text; });
         StoreFeedSource feed(io, server.address());
         StoreRevisionSource positions(io, server.address());
         std::optional<Result<FeedBatch>> batch;
