--- a/Source/feed/feedapplier.cpp
+++ b/Source/feed/feedapplier.cpp
@@ -11,6 +11,9 @@
 /// Endpoints whose entries expired while the store was unavailable register again within about two seconds after it is
 /// available again.
 constexpr Duration removalGracePeriod = Milliseconds(2200);
+/// An endpoint that runs writes its state again with its next heartbeat, and the older entry of one that has left
+/// expires after three heartbeat intervals. The time is counted from the listing, so it is longer than both.
+constexpr Duration olderRecordGracePeriod = Milliseconds(4500);
 /// Operators write an evacuation that the store has lost again within this time. Longer than the time for endpoints: an
 /// early end sends requests into the zone, a late one leaves its endpoints idle for a while.
 constexpr Duration evacuationGracePeriod = std::chrono::seconds(5);
@@ -36,7 +39,7 @@
 void FeedApplier::storeRestored()
 {
     this->storeRecovered();
-    this->deferOlderRecordsUntil = this->deferRemovalsUntil;
+    this->deferOlderRecordsUntil = this->context.clock.now() + olderRecordGracePeriod;
     this->deferEvacuationEndsUntil = this->context.clock.now() + evacuationGracePeriod;
     // What was written again since an earlier restoration may be lost again.
     for (const auto &[id, change] : this->deferredChanges) {
@@ -131,10 +134,11 @@
 
 void FeedApplier::deferChange(const EndpointId &id, std::optional<EndpointRecord> record)
 {
+    const TimePoint until = record ? this->deferOlderRecordsUntil : this->deferRemovalsUntil;
     DeferredChange &change = this->deferredChanges[id];
     change.record = std::move(record);
-    change.timer = this->context.timers.after(this->deferRemovalsUntil - this->context.clock.now(),
-                                              [this, id] { this->applyDeferredChange(id); });
+    change.timer
+        = this->context.timers.after(until - this->context.clock.now(), [this, id] { this->applyDeferredChange(id); });
 }
 
 void FeedApplier::applyDeferredChange(const EndpointId &id)
--- a/Source/feed/feedreplica.cpp
+++ b/Source/feed/feedreplica.cpp
@@ -43,6 +43,7 @@
     this->byRevision.erase({ entry.revision, event.key });
     this->removals.erase({ entry.revision, event.key });
     entry = event;
+    this->removedBeforeListing.erase(event.key);
     this->byRevision.emplace(event.revision, event.key);
     if (event.deleted) {
         this->removals.emplace(event.revision, event.key);
@@ -112,7 +113,11 @@
     // A listing does not name the entries that were added and removed since the previous one, so other instances cannot
     // resume from an earlier revision.
     while (!this->removals.empty()) {
-        this->forgetRemoval(std::pair<Revision, std::string>(*this->removals.begin()));
+        const std::pair<Revision, std::string> removal = *this->removals.begin();
+        this->forgetRemoval(removal);
+        if (this->removedBeforeListing.size() < maxRemovals) {
+            this->removedBeforeListing.insert(removal.second);
+        }
     }
 }
 
@@ -123,15 +128,16 @@
     this->byRevision.clear();
     this->removals.clear();
     for (const FeedEvent &item : items) {
+        FeedEvent event = item;
+        event.reappeared = this->removedBeforeListing.count(item.key) > 0;
         this->store(item);
         const auto before = previous.find(item.key);
         if (before == previous.end()) {
-            this->notify(item);
+            this->notify(event);
             continue;
         }
         const FeedEvent &entry = before->second;
         if (entry.deleted || entry.revision != item.revision || entry.value != item.value) {
-            FeedEvent event = item;
             event.reappeared = entry.deleted;
             this->notify(event);
         }
--- a/Source/feed/feedreplica.h
+++ b/Source/feed/feedreplica.h
@@ -71,6 +71,8 @@
     /// Revisions and keys of the entries, and of the removals among them.
     std::set<std::pair<Revision, std::string>> byRevision;
     std::set<std::pair<Revision, std::string>> removals;
+    /// Keys of removals that a listing has ended. An older copy of the store may still hold their entries.
+    std::set<std::string> removedBeforeListing;
     /// Removals up to this revision may have been forgotten.
     Revision historyStart = 0;
     FeedPosition currentPosition;
--- a/Tests/feed/feedappliertest.cpp
+++ b/Tests/feed/feedappliertest.cpp
@@ -171,13 +171,31 @@
     BOOST_TEST(this->endpoints.find(EndpointId("restarted"))->record.processStartMs == 20);
     this->clock.advance(Milliseconds(1000));
     this->apply("endpoint/drains", "draining");
-    this->clock.advance(Milliseconds(1500));
+    this->clock.advance(Milliseconds(3400));
+    BOOST_TEST(!this->isAvailable("removed"));
+    BOOST_TEST(this->endpoints.find(EndpointId("restarted"))->record.processStartMs == 20);
+    this->clock.advance(Milliseconds(200));
     BOOST_TEST(!this->isAvailable("drains"));
     // These were not written again, so the store is right.
     BOOST_TEST(this->isAvailable("removed"));
     BOOST_TEST(this->endpoints.find(EndpointId("restarted"))->record.processStartMs == 10);
 }
 
+// Guards against requests to an endpoint that has left without a drain, and keeps serving for a while. The store has
+// lost its removal, and its entry expires in the store after three heartbeat intervals of 1200 ms.
+BOOST_FIXTURE_TEST_CASE(lostRemovalContinuesUntilEntryExpires, Fixture)
+{
+    this->feedApplier.storeRestored();
+    FeedEvent removedBefore { "endpoint/left", "", 1, false };
+    removedBefore.reappeared = true;
+    this->feedApplier.apply(removedBefore);
+    this->clock.advance(Milliseconds(3700));
+    BOOST_TEST(!this->isAvailable("left"));
+    this->apply("endpoint/left", "", true);
+    this->clock.advance(std::chrono::seconds(5));
+    BOOST_TEST(!this->isAvailable("left"));
+}
+
 // Guards against the removal of endpoints that have registered again, when the store goes back once more and loses that
 // too.
 BOOST_FIXTURE_TEST_CASE(secondRestorationDefersAgain, Fixture)
--- a/Tests/feed/feedreplicatest.cpp
+++ b/Tests/feed/feedreplicatest.cpp
@@ -142,6 +142,17 @@
     BOOST_TEST(!this->replica.hasChangesAfter({ StoreEra(1), 6 }));
 }
 
+// Guards against an entry whose removal was seen in a listing, and that is taken for new when the store goes back.
+BOOST_FIXTURE_TEST_CASE(removalSeenInListingIsKnownInNewEra, Fixture)
+{
+    this->replica.replace({ { "a", "1", 3, false } }, { {}, 12 });
+    this->received.clear();
+    this->replica.replace({ { "a", "1", 3, false }, { "b", "2", 5, false } }, { StoreEra(1), 10 });
+    BOOST_REQUIRE(this->received.size() == 1U);
+    BOOST_TEST(this->received[0].key == "b");
+    BOOST_TEST(this->received[0].reappeared);
+}
+
 // Guards against changes and listings of another era that are taken for later ones by their revisions.
 BOOST_FIXTURE_TEST_CASE(otherErasAreIgnored, Fixture)
 {
