Forwarding: Estimate service times from reported work factors

Cause: endpoints report how long work takes on their machine at the moment; parseLoad() read three figures and dropped the fourth. Slowness was learned from late responses only, by each instance for itself.

The adapter decodes the factor into LoadReport; a value that is no factor counts as malformed and leaves the request counts in use. EndpointLoad estimates the factor now from the latest report, its age and the endpoint's speed, and ignores reports that responses contradict again and again. The estimate decides the choice of endpoint, hedges and shards left out, and is the expectation for suspicion.

Ruled out: a fixed time for which reports count (EndpointLoadModel learns it), and speeds relative to the route's latency (before that is measured, all endpoints look slow; they are compared with their peers).

--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -40,6 +40,32 @@
     throttling.requestsPerSecond += endpoint.rateLimit.refillRate(share);
 }
 
+/// The endpoint with the lowest cost of those added.
+struct LowestCost
+{
+    void add(const EndpointPtr &candidate, double candidateCost)
+    {
+        if (!this->endpoint || candidateCost < this->cost) {
+            this->endpoint = candidate;
+            this->cost = candidateCost;
+        }
+    }
+
+    EndpointPtr endpoint;
+    double cost = 0;
+};
+
+/// The part of the estimated latency that is due to the work factor; negative for a fast endpoint.
+double workFactorCost(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now)
+{
+    if (!endpoint.stats.reportsWorkFactor()) {
+        return 0;
+    }
+    const double workFactor = endpoint.stats.workFactor(now + typicalLatency / 2);
+    const Duration latency = EndpointChooser::estimatedLatency(endpoint, typicalLatency, now);
+    return fractionalMilliseconds(latency) * (1 - 1 / workFactor);
+}
+
 bool contains(const std::vector<EndpointId> &ids, const EndpointId &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -56,8 +82,8 @@
 
 EndpointPtr EndpointChooser::choose(const EndpointCriteria &criteria, TimePoint now) const
 {
-    EndpointPtr best;
-    double bestCost = 0;
+    LowestCost best;
+    LowestCost bestWithoutWorkFactors;
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(criteria.service)) {
         if (!endpoint->isAvailable() || contains(criteria.excluded, endpoint->record.id)) {
             continue;
@@ -68,12 +94,13 @@
         }
         const double endpointCost
             = this->cost(*endpoint, criteria, now) + tieBreakJitterMs * this->random.uniformReal();
-        if (!best || endpointCost < bestCost) {
-            best = endpoint;
-            bestCost = endpointCost;
-        }
+        best.add(endpoint, endpointCost);
+        bestWithoutWorkFactors.add(endpoint, endpointCost - workFactorCost(*endpoint, criteria.typicalLatency, now));
     }
-    return best;
+    if (best.endpoint != bestWithoutWorkFactors.endpoint) {
+        this->endpoints.loadModel().countChangedChoice();
+    }
+    return best.endpoint;
 }
 
 std::optional<Duration>
@@ -144,7 +171,9 @@
     const double load = endpoint.stats.inFlight() + endpoint.stats.estimatedRemoteInFlight(now);
     const double slots = std::max(1, endpoint.record.slots);
     const double queuedRatio = std::max(0.0, load + 1 - slots) / slots;
-    return std::chrono::duration_cast<Duration>(typicalLatency * (warmupFactor * (1 + queuedRatio)));
+    // The factor in the middle of the run stands for all of it.
+    const double workFactor = endpoint.stats.workFactor(now + typicalLatency / 2);
+    return std::chrono::duration_cast<Duration>(typicalLatency * (warmupFactor * (1 + queuedRatio) * workFactor));
 }
 
 Duration EndpointChooser::estimatedLatency(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now)
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -67,7 +67,8 @@
     /// True if the service has an available endpoint in this zone that is neither suspect nor ejected.
     bool hasHealthyLocalEndpoint(const ServiceId &service, TimePoint now) const;
 
-    /// Latency to expect at @p endpoint from its load and warm-up, assuming that the endpoint is not slow.
+    /// Latency to expect at @p endpoint from its load, warm-up and work factor, assuming that it is not slower than it
+    /// reports.
     static Duration nominalLatency(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now);
 
     /// nominalLatency(), multiplied by the observed slowness if the endpoint is suspect.
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -53,6 +53,11 @@
     return this->backoff.canSend(this->stats.inFlight(), now) ? this->rateLimit.fillLevel(rateLimitShare, now) : 0;
 }
 
+void EndpointSet::setCounters(Counters &counters)
+{
+    this->sharedLoadModel->setCounters(counters);
+}
+
 void EndpointSet::addOrUpdate(const EndpointRecord &record, TimePoint now)
 {
     const EndpointPtr existing = this->find(record.id);
@@ -67,6 +72,11 @@
     endpoint->record = record;
     this->updateEvacuation(*endpoint);
     endpoint->coldUntil = now + record.remainingWarmup;
+    auto &serviceRatio = this->latencyRatios[record.service];
+    if (!serviceRatio) {
+        serviceRatio = std::make_shared<MeanLatencyRatio>();
+    }
+    endpoint->stats.setLoadModel(this->sharedLoadModel, serviceRatio);
     endpoint->stats.setLateListener([late = this->lateEndpoints, id = record.id] { late->insert(id); });
     this->byId[record.id] = endpoint;
     this->byService[record.service].push_back(endpoint);
@@ -127,6 +137,11 @@
     return this->byId.size();
 }
 
+EndpointLoadModel &EndpointSet::loadModel() const
+{
+    return *this->sharedLoadModel;
+}
+
 void EndpointSet::setFleetShare(double share)
 {
     this->ownFleetShare = share;
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -83,6 +83,9 @@
 class EndpointSet
 {
 public:
+    /// Counts events of the load reports in @p counters, which outlives the set.
+    void setCounters(Counters &counters);
+
     /// Adds or updates an endpoint. A new process under a known id starts with empty statistics.
     void addOrUpdate(const EndpointRecord &record, TimePoint now);
     void remove(const EndpointId &id);
@@ -99,6 +102,9 @@
 
     std::size_t size() const;
 
+    /// What was learned from the load reports of all endpoints.
+    EndpointLoadModel &loadModel() const;
+
     /// Sets this instance's share of the connections that each endpoint accepts from the whole fleet, above 0 and at
     /// most 1.
     void setFleetShare(double share);
@@ -126,6 +132,8 @@
     /// Endpoints that were late often enough to be reported. Shared with them, as requests in flight may keep an
     /// endpoint alive for longer than the set.
     std::shared_ptr<EndpointIds> lateEndpoints = std::make_shared<EndpointIds>();
+    std::unordered_map<ServiceId, std::shared_ptr<MeanLatencyRatio>> latencyRatios;
+    std::shared_ptr<EndpointLoadModel> sharedLoadModel = std::make_shared<EndpointLoadModel>();
     std::set<ZoneId> evacuatedZones;
     double ownFleetShare = 1;
     double ownRateLimitShare = 1;
--- a/Source/forwarding/endpointstats.cpp
+++ b/Source/forwarding/endpointstats.cpp
@@ -25,8 +25,6 @@
 constexpr Duration slowReportPeriod = Milliseconds(1000);
 /// Suspicion level from which an endpoint is reported as slow; a brief pause causes fewer late events.
 constexpr int minReportedSuspicion = 3;
-/// Lifetime of a load report. It is of little use once the requests that it counted have ended.
-constexpr double loadReportLifetimeSeconds = 0.15;
 /// Consecutive failures that eject an endpoint, and the first and the longest ejection time.
 constexpr int failuresBeforeEjection = 2;
 constexpr Duration minEjectionTime = Milliseconds(300);
@@ -46,9 +44,15 @@
     this->lateListener = std::move(listener);
 }
 
+void EndpointStats::setLoadModel(std::shared_ptr<EndpointLoadModel> model,
+                                 std::shared_ptr<MeanLatencyRatio> serviceRatio)
+{
+    this->load.setModel(std::move(model), std::move(serviceRatio));
+}
+
 EndpointStats::Token EndpointStats::requestStarted(TimePoint now, Duration expected)
 {
-    this->pending.push_back({ this->nextToken, now, expected });
+    this->pending.push_back({ this->nextToken, now, this->load.predict(now, expected) });
     return this->nextToken++;
 }
 
@@ -57,18 +61,24 @@
     const auto entry = std::find_if(
         this->pending.begin(), this->pending.end(), [token](const Pending &item) { return item.token == token; });
     if (entry == this->pending.end()) {
-        return { token, now, Duration(1) };
+        return { token, now, { now, Duration(1) } };
     }
     const Pending request = *entry;
     this->pending.erase(entry);
     return request;
 }
 
+double EndpointStats::latencyRatio(const Pending &request, TimePoint now) const
+{
+    return fractionalSeconds(now - request.start)
+        / fractionalSeconds(this->load.toleratedLatency(request.prediction, now));
+}
+
 void EndpointStats::requestSucceeded(Token token, TimePoint now)
 {
     const Pending request = this->removePending(token, now);
-    this->recordLatencyRatio(
-        fractionalSeconds(now - request.start) / fractionalSeconds(request.expected), request, now);
+    this->load.recordResponse(request.prediction, now);
+    this->recordLatencyRatio(this->latencyRatio(request, now), request, now);
     this->recordFailureSample(0, now);
     this->consecutiveFailures = 0;
 }
@@ -94,18 +104,16 @@
 void EndpointStats::requestCancelled(Token token, TimePoint now)
 {
     const Pending request = this->removePending(token, now);
-    const double ratio = fractionalSeconds(now - request.start) / fractionalSeconds(request.expected);
+    const double ratio = this->latencyRatio(request, now);
     // The real latency is longer than the time waited, so only a long wait is evidence.
     if (ratio > lateRatio) {
         this->recordLatencyRatio(ratio, request, now);
     }
 }
 
-void EndpointStats::updateLoad(const LoadReport &newReport, TimePoint now)
+void EndpointStats::updateLoad(const LoadReport &report, TimePoint now)
 {
-    this->report = newReport;
-    this->ownInFlightAtReport = this->inFlight();
-    this->reportReceivedAt = now;
+    this->load.update(report, this->inFlight(), now);
 }
 
 void EndpointStats::applySlowReport(double reportedSlowness, TimePoint observedAt, TimePoint probeAt)
@@ -135,10 +143,17 @@
 
 double EndpointStats::estimatedRemoteInFlight(TimePoint now) const
 {
-    const int remoteRequests = std::max(0, this->report.running + this->report.waiting - this->ownInFlightAtReport);
-    const double age = fractionalSeconds(now - this->reportReceivedAt);
-    const double lifetime = loadReportLifetimeSeconds * this->slowness();
-    return age >= lifetime ? 0 : remoteRequests * (1 - age / lifetime);
+    return this->load.remoteInFlight(now, this->slowness());
+}
+
+double EndpointStats::workFactor(TimePoint now) const
+{
+    return this->load.workFactor(now);
+}
+
+bool EndpointStats::reportsWorkFactor() const
+{
+    return this->load.reportsWorkFactor();
 }
 
 double EndpointStats::slowness() const
@@ -162,7 +177,8 @@
         return Duration::zero();
     }
     const Pending &oldest = this->pending.front();
-    const Duration excess = now - oldest.start - std::chrono::duration_cast<Duration>(oldest.expected * stallRatio);
+    const Duration tolerated = this->load.toleratedLatency(oldest.prediction, now);
+    const Duration excess = now - oldest.start - std::chrono::duration_cast<Duration>(tolerated * stallRatio);
     return std::max(excess, Duration::zero());
 }
 
--- a/Source/forwarding/endpointstats.h
+++ b/Source/forwarding/endpointstats.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "forwarding/endpointload.h"
 
 #include <cstdint>
 #include <functional>
@@ -10,14 +11,6 @@
 namespace Lycheewall
 {
 
-/// Load of an endpoint, as it reports it with a response.
-struct LoadReport
-{
-    int running = 0;
-    int waiting = 0;
-    int slots = 0;
-};
-
 /**
  * Statistics of one endpoint: requests in flight, slowness and failures as this instance has observed them, and the
  * load that the endpoint has reported.
@@ -36,6 +29,10 @@
     /// Sets a function that is called whenever a late event makes locallyObservedSlowness() return a value.
     void setLateListener(std::function<void()> listener);
 
+    /// Shares what is learned from load reports with other endpoints, see EndpointLoad::setModel(). Preconditions: not
+    /// null; no report was received yet.
+    void setLoadModel(std::shared_ptr<EndpointLoadModel> model, std::shared_ptr<MeanLatencyRatio> serviceRatio);
+
     /// Records the start of a request. @p expected is its expected latency under the known load of the endpoint.
     /// Precondition: expected > 0.
     Token requestStarted(TimePoint now, Duration expected);
@@ -71,6 +68,13 @@
     /// requests of this instance, decreasing as the report ages.
     double estimatedRemoteInFlight(TimePoint now) const;
 
+    /// Factor on the typical latency that is expected of work at the endpoint at @p now, from the factors that it has
+    /// reported and its responses; 1 if unknown.
+    double workFactor(TimePoint now) const;
+
+    /// True once the endpoint has reported how long work takes there.
+    bool reportsWorkFactor() const;
+
     /// Observed latency divided by the expected latency, at least 1; 1 unless the endpoint is under suspicion.
     double slowness() const;
 
@@ -92,10 +96,12 @@
     {
         Token token;
         TimePoint start;
-        Duration expected;
+        EndpointLoad::Prediction prediction;
     };
 
     Pending removePending(Token token, TimePoint now);
+    /// Observed / expected latency of a request that has run until @p now.
+    double latencyRatio(const Pending &request, TimePoint now) const;
     void recordLatencyRatio(double ratio, const Pending &request, TimePoint now);
     void recordFailureSample(double failure, TimePoint now);
 
@@ -117,9 +123,7 @@
     TimePoint failureMeanAt;
     int consecutiveFailures = 0;
     TimePoint ejectedUntil;
-    LoadReport report;
-    int ownInFlightAtReport = 0;
-    TimePoint reportReceivedAt;
+    EndpointLoad load;
 };
 
 }
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -112,6 +112,7 @@
     , signals(io)
     , cpuMeter(clock)
 {
+    this->endpoints.setCounters(this->counters);
     this->replica.setListener([this](const FeedEvent &event) { this->feedApplier.apply(event); });
 }
 
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Lycheewall
 {
@@ -270,8 +271,20 @@
     }
 }
 
+void SimulatedFleet::updateExactLoads(std::size_t instance)
+{
+    for (const auto &server : this->servers) {
+        this->instances[instance]
+            ->endpoints.find(server->record.id)
+            ->stats.updateLoad(server->exactLoad(), this->clock.now());
+    }
+}
+
 void SimulatedFleet::arrive(std::size_t instance, std::size_t organisation)
 {
+    if (this->plan.loadKnowledge == LoadKnowledge::Exact) {
+        this->updateExactLoads(instance);
+    }
     this->instances[instance]->requestRate.record(this->clock.now());
     const auto request = std::make_shared<CallerRequest>();
     request->attemptId = std::to_string(this->nextRequest++);
@@ -307,6 +320,7 @@
         return;
     }
     const Duration latency = this->clock.now() - arrival.at + fromMilliseconds(2 * this->plan.callerDelayMs);
+    this->latenciesMs.push_back(fractionalMilliseconds(latency));
     if (reply.merged->missingShards > 0) {
         ++this->result.partial;
     }
@@ -320,6 +334,19 @@
     this->creditSum += coverage * coverage;
 }
 
+void SimulatedFleet::summarizeLatencies()
+{
+    if (this->latenciesMs.empty()) {
+        return;
+    }
+    const double sum = std::accumulate(this->latenciesMs.begin(), this->latenciesMs.end(), 0.0);
+    this->result.meanLatencyMs = sum / static_cast<double>(this->latenciesMs.size());
+    const auto rank = static_cast<std::ptrdiff_t>(this->latenciesMs.size() * 99 / 100);
+    const auto quantile = this->latenciesMs.begin() + rank;
+    std::nth_element(this->latenciesMs.begin(), quantile, this->latenciesMs.end());
+    this->result.latency99Ms = *quantile;
+}
+
 SimulationResult SimulatedFleet::run()
 {
     this->scheduleArrivals();
@@ -332,6 +359,7 @@
     }
     this->clock.advance(fromMilliseconds(this->plan.durationSeconds * 1000) + 2 * this->plan.timeout);
     this->result.credit = this->result.requests == 0 ? 0 : this->creditSum / static_cast<double>(this->result.requests);
+    this->summarizeLatencies();
     this->result.maxBudgetUsage = this->maxBudgetUsage();
     this->result.maxLimitUsage = this->maxLimitUsage();
     return this->result;
--- a/Tests/forwarding/simulatedfleet.h
+++ b/Tests/forwarding/simulatedfleet.h
@@ -36,8 +36,10 @@
     void scheduleArrivals();
     std::size_t drawOrganisation();
     void arrive(std::size_t instance, std::size_t organisation);
+    void updateExactLoads(std::size_t instance);
     void gossipSlowEndpoints();
     void gossipRequestRates();
+    void summarizeLatencies();
     void recordReply(const Arrival &arrival, const ForwardReply &reply);
     double elapsedSeconds() const;
     double drawServiceTimeMs();
@@ -58,6 +60,7 @@
     std::uint64_t nextRequest = 1;
     SimulationResult result;
     double creditSum = 0;
+    std::vector<double> latenciesMs;
     struct SendTimes
     {
         std::vector<double> firstAttempts;
--- a/Tests/forwarding/simulatedserver.cpp
+++ b/Tests/forwarding/simulatedserver.cpp
@@ -153,12 +153,46 @@
 {
     call->running = true;
     ++this->running;
-    const double slowdown
-        = this->plan.slowdown ? this->plan.slowdown(this->shard, this->index, this->elapsedSeconds()) : 1;
-    const double time = this->withPauses(call->serviceTimeMs * slowdown);
+    const double slowdownNow = this->slowdown(this->elapsedSeconds());
+    const double time = this->withPauses(this->withWorkFactor(call->serviceTimeMs * slowdownNow));
     call->timer = this->clock.after(fromMilliseconds(time), [this, call] { this->complete(call); });
 }
 
+double SimulatedServer::workFactor(double second) const
+{
+    return this->plan.workFactor ? this->plan.workFactor(this->shard, this->index, second) : 1;
+}
+
+double SimulatedServer::slowdown(double second) const
+{
+    return this->plan.slowdown ? this->plan.slowdown(this->shard, this->index, second) : 1;
+}
+
+double SimulatedServer::withWorkFactor(double serviceTimeMs) const
+{
+    if (!this->plan.workFactor) {
+        return serviceTimeMs;
+    }
+    constexpr double stepMs = 5;
+    double elapsedMs = 0;
+    double remainingMs = serviceTimeMs;
+    while (true) {
+        const double factor = this->workFactor(this->elapsedSeconds() + elapsedMs / 1000);
+        if (remainingMs * factor <= stepMs) {
+            return elapsedMs + remainingMs * factor;
+        }
+        remainingMs -= stepMs / factor;
+        elapsedMs += stepMs;
+    }
+}
+
+LoadReport SimulatedServer::exactLoad() const
+{
+    const double second = this->elapsedSeconds();
+    const double factor = this->workFactor(second) * this->slowdown(second);
+    return { this->running, static_cast<int>(this->queue.size()), this->plan.slots, factor };
+}
+
 double SimulatedServer::withPauses(double serviceTimeMs) const
 {
     if (this->plan.pauseMs <= 0) {
@@ -190,7 +224,11 @@
     if (statement.requestsPerSecond && !this->limitNamedAt) {
         this->limitNamedAt = this->elapsedSeconds();
     }
-    const LoadReport report { this->running, static_cast<int>(this->queue.size()), this->plan.slots };
+    LoadReport report = this->exactLoad();
+    report.workFactor.reset();
+    if (this->plan.loadKnowledge == LoadKnowledge::WorkFactors) {
+        report.workFactor = this->workFactor(this->elapsedSeconds());
+    }
     call->timer = this->clock.after(fromMilliseconds(call->delayMs), [this, call, outcome, report, statement] {
         if (outcome.result != CallResult::Lost) {
             this->applyResponse(*call, report, statement);
--- a/Tests/forwarding/simulatedserver.h
+++ b/Tests/forwarding/simulatedserver.h
@@ -46,6 +46,9 @@
 
     void receive(const std::shared_ptr<SimulatedCall> &call);
 
+    /// The load as it is now, with the factor of everything that affects the time of work.
+    LoadReport exactLoad() const;
+
     /// See SimulationResult::maxLimitUsage.
     double maxLimitUsage() const;
 
@@ -61,6 +64,10 @@
     void freeSlot(const std::shared_ptr<SimulatedCall> &call);
     void start(const std::shared_ptr<SimulatedCall> &call);
     void complete(const std::shared_ptr<SimulatedCall> &call);
+    double workFactor(double second) const;
+    double slowdown(double second) const;
+    /// Time that work takes which begins now, through all changes of the work factor.
+    double withWorkFactor(double serviceTimeMs) const;
     double withPauses(double serviceTimeMs) const;
     void sendResponse(const std::shared_ptr<SimulatedCall> &call, const CallOutcome &outcome);
     void applyResponse(SimulatedCall &call, const LoadReport &report, const RateLimitStatement &statement);
--- a/Tests/forwarding/simulationplan.h
+++ b/Tests/forwarding/simulationplan.h
@@ -20,6 +20,16 @@
     double ratePerSecond = 0;
 };
 
+/// What the endpoints of a simulation tell about their load.
+enum class LoadKnowledge {
+    /// Requests that run and wait, with each response.
+    Counts,
+    /// Also their work factor.
+    WorkFactors,
+    /// All of it and their speed, at each arrival of a request at an instance, without delay.
+    Exact,
+};
+
 /// Parameters of a simulation: a fleet of instances in front of the shards of one index.
 struct SimulationPlan
 {
@@ -61,6 +71,9 @@
     std::uint64_t seed = 1;
     /// Factor on the service time of an endpoint at a time in seconds; 1 if empty.
     std::function<double(std::size_t shard, std::size_t endpoint, double second)> slowdown;
+    /// Factor on the time that work takes at an endpoint at each moment, which it reports; 1 if empty.
+    std::function<double(std::size_t shard, std::size_t endpoint, double second)> workFactor;
+    LoadKnowledge loadKnowledge = LoadKnowledge::Counts;
     /// True while an endpoint loses its connections and does not respond; never down if empty.
     std::function<bool(std::size_t shard, std::size_t endpoint, double second)> isDown;
     /// Rate limit in requests per second that an endpoint names in its responses; none if empty.
@@ -90,6 +103,9 @@
     std::size_t partial = 0;
     /// Mean over all requests of the squared fraction of shards in the reply; late and refused requests count as 0.
     double credit = 0;
+    /// Mean latency of the replies as the callers see it, and the latency that 99 in 100 do not exceed.
+    double meanLatencyMs = 0;
+    double latency99Ms = 0;
     /// Number of extra attempts relative to the number that the retry budget allows, for the service and window with
     /// the highest ratio.
     double maxBudgetUsage = 0;
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -226,6 +226,31 @@
     BOOST_TEST(PlatformEndpointCodec().inspect(misdirected).notRun);
 }
 
+// Guards against a work factor that is misread or lost. Without a valid one, the counts are used as before; a value
+// that is no factor is reported as malformed.
+BOOST_AUTO_TEST_CASE(parsesWorkFactors)
+{
+    const auto parse = [](const std::string &text) {
+        HttpResponseMessage message(http::status::ok, 11);
+        message.set(Names::Header::serverLoad, text);
+        return PlatformEndpointCodec().inspect(message);
+    };
+    BOOST_TEST(parse("3,1,8,100").load->workFactor.value() == 1);
+    BOOST_TEST(parse("3, 1, 8, 37.5").load->workFactor.value() == 0.375);
+    BOOST_TEST(parse("3,1,8,250,9").load->workFactor.value() == 2.5);
+    const EndpointResponseMetadata withoutFactor = parse("3,1,8");
+    BOOST_TEST(!withoutFactor.load->workFactor);
+    BOOST_TEST(withoutFactor.statement.malformedFields.empty());
+    for (const char *factor : { "", "0", "-100", "nan", "inf", "1e999", "100001", "100 x", "x" }) {
+        const EndpointResponseMetadata metadata = parse(std::string("3,1,8,") + factor);
+        BOOST_TEST(metadata.load->slots == 8, factor);
+        BOOST_TEST(!metadata.load->workFactor, factor);
+        BOOST_TEST(metadata.statement.malformedFields.size() == 1U, factor);
+    }
+    BOOST_TEST(!parse("").load);
+    BOOST_TEST(parse("").statement.malformedFields.empty());
+}
+
 // Guards against a rate limit that is misread: anything but a decimal number is reported as malformed and names none.
 BOOST_AUTO_TEST_CASE(parsesRateLimits)
 {
