--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -114,6 +114,7 @@
     , signals(io)
     , cpuMeter(clock)
 {
+    this->endpoints.setCounters(this->counters);
     this->replica.setListener([this](const FeedEvent &event) { this->feedApplier.apply(event); });
     this->connectionBudget.setEndpointSockets([this] { return this->pool.connectionCount(); });
     this->applyMachineLimits();
