--- a/Tests/soak/clientcrowd.cpp
+++ b/Tests/soak/clientcrowd.cpp
@@ -57,6 +57,9 @@
         const std::size_t size = std::min(this->crowd.behaviour.pieceBytes, bytes.size() - this->sent);
         if (size == 0) {
             this->finish();
+            if (this->crowd.behaviour.leaves) {
+                this->reconnect(number);
+            }
             return;
         }
         asio::async_write(
--- a/Tests/soak/clientcrowd.h
+++ b/Tests/soak/clientcrowd.h
@@ -19,6 +19,8 @@
     /// Size of the pieces in which the bytes are written.
     std::size_t pieceBytes = std::size_t { 64 } * 1024;
     bool reads = true;
+    /// Disconnects once everything was sent.
+    bool leaves = false;
 };
 
 /**
--- a/Tests/soak/clientcrowdtest.cpp
+++ b/Tests/soak/clientcrowdtest.cpp
@@ -243,6 +243,11 @@
     this->runCrowd(Listener::Callers, { wholeBody("/silent/x") });
 }
 
+BOOST_FIXTURE_TEST_CASE(clientsThatLeaveAfterWholeBodies, Fixture)
+{
+    this->runCrowd(Listener::Callers, { wholeBody("/silent/x"), 65536, true, true });
+}
+
 BOOST_FIXTURE_TEST_CASE(bodiesSentAhead, Fixture)
 {
     this->runCrowd(Listener::Callers, { wholeBody("/silent/x") + wholeBody("/silent/x") });
