Gateway: Count requests and responses until their memory is free

Three kinds of memory were freed later than the budget assumed. Calls whose caller has left keep the request for 40 ms: it counts for 50 ms now. Responses of connections that were ended live until the event loop has cancelled their writes: a large response needs room beside them, and its caller is disconnected otherwise (lycheewall_front_responses_dropped_total). Parsers of closed endpoint connections are released at once.

The budget is shared with the connections, which outlive the gateway in handlers of the event loop.

--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -37,15 +37,17 @@
 class AuxiliaryServer::Connection : public std::enable_shared_from_this<Connection>, private ConnectionBudget::Holder
 {
 public:
-    Connection(asio::ip::tcp::socket socket, ConnectionBudget &connectionBudget, Handler &requestHandler)
+    Connection(asio::ip::tcp::socket socket,
+               std::shared_ptr<ConnectionBudget> connectionBudget,
+               Handler &requestHandler)
         : stream(std::move(socket))
-        , budget(connectionBudget)
+        , budget(std::move(connectionBudget))
         , handler(requestHandler)
     {
     }
     ~Connection() override
     {
-        this->budget.remove(*this);
+        this->budget->remove(*this);
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -53,7 +55,7 @@
     /// Starts reading requests. The connection is closed if there are too many.
     void start()
     {
-        if (this->budget.add(*this)) {
+        if (this->budget->add(*this)) {
             this->beginRequest();
         }
     }
@@ -134,8 +136,8 @@
         if (this->phase == Phase::Closed) {
             return;
         }
-        // Many responses may become ready at the same time, and the memory of ended connections is released later.
-        if (!this->budget.hasRoomFor(handlerResponse.body.size())) {
+        const bool hasRoom = this->budget->makeRoomForResponse(handlerResponse.body.size());
+        if (!hasRoom || this->phase == Phase::Closed) {
             this->endForShortage(ConnectionBudget::Resource::Memory);
             return;
         }
@@ -165,7 +167,7 @@
         this->phase = newPhase;
         const std::size_t bytes = sizeof(Connection) + socketMemoryBytes + this->buffer.capacity()
             + (this->parser ? memoryOf(this->parser->get()) : 0) + this->response.body().capacity();
-        this->budget.update(*this, newPhase, bytes);
+        this->budget->update(*this, newPhase, bytes);
     }
 
     void endForShortage(ConnectionBudget::Resource /*resource*/) override
@@ -177,7 +179,7 @@
     }
 
     beast::tcp_stream stream;
-    ConnectionBudget &budget;
+    std::shared_ptr<ConnectionBudget> budget;
     Handler &handler;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::empty_body>> parser;
@@ -186,10 +188,12 @@
     bool keepAlive = true;
 };
 
-Result<std::unique_ptr<AuxiliaryServer>>
-AuxiliaryServer::create(asio::io_context &io, const std::string &address, ConnectionBudget &budget, Handler handler)
+Result<std::unique_ptr<AuxiliaryServer>> AuxiliaryServer::create(asio::io_context &io,
+                                                                 const std::string &address,
+                                                                 std::shared_ptr<ConnectionBudget> budget,
+                                                                 Handler handler)
 {
-    std::unique_ptr<AuxiliaryServer> server(new AuxiliaryServer(io, budget, std::move(handler)));
+    std::unique_ptr<AuxiliaryServer> server(new AuxiliaryServer(io, std::move(budget), std::move(handler)));
     const auto listening = listenOn(server->acceptor, address, backlog);
     if (!listening) {
         return listening.error();
@@ -198,10 +202,12 @@
     return server;
 }
 
-AuxiliaryServer::AuxiliaryServer(asio::io_context &io, ConnectionBudget &connectionBudget, Handler requestHandler)
+AuxiliaryServer::AuxiliaryServer(asio::io_context &io,
+                                 std::shared_ptr<ConnectionBudget> connectionBudget,
+                                 Handler requestHandler)
     : acceptor(io)
     , acceptTimer(io)
-    , budget(connectionBudget)
+    , budget(std::move(connectionBudget))
     , handler(std::move(requestHandler))
 {
 }
@@ -230,7 +236,7 @@
 {
     Log::component("side").warn("Could not accept a connection to an auxiliary server: " + error.message() + ".");
     if (error == asio::error::no_descriptors) {
-        this->budget.releaseDescriptors();
+        this->budget->releaseDescriptors();
     }
     // The connection stays in the queue, so that the next accept would fail at once.
     this->acceptTimer.expires_after(acceptRetryDelay);
--- a/Source/gateway/auxiliaryserver.h
+++ b/Source/gateway/auxiliaryserver.h
@@ -33,23 +33,25 @@
     /// Gets the path and query of a request. It must call @p respond exactly once, at once or later.
     using Handler = std::function<void(const std::string &target, Respond respond)>;
 
-    /// Listens on @p address ("ip:port"). @p budget bounds the connections and must outlive them. Errors:
+    /// Listens on @p address ("ip:port"). @p budget bounds the connections. Errors:
     /// std::errc::invalid_argument for a bad address, else those of the socket.
-    static Result<std::unique_ptr<AuxiliaryServer>>
-    create(boost::asio::io_context &io, const std::string &address, ConnectionBudget &budget, Handler handler);
+    static Result<std::unique_ptr<AuxiliaryServer>> create(boost::asio::io_context &io,
+                                                           const std::string &address,
+                                                           std::shared_ptr<ConnectionBudget> budget,
+                                                           Handler handler);
 
     std::uint16_t port() const;
 
 private:
     class Connection;
 
-    AuxiliaryServer(boost::asio::io_context &io, ConnectionBudget &budget, Handler handler);
+    AuxiliaryServer(boost::asio::io_context &io, std::shared_ptr<ConnectionBudget> budget, Handler handler);
     void accept();
     void handleAcceptError(const boost::system::error_code &error);
 
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer acceptTimer;
-    ConnectionBudget &budget;
+    std::shared_ptr<ConnectionBudget> budget;
     Handler handler;
 };
 
--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -27,8 +27,8 @@
 /// Connections are ended until this fraction of the limit is free, so that the search for them is rare.
 constexpr std::size_t freedMemoryDenominator = 8;
 constexpr std::size_t freedConnectionsDenominator = 32;
-/// Large requests leave a quarter of the memory to small ones.
-constexpr std::size_t largeRequestBytes = std::size_t { 32 } * 1024;
+/// Requests of this size leave a quarter of the memory to smaller ones.
+constexpr std::size_t largeMessageBytes = std::size_t { 32 } * 1024;
 constexpr std::size_t reservedForSmallDenominator = 4;
 
 using Phase = ConnectionBudget::Phase;
@@ -101,7 +101,7 @@
 {
     if (this->holders.count(&holder) > 0) {
         this->setBytes(holder, 0);
-        this->setPhase(holder, Phase::Closing);
+        this->closedCount -= holder.phase == Phase::Closed ? 1 : 0;
         this->holders.erase(&holder);
     }
 }
@@ -152,7 +152,7 @@
 ConnectionBudget::startServing(Holder &holder, std::size_t bytes, std::size_t endpointSocketsNeeded)
 {
     const std::size_t limit = this->currentLimits.memoryBytes;
-    const std::size_t reserved = bytes > largeRequestBytes ? limit / reservedForSmallDenominator : 0;
+    const std::size_t reserved = bytes > largeMessageBytes ? limit / reservedForSmallDenominator : 0;
     // A single request is served whatever its size.
     if (this->servingBytes > 0 && this->servingBytes + bytes + reserved > limit) {
         return Resource::Memory;
@@ -172,9 +172,13 @@
     return std::nullopt;
 }
 
-bool ConnectionBudget::hasRoomFor(std::size_t bytes) const
+bool ConnectionBudget::makeRoomForResponse(std::size_t bytes)
 {
-    return this->totalBytes + bytes <= this->currentLimits.memoryBytes;
+    const std::size_t limit = this->currentLimits.memoryBytes;
+    if (this->remainingBytes() + bytes > limit) {
+        this->reduceMemory(saturatingSubtract(limit - limit / freedMemoryDenominator, bytes));
+    }
+    return bytes < largeMessageBytes || this->totalBytes + bytes <= limit;
 }
 
 void ConnectionBudget::releaseDescriptors()
--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -88,7 +88,8 @@
     /// if too many remain; the caller then closes the new connection.
     bool add(Holder &holder);
 
-    /// Removes a connection. No effect if it was not added.
+    /// Removes a connection. No effect if it was not added. Uses neither the clock nor the counters, which may have
+    /// been destroyed before the connection.
     void remove(Holder &holder);
 
     /// Sets the phase of @p holder and the memory that it holds. May end connections, including @p holder, but none
@@ -100,8 +101,10 @@
     /// short and changes nothing.
     std::optional<Resource> startServing(Holder &holder, std::size_t bytes, std::size_t endpointSockets);
 
-    /// True if there is room for @p bytes, counting also what connections hold that are about to end.
-    bool hasRoomFor(std::size_t bytes) const;
+    /// True if a response of @p bytes may be held in addition. May end other connections to make room. Counts what
+    /// connections hold until they have ended, because many responses may arrive before that; small ones are always
+    /// accepted.
+    bool makeRoomForResponse(std::size_t bytes);
 
     /// Ends one connection or more, because no descriptor is left.
     void releaseDescriptors();
--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -276,6 +276,7 @@
 void EndpointConnection::close()
 {
     this->state = State::Closed;
+    this->parser.reset();
     this->memory->update(*this, 0);
     this->timer.cancel();
     boost::system::error_code ignored;
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -31,8 +31,8 @@
 constexpr std::size_t pipelineLimit = std::size_t { 16 } * 1024;
 /// A buffer that has grown beyond this is released when it is empty.
 constexpr std::size_t keptBufferBytes = 2 * readSize;
-/// Requests with smaller bodies count as if they were sent to one endpoint only, which saves looking up the route.
-constexpr std::size_t smallBodyBytes = 4096;
+/// How long the memory of a request counts after its caller has disconnected.
+constexpr Duration cancelledRequestTime = Milliseconds(50);
 /// When a caller that was refused for a shortage may try again. The connections that caused it have ended by then.
 constexpr Duration shortageRetryAfter = Milliseconds(250);
 
@@ -59,6 +59,7 @@
                                  ClosedCallback closedCallback)
     : socket(std::move(clientSocket))
     , context(frontContext)
+    , budget(frontContext.budget)
     , onClosed(std::move(closedCallback))
     , timer(this->socket.get_executor())
 {
@@ -66,12 +67,12 @@
 
 FrontConnection::~FrontConnection()
 {
-    this->context.budget.remove(*this);
+    this->budget->remove(*this);
 }
 
 bool FrontConnection::start()
 {
-    if (!this->context.budget.add(*this)) {
+    if (!this->budget->add(*this)) {
         this->state = State::Closed;
         boost::system::error_code ignored;
         this->socket.close(ignored);
@@ -86,19 +87,16 @@
 
 ConnectionBudget::Phase FrontConnection::budgetPhase() const
 {
-    switch (this->state) {
-    case State::Reading:
+    if (this->state == State::Reading) {
         return this->requestStarted ? ConnectionBudget::Phase::Receiving : ConnectionBudget::Phase::Idle;
-    case State::Serving:
+    }
+    if (this->state == State::Serving) {
         return ConnectionBudget::Phase::Serving;
-    case State::Writing:
+    }
+    if (this->state == State::Writing) {
         return ConnectionBudget::Phase::Sending;
-    case State::Closing:
-        return ConnectionBudget::Phase::Closing;
-    case State::Closed:
-        break;
     }
-    return ConnectionBudget::Phase::Closed;
+    return this->state == State::Closing ? ConnectionBudget::Phase::Closing : ConnectionBudget::Phase::Closed;
 }
 
 std::size_t FrontConnection::connectionBytes() const
@@ -106,16 +104,13 @@
     return sizeof(FrontConnection) + socketMemoryBytes + this->buffer.capacity();
 }
 
-std::size_t FrontConnection::receivedBytes() const
-{
-    return this->parser ? this->headerBytes + this->parser->get().body().capacity() : 0;
-}
-
 void FrontConnection::updateBudget()
 {
-    const std::size_t bytes
-        = this->connectionBytes() + this->receivedBytes() + this->requestBytes + this->response.body().capacity();
-    this->context.budget.update(*this, this->budgetPhase(), bytes);
+    const std::size_t receivedBytes = this->parser ? this->headerBytes + this->parser->get().body().capacity() : 0;
+    this->budget->update(*this,
+                         this->budgetPhase(),
+                         this->connectionBytes() + receivedBytes + this->requestBytes
+                             + this->response.body().capacity());
 }
 
 void FrontConnection::endForShortage(ConnectionBudget::Resource resource)
@@ -306,22 +301,11 @@
     return true;
 }
 
-std::size_t FrontConnection::endpointCount() const
-{
-    const auto &table = this->context.forwarder.table();
-    if (!table || this->request->body.size() < smallBodyBytes) {
-        return 1;
-    }
-    const Route *route = table->match(this->request->host, this->request->target);
-    return route == nullptr ? 1 : std::max<std::size_t>(1, route->shards.size());
-}
-
 bool FrontConnection::admitToService()
 {
-    const std::size_t endpoints = this->endpointCount();
+    const std::size_t endpoints = endpointCount(*this->request, this->context.forwarder.table().get());
     this->requestBytes = (1 + endpoints) * memoryOf(*this->request);
-    const auto shortage
-        = this->context.budget.startServing(*this, this->connectionBytes() + this->requestBytes, endpoints);
+    const auto shortage = this->budget->startServing(*this, this->connectionBytes() + this->requestBytes, endpoints);
     if (!shortage) {
         return true;
     }
@@ -337,7 +321,13 @@
     }
     this->exchange.reset();
     this->context.requestDurations.record(this->context.clock.now() - this->request->arrivedAt);
-    this->write(this->context.codec.encode(reply, this->request.get()), this->keepAlive);
+    HttpResponseMessage message = this->context.codec.encode(reply, this->request.get());
+    if (!this->budget->makeRoomForResponse(message.body().size())) {
+        this->context.counters.counter("lycheewall_front_responses_dropped_total").add();
+        this->close();
+        return;
+    }
+    this->write(std::move(message), this->keepAlive);
 }
 
 void FrontConnection::refuse(Refusal refusal)
@@ -401,12 +391,20 @@
 
 void FrontConnection::callerDisconnected()
 {
-    if (this->exchange) {
-        this->context.counters.counter("lycheewall_front_callers_left_total").add();
-        this->exchange->cancel();
-        this->exchange.reset();
+    if (!this->exchange) {
+        this->close();
+        return;
     }
+    this->context.counters.counter("lycheewall_front_callers_left_total").add();
+    this->exchange->cancel();
+    this->exchange.reset();
     this->close();
+    // The calls to endpoints keep their copies of the request for a grace period.
+    this->budget->update(*this, ConnectionBudget::Phase::Serving, this->requestBytes);
+    this->timer.expires_after(cancelledRequestTime);
+    this->timer.async_wait([self = this->shared_from_this()](const boost::system::error_code &) {
+        self->budget->update(*self, ConnectionBudget::Phase::Closed, 0);
+    });
 }
 
 void FrontConnection::closeIfIdle()
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -24,8 +24,9 @@
     const CallerCodec &codec;
     /// Time from a completely received request to its reply.
     LatencyHistogram &requestDurations;
-    /// Bounds what the connections of all listeners hold.
-    ConnectionBudget &budget;
+    /// Bounds what the connections of all listeners hold. Connections may outlive the context in handlers of the event
+    /// loop.
+    std::shared_ptr<ConnectionBudget> budget;
     /// True while the instance shuts down: each connection is closed after its reply.
     bool shuttingDown = false;
     /// Requests that were received completely since the start.
@@ -69,13 +70,10 @@
     ConnectionBudget::Phase budgetPhase() const;
     /// Memory of the connection without its request and its response.
     std::size_t connectionBytes() const;
-    std::size_t receivedBytes() const;
     /// Takes the complete request from the parser. Returns false if it is invalid.
     bool decodeRequest();
     /// Refuses the request unless the budget lets it be served.
     bool admitToService();
-    /// Number of endpoints that the request is sent to at the same time.
-    std::size_t endpointCount() const;
     void startRead();
     void handleRead(const boost::system::error_code &error, std::size_t size);
     void beginRequest();
@@ -102,6 +100,7 @@
 
     boost::asio::ip::tcp::socket socket;
     FrontContext &context;
+    std::shared_ptr<ConnectionBudget> budget;
     ClosedCallback onClosed;
     boost::asio::steady_timer timer;
     boost::beast::flat_buffer buffer;
--- a/Source/gateway/frontserver.cpp
+++ b/Source/gateway/frontserver.cpp
@@ -59,7 +59,7 @@
     this->context.counters.counter("lycheewall_front_accept_errors_total").add();
     Log::component("front").warn("Could not accept a caller connection: " + error.message() + ".");
     if (error == asio::error::no_descriptors) {
-        this->context.budget.releaseDescriptors();
+        this->context.budget->releaseDescriptors();
     }
     // The connection stays in the queue, so that the next accept would fail at once.
     this->acceptTimer.expires_after(acceptRetryDelay);
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -108,13 +108,13 @@
     , rateLimitShare(members)
     , directory(activeInstances)
     , feedServer(clock, timers, replica, freshness)
-    , connectionBudget(clock, counters, ConnectionLimits())
+    , connectionBudget(std::make_shared<ConnectionBudget>(clock, counters, ConnectionLimits()))
     , frontContext { clock, counters, forwarder, codecs.callers, requestDurations, connectionBudget }
     , signals(io)
     , cpuMeter(clock)
 {
     this->replica.setListener([this](const FeedEvent &event) { this->feedApplier.apply(event); });
-    this->connectionBudget.setEndpointSockets([this] { return this->pool.connectionCount(); });
+    this->connectionBudget->setEndpointSockets([this] { return this->pool.connectionCount(); });
     this->applyMachineLimits();
 }
 
@@ -122,7 +122,7 @@
 {
     const ConnectionLimits limits
         = ConnectionLimits::ofMachine(this->settings.memoryLimitBytes, this->settings.maxDescriptors);
-    this->connectionBudget.setLimits(limits);
+    this->connectionBudget->setLimits(limits);
     this->pool.setResponseMemoryLimit(limits.responseBytes);
 }
 
@@ -343,8 +343,8 @@
     const auto gauge = [](const std::string &name, std::size_t value) {
         return "# TYPE " + name + " gauge\n" + name + ' ' + std::to_string(value) + '\n';
     };
-    return gauge("lycheewall_front_open_connections", this->connectionBudget.connectionCount())
-        + gauge("lycheewall_front_held_bytes", this->connectionBudget.heldBytes());
+    return gauge("lycheewall_front_open_connections", this->connectionBudget->connectionCount())
+        + gauge("lycheewall_front_held_bytes", this->connectionBudget->heldBytes());
 }
 
 void Gateway::awaitSignal()
@@ -396,8 +396,8 @@
     std::ostringstream cpuUsage;
     cpuUsage << "request-cores=" << this->requestLoad.cores() << " control-cores=" << this->requestLoad.controlCores()
              << " available-cores=" << this->self.cpuUsage.availableCores
-             << " connections=" << this->connectionBudget.connectionCount()
-             << " held-bytes=" << this->connectionBudget.heldBytes()
+             << " connections=" << this->connectionBudget->connectionCount()
+             << " held-bytes=" << this->connectionBudget->heldBytes()
              << " carries-work=" << (this->activeInstances.isSelfActive() ? "yes" : "no");
     logger().info("Counters: " + cpuUsage.str() + ' ' + this->counters.summary());
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -122,7 +122,7 @@
     RateLimitShare rateLimitShare;
     InstanceDirectory directory;
     PeerFeedServer feedServer;
-    ConnectionBudget connectionBudget;
+    std::shared_ptr<ConnectionBudget> connectionBudget;
     FrontContext frontContext;
     std::unique_ptr<DatagramSocket> datagrams;
     std::unique_ptr<Gossip> gossip;
--- a/Source/gateway/requestmemory.cpp
+++ b/Source/gateway/requestmemory.cpp
@@ -10,6 +10,7 @@
 
 /// Memory of a parsed header field in addition to its text: links in a list and a set, and the allocation.
 constexpr std::size_t fieldBytes = 72;
+constexpr std::size_t smallBodyBytes = 4096;
 
 }
 
@@ -37,4 +38,13 @@
     return size + fieldBytes * static_cast<std::size_t>(std::count(bytes, bytes + size, '\n'));
 }
 
+std::size_t endpointCount(const CallerRequest &request, const RouteTable *table)
+{
+    if (table == nullptr || request.body.size() < smallBodyBytes) {
+        return 1;
+    }
+    const Route *route = table->match(request.host, request.target);
+    return route == nullptr ? 1 : std::max<std::size_t>(1, route->shards.size());
+}
+
 }
--- a/Tests/gateway/connectionbudgettest.cpp
+++ b/Tests/gateway/connectionbudgettest.cpp
@@ -170,10 +170,10 @@
     TestConnection &last = this->connect();
     last.update(Phase::Sending, mebibyte);
     BOOST_TEST(this->endedFor(Resource::Memory) > 0);
-    BOOST_TEST(!this->budget.hasRoomFor(mebibyte));
+    BOOST_TEST(!this->budget.makeRoomForResponse(mebibyte));
     this->connections.clear();
     BOOST_TEST(this->budget.heldBytes() == 0U);
-    BOOST_TEST(this->budget.hasRoomFor(memoryBytes));
+    BOOST_TEST(this->budget.makeRoomForResponse(memoryBytes));
 }
 
 // Guards against running out of descriptors, and against closing connections of ordinary clients before those that have
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -92,7 +92,8 @@
     Forwarder forwarder { {}, context, freshness };
     LatencyHistogram requestDurations;
     TestCallerCodec codec;
-    ConnectionBudget budget { clock, counters, ConnectionLimits::ofMachine(machineBytes, machineDescriptors) };
+    std::shared_ptr<ConnectionBudget> budget = std::make_shared<ConnectionBudget>(
+        clock, counters, ConnectionLimits::ofMachine(machineBytes, machineDescriptors));
     FrontContext front { clock, counters, forwarder, codec, requestDurations, budget };
     std::unique_ptr<FrontServer> server;
     tcp::socket socket { io };
@@ -307,11 +308,11 @@
 {
     this->tableContent.limits.bodyBytes = largeBodyBytes;
     this->forwarder.setTable(this->table());
-    this->budget.setLimits({ largeBodyBytes / 2, largeBodyBytes, 100 });
+    this->budget->setLimits({ largeBodyBytes / 2, largeBodyBytes, 100 });
     this->send(headOfLargeBody + std::string(largeBodyBytes - 1, 'x'));
     BOOST_TEST(this->receiveUntil("memory-exceeded"));
     BOOST_TEST(this->endpointSender.calls.empty());
-    BOOST_TEST(runUntil(this->io, [this] { return this->budget.heldBytes() < largeBodyBytes / 2; }));
+    BOOST_TEST(runUntil(this->io, [this] { return this->budget->heldBytes() < largeBodyBytes / 2; }));
 }
 
 // Guards against header fields that are counted by their bytes only: their nodes need many times more.
@@ -325,7 +326,7 @@
         head += "a:\r\n";
     }
     this->send(head);
-    BOOST_TEST(runUntil(this->io, [this] { return this->budget.heldBytes() > 64 * fields; }));
+    BOOST_TEST(runUntil(this->io, [this] { return this->budget->heldBytes() > 64 * fields; }));
 }
 
 // Guards against a request that is passed on although the memory for its body and the copies of it is missing.
@@ -334,7 +335,7 @@
     this->tableContent.limits.bodyBytes = largeBodyBytes;
     this->forwarder.setTable(this->table());
     const std::string request = headOfLargeBody + std::string(largeBodyBytes, 'x');
-    this->budget.setLimits({ 3 * largeBodyBytes, largeBodyBytes, 100 });
+    this->budget->setLimits({ 3 * largeBodyBytes, largeBodyBytes, 100 });
     this->send(request);
     BOOST_REQUIRE(this->waitForCalls(1));
     tcp::socket second(this->io);
@@ -353,7 +354,7 @@
 // that is cut for them.
 BOOST_FIXTURE_TEST_CASE(idleConnectionsAreClosedWhenDescriptorsAreShort, Fixture)
 {
-    this->budget.setLimits({ largeBodyBytes, largeBodyBytes, 16 });
+    this->budget->setLimits({ largeBodyBytes, largeBodyBytes, 16 });
     this->send(plainRequest);
     BOOST_REQUIRE(this->waitForCalls(1));
     std::deque<tcp::socket> idle;
--- a/Tests/gateway/peerfeedtest.cpp
+++ b/Tests/gateway/peerfeedtest.cpp
@@ -45,7 +45,8 @@
     BootTimeClock clock;
     AsioTimerService timers { io };
     Counters counters;
-    ConnectionBudget budget { clock, counters, ConnectionLimits::ofMachine(machineBytes, machineDescriptors) };
+    std::shared_ptr<ConnectionBudget> budget = std::make_shared<ConnectionBudget>(
+        clock, counters, ConnectionLimits::ofMachine(machineBytes, machineDescriptors));
     FeedReplica replica;
     FeedFreshness freshness { clock };
     PeerFeedServer feedServer { clock, timers, replica, freshness };
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -340,9 +340,14 @@
     BOOST_TEST(settings.value().gateway.seeds.at(0) == "10.2.0.28:7740");
     BOOST_TEST(settings.value().gateway.retryLimits.slack == 56);
     BOOST_TEST((settings.value().gateway.forwarding.maxFeedAgeForKeys < std::chrono::seconds(5)));
+    BOOST_TEST(settings.value().gateway.memoryLimitBytes == GatewaySettings().memoryLimitBytes);
+    BOOST_TEST(settings.value().gateway.maxDescriptors == GatewaySettings().maxDescriptors);
     BOOST_TEST(!file.reloadIfChanged());
-    write(text + "New: field\n");
-    BOOST_TEST(file.reloadIfChanged().has_value());
+    write(text + "Limits: {MemoryMb: 112, MaxFds: 2870}\n");
+    const auto reloaded = file.reloadIfChanged();
+    BOOST_REQUIRE(reloaded.has_value());
+    BOOST_TEST(reloaded->gateway.memoryLimitBytes == 112U * 1024 * 1024);
+    BOOST_TEST(reloaded->gateway.maxDescriptors == 2870U);
     write("NodeName: n1\n");
     BOOST_TEST(!file.reloadIfChanged());
     std::remove(path.c_str());
