Feed: Forget a cancelled request when a listing begins anew

A listing whose pages name two eras is read again. The mark of a request that this instance had cancelled stayed, so that the next failure of the store was repeated once without backoff. Found by reading in the review; no test shows it.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -119,6 +119,7 @@
     if (this->listing.started && this->listing.position.era != position.era) {
         // Pages of two eras do not add up to a state of the store.
         this->listing = Listing();
+        this->isRequestCancelled = false;
         this->scheduleRead(Duration::zero());
         return;
     }
