--- a/Tests/forwarding/loadreporttest.cpp
+++ b/Tests/forwarding/loadreporttest.cpp
@@ -180,8 +180,8 @@
     BOOST_TEST(comparison.workFactors.meanLatencyMs <= 1.05 * comparison.counts.meanLatencyMs);
 }
 
-// Guards against load reports that make more queries late. Pattern: many queries over 36 shards whose endpoints are slow
-// for some seconds and say so.
+// Guards against load reports that make more queries late. Pattern: many queries over 36 shards whose endpoints are
+// slow for some seconds and say so.
 BOOST_AUTO_TEST_CASE(lastingSlownessAcrossBusyShards)
 {
     constexpr unsigned seedCount = 6;
