Gateway: Serve a single large request beside small ones

A request whose copies for all shards exceed three quarters of the memory budget was served only while no other request was, so almost never with steady load. It is now served unless another large one is, and counts with three quarters at most, so that small requests go on.

--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -93,22 +93,25 @@
     }
     holder.phase = Phase::Idle;
     holder.phaseSince = this->clock.now();
+    holder.isAdded = true;
     this->holders.insert(&holder);
     return true;
 }
 
 void ConnectionBudget::remove(Holder &holder)
 {
-    if (this->holders.count(&holder) > 0) {
-        this->setBytes(holder, 0);
-        this->closedCount -= holder.phase == Phase::Closed ? 1 : 0;
-        this->holders.erase(&holder);
+    if (!holder.isAdded) {
+        return;
     }
+    this->setBytes(holder, 0);
+    this->closedCount -= holder.phase == Phase::Closed ? 1 : 0;
+    holder.isAdded = false;
+    this->holders.erase(&holder);
 }
 
 void ConnectionBudget::update(Holder &holder, Phase phase, std::size_t bytes)
 {
-    if (this->holders.count(&holder) == 0) {
+    if (!holder.isAdded) {
         return;
     }
     this->setPhase(holder, phase);
@@ -144,6 +147,8 @@
     }
     if (holder.phase == Phase::Serving) {
         replaceIn(this->servingBytes);
+        this->largeServing += bytes >= largeMessageBytes ? 1 : 0;
+        this->largeServing -= holder.heldBytes >= largeMessageBytes ? 1 : 0;
     }
     holder.heldBytes = bytes;
 }
@@ -152,9 +157,11 @@
 ConnectionBudget::startServing(Holder &holder, std::size_t bytes, std::size_t endpointSocketsNeeded)
 {
     const std::size_t limit = this->currentLimits.memoryBytes;
-    const std::size_t reserved = bytes > largeMessageBytes ? limit / reservedForSmallDenominator : 0;
-    // A single request is served whatever its size.
-    if (this->servingBytes > 0 && this->servingBytes + bytes + reserved > limit) {
+    const bool isLarge = bytes >= largeMessageBytes;
+    const std::size_t reserved = isLarge ? limit / reservedForSmallDenominator : 0;
+    const bool hasRoom = this->servingBytes + bytes + reserved <= limit;
+    // A single large request is served whatever its size.
+    if (!hasRoom && !(isLarge && this->largeServing == 0)) {
         return Resource::Memory;
     }
     const Phase previousPhase = holder.phase;
@@ -172,6 +179,12 @@
     return std::nullopt;
 }
 
+std::size_t ConnectionBudget::maxRequestBytes() const
+{
+    const std::size_t limit = this->currentLimits.memoryBytes;
+    return limit - limit / reservedForSmallDenominator;
+}
+
 bool ConnectionBudget::makeRoomForResponse(std::size_t bytes)
 {
     const std::size_t limit = this->currentLimits.memoryBytes;
--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -66,6 +66,7 @@
 
     private:
         friend class ConnectionBudget;
+        bool isAdded = false;
         Phase phase = Phase::Idle;
         TimePoint phaseSince;
         std::size_t heldBytes = 0;
@@ -101,6 +102,10 @@
     /// short and changes nothing.
     std::optional<Resource> startServing(Holder &holder, std::size_t bytes, std::size_t endpointSockets);
 
+    /// Most bytes that a request should count with, so that a single request leaves room for small ones. A request that
+    /// needs more is still served if no other large one is.
+    std::size_t maxRequestBytes() const;
+
     /// True if a response of @p bytes may be held in addition. May end other connections to make room. Counts what
     /// connections hold until they have ended, because many responses may arrive before that; small ones are always
     /// accepted.
@@ -142,6 +147,8 @@
     std::size_t totalBytes = 0;
     std::size_t endingBytes = 0;
     std::size_t servingBytes = 0;
+    /// Large requests in phase Serving.
+    std::size_t largeServing = 0;
     std::size_t closedCount = 0;
     /// Connections are being ended at present, which updates them.
     bool reducing = false;
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -304,7 +304,7 @@
 bool FrontConnection::admitToService()
 {
     const std::size_t endpoints = endpointCount(*this->request, this->context.forwarder.table().get());
-    this->requestBytes = (1 + endpoints) * memoryOf(*this->request);
+    this->requestBytes = std::min((1 + endpoints) * memoryOf(*this->request), this->budget->maxRequestBytes());
     const auto shortage = this->budget->startServing(*this, this->connectionBytes() + this->requestBytes, endpoints);
     if (!shortage) {
         return true;
--- a/Tests/gateway/connectionbudgettest.cpp
+++ b/Tests/gateway/connectionbudgettest.cpp
@@ -153,9 +153,13 @@
 }
 
 // Guards against refusing a single request that needs more than the whole budget, for example one to many shards.
-BOOST_FIXTURE_TEST_CASE(singleRequestIsServedWhateverItsSize, Fixture)
+BOOST_FIXTURE_TEST_CASE(singleLargeRequestIsServedWhateverItsSize, Fixture)
 {
-    BOOST_TEST(!this->budget.startServing(this->connect(), 2 * memoryBytes, 1));
+    const std::size_t bytes = this->budget.maxRequestBytes();
+    BOOST_TEST(!this->budget.startServing(this->connect(), idleBytes, 1));
+    BOOST_TEST(!this->budget.startServing(this->connect(), bytes, 1));
+    BOOST_TEST(!this->budget.startServing(this->connect(), idleBytes, 1));
+    BOOST_TEST(this->budget.startServing(this->connect(), bytes, 1).has_value());
 }
 
 // Guards against a budget that counts memory as free which a closed connection still holds: many responses may be made
