Gateway: Count what was sent ahead of the response

A request of which a part had arrived before the response to the previous one counted only once more bytes came, so that a client that then stayed silent held up to a header or body uncounted. The new test failed before: the budget held less than 128 KB for 2,000 fields.

--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -72,13 +72,12 @@
 
 bool FrontConnection::start()
 {
+    boost::system::error_code ignored;
     if (!this->budget->add(*this)) {
         this->state = State::Closed;
-        boost::system::error_code ignored;
         this->socket.close(ignored);
         return false;
     }
-    boost::system::error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->beginRequest();
     this->startRead();
@@ -179,6 +178,14 @@
         });
 }
 
+void FrontConnection::continueReading()
+{
+    this->startRead();
+    if (this->state != State::Closed) {
+        this->updateBudget();
+    }
+}
+
 void FrontConnection::handleRead(const boost::system::error_code &error, std::size_t size)
 {
     if (this->state == State::Closed) {
@@ -195,10 +202,7 @@
     if (this->state == State::Reading) {
         this->parse();
     }
-    this->startRead();
-    if (this->state != State::Closed) {
-        this->updateBudget();
-    }
+    this->continueReading();
 }
 
 bool FrontConnection::parseAvailable(boost::system::error_code &error)
@@ -386,7 +390,7 @@
     if (this->state == State::Reading && this->buffer.size() > 0) {
         this->parse();
     }
-    this->startRead();
+    this->continueReading();
 }
 
 void FrontConnection::callerDisconnected()
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -75,6 +75,8 @@
     /// Refuses the request unless the budget lets it be served.
     bool admitToService();
     void startRead();
+    /// Starts a read after received bytes were parsed, and reports to the budget.
+    void continueReading();
     void handleRead(const boost::system::error_code &error, std::size_t size);
     void beginRequest();
     /// Applies the limits of the current configuration to the request that begins to arrive.
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -329,6 +329,24 @@
     BOOST_TEST(runUntil(this->io, [this] { return this->budget->heldBytes() > 64 * fields; }));
 }
 
+// Guards against memory that does not count because it was received before the response to the previous request.
+BOOST_FIXTURE_TEST_CASE(countsIncompleteHeaderThatWasSentAhead, Fixture)
+{
+    constexpr std::size_t fields = 2000;
+    this->tableContent.limits.headerBytes = 8 * fields;
+    this->forwarder.setTable(this->table());
+    std::string ahead = "GET /x HTTP/1.1\r\n";
+    for (std::size_t count = 0; count < fields; ++count) {
+        ahead += "a:\r\n";
+    }
+    this->send(plainRequest + ahead);
+    BOOST_REQUIRE(this->waitForCalls(1));
+    runFor(this->io, std::chrono::milliseconds(20));
+    this->call(0).finish(CallResult::Answered, 200, "served");
+    BOOST_REQUIRE(this->receiveUntil("served"));
+    BOOST_TEST(runUntil(this->io, [this] { return this->budget->heldBytes() > 64 * fields; }));
+}
+
 // Guards against a request that is passed on although the memory for its body and the copies of it is missing.
 BOOST_FIXTURE_TEST_CASE(requestBeyondMemoryIsRefusedAsNotRun, Fixture)
 {
