Forwarding: Reject what costs least while endpoints are short of room

Callers saw urgent queries late behind patient ones that wait in the same endpoint queues, and failures without "not run" for queries that some shards had no room for.

Cause: every request was sent at once, whatever waited at the endpoints.

OverloadControl decides before anything is sent. It compares the waiting time that endpoints report with the slack of the request and of more urgent kinds, keeps a minimum share for each kind and organisation, and rejects at once what no endpoint can serve before the deadline or what cannot reach its coverage because shards reject without a queue. FairShares is taken out of ThrottledAdmission, as both use it.

Ruled out in trials: control of the admitted fraction by missed objectives, with and without a nominal capacity (docs/design/shortage.md).

Before the change urgentKindBursts and patientKindBursts fail on the fraction of urgent queries on time.

Not proved: real endpoints; single services with many endpoints.

--- /dev/null
+++ b/Source/forwarding/competingkinds.cpp
@@ -0,0 +1,128 @@
+#include "forwarding/competingkinds.h"
+
+#include <algorithm>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+/// A kind or an organisation competes for this time after its last request.
+constexpr Duration competingTime = std::chrono::seconds(2);
+constexpr Duration cleanupInterval = std::chrono::seconds(1);
+/// Requests may wait at the endpoints for these fractions of the slack of more urgent ones and of their own. The rest
+/// is left for the variation of waiting times and work.
+constexpr double moreUrgentSlackFraction = 0.2;
+constexpr double ownSlackFraction = 0.8;
+/// Factor on the longest wait for a kind that needs more work than others of the same priority, and for organisations
+/// above their fair share.
+constexpr double moreWorkFactor = 0.7;
+constexpr double aboveFairShareFactor = 0.7;
+/// The minimum share of a kind or organisation, relative to the fraction of all requests that is sent.
+constexpr double minRelativeShare = 0.4;
+/// Weight of one request in the averages of the fractions sent.
+constexpr double sentGain = 0.05;
+
+/// A fraction of the slack; unlimited if a request cannot be on time even without waiting.
+Duration scaled(Duration slack, double fraction)
+{
+    return slack <= Duration::zero() ? Duration::max() : fromSeconds(fractionalSeconds(slack) * fraction);
+}
+
+OrganisationId idOf(const OrganisationSpec *organisation)
+{
+    return organisation == nullptr ? OrganisationId() : organisation->id;
+}
+
+}
+
+void CompetingKinds::SentFraction::record(bool wasSent)
+{
+    this->value += sentGain * ((wasSent ? 1 : 0) - this->value);
+}
+
+void CompetingKinds::recordArrival(const KindOfRequest &kind, TimePoint now)
+{
+    if (now >= this->nextCleanupAt) {
+        this->forgetIdle(now);
+        this->nextCleanupAt = now + cleanupInterval;
+    }
+    Competitor &competitor = this->kinds[Key(kind.priority, kind.route)];
+    competitor.arrivals.record(now);
+    competitor.work = kind.work;
+    competitor.slack = kind.slack;
+    competitor.lastArrivalAt = now;
+}
+
+Duration
+CompetingKinds::longestWait(const KindOfRequest &kind, const OrganisationSpec *organisation, TimePoint now) const
+{
+    Duration longest = scaled(kind.slack, ownSlackFraction);
+    bool needsMoreWork = false;
+    for (const auto &[key, other] : this->kinds) {
+        if (key.first < kind.priority) {
+            longest = std::min(longest, scaled(other.slack, moreUrgentSlackFraction));
+        } else if (key.first == kind.priority) {
+            needsMoreWork = needsMoreWork || other.work < kind.work;
+        }
+    }
+    if (longest == Duration::max()) {
+        return longest;
+    }
+    double factor = 1;
+    if (needsMoreWork) {
+        factor *= moreWorkFactor;
+    }
+    if (this->kinds.at(Key(kind.priority, kind.route)).shares.isExceeded(organisation, now)) {
+        factor *= aboveFairShareFactor;
+    }
+    return scaled(longest, factor);
+}
+
+bool CompetingKinds::isBelowMinimum(const KindOfRequest &kind, const OrganisationSpec *organisation) const
+{
+    const Competitor &own = this->kinds.at(Key(kind.priority, kind.route));
+    if (own.sent.value < minRelativeShare * this->sent.value) {
+        return true;
+    }
+    const auto entry = own.sentByOrganisation.find(idOf(organisation));
+    return entry != own.sentByOrganisation.end() && entry->second.value < minRelativeShare * own.sent.value;
+}
+
+void CompetingKinds::recordDecision(const KindOfRequest &kind,
+                                    const OrganisationSpec *organisation,
+                                    bool wasSent,
+                                    TimePoint now)
+{
+    Competitor &own = this->kinds[Key(kind.priority, kind.route)];
+    this->sent.record(wasSent);
+    own.sent.record(wasSent);
+    own.sentByOrganisation[idOf(organisation)].record(wasSent);
+    if (wasSent) {
+        own.shares.recordSent(organisation, now);
+    }
+}
+
+Duration CompetingKinds::meanWork(TimePoint now) const
+{
+    double work = 0;
+    double requests = 0;
+    for (const auto &[key, competitor] : this->kinds) {
+        const double rate = competitor.arrivals.perSecond(now);
+        work += rate * fractionalSeconds(competitor.work);
+        requests += rate;
+    }
+    return requests > 0 ? fromSeconds(work / requests) : Duration::zero();
+}
+
+void CompetingKinds::forgetIdle(TimePoint now)
+{
+    for (auto entry = this->kinds.begin(); entry != this->kinds.end();) {
+        entry->second.shares.forgetIdle(competingTime, now);
+        const bool isIdle = now - entry->second.lastArrivalAt > competingTime;
+        entry = isIdle ? this->kinds.erase(entry) : std::next(entry);
+    }
+}
+
+}
--- a/Source/forwarding/exchange.h
+++ b/Source/forwarding/exchange.h
@@ -28,7 +28,8 @@
 };
 
 /// Starts a FanoutExchange if the route has shards, otherwise a SingleExchange. @p done is called once, possibly from
-/// within this function, unless the exchange is cancelled first.
+/// within this function, unless the exchange is cancelled first. Returns nullptr if the endpoints are short of room and
+/// the request is rejected for it; @p done has been called then.
 std::shared_ptr<Exchange>
 startExchange(ForwardingContext &context, const AdmittedRequest &request, Exchange::ReplyCallback done);
 
--- /dev/null
+++ b/Source/forwarding/fairshares.cpp
@@ -0,0 +1,51 @@
+#include "forwarding/fairshares.h"
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+/// Weight of organisations without a limit, and of public routes.
+constexpr double defaultWeight = 1;
+
+OrganisationId idOf(const OrganisationSpec *organisation)
+{
+    return organisation == nullptr ? OrganisationId() : organisation->id;
+}
+
+}
+
+void FairShares::recordSent(const OrganisationSpec *organisation, TimePoint now)
+{
+    Usage &own = this->usage[idOf(organisation)];
+    own.sent.record(now);
+    own.weight
+        = organisation != nullptr && organisation->ratePerSecond > 0 ? organisation->ratePerSecond : defaultWeight;
+    own.lastSentAt = now;
+}
+
+bool FairShares::isExceeded(const OrganisationSpec *organisation, TimePoint now) const
+{
+    const auto own = this->usage.find(idOf(organisation));
+    if (own == this->usage.end()) {
+        return false;
+    }
+    double totalRate = 0;
+    double totalWeight = 0;
+    for (const auto &[id, entry] : this->usage) {
+        totalRate += entry.sent.perSecond(now);
+        totalWeight += entry.weight;
+    }
+    return own->second.sent.perSecond(now) * totalWeight > totalRate * own->second.weight;
+}
+
+void FairShares::forgetIdle(Duration idleTime, TimePoint now)
+{
+    for (auto entry = this->usage.begin(); entry != this->usage.end();) {
+        const bool isIdle = now - entry->second.lastSentAt >= idleTime;
+        entry = isIdle ? this->usage.erase(entry) : std::next(entry);
+    }
+}
+
+}
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -37,6 +37,7 @@
     , calls(this->request.route->shards.size())
     , shardResponses(this->request.route->shards.size())
     , shardStates(this->request.route->shards.size(), ShardState::Pending)
+    , measuredShard(this->context.random.uniformInteger(this->request.route->shards.size()))
 {
     for (const ServiceId &service : this->request.route->shards) {
         this->targets.emplace_back(service);
@@ -287,6 +288,7 @@
         return;
     }
     this->mayHaveRun = this->mayHaveRun || result.mayHaveRun;
+    this->recordShardResult(shard, result);
     if (result.success) {
         this->shardResponses[shard] = *result.response;
         this->setShardState(shard, ShardState::Succeeded);
@@ -300,6 +302,20 @@
     this->replyIfComplete();
 }
 
+void FanoutExchange::recordShardResult(std::size_t shard, const ServiceResult &result)
+{
+    if (!this->calls[shard]) {
+        return;
+    }
+    const TimePoint now = this->context.clock.now();
+    this->context.overloadControl.recordShard(this->request, shard, result.success, now);
+    // One shard stands for all of a query.
+    if (result.success && shard == this->measuredShard) {
+        this->context.overloadControl.recordLatency(
+            this->request, this->request.route->shards[shard], now - this->request.request->arrivedAt, now);
+    }
+}
+
 void FanoutExchange::replyIfComplete()
 {
     if (!this->canReachRequiredCoverage()) {
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -49,6 +49,8 @@
     void refuseThrottled(Duration retryAfter);
     void startTimers();
     void handleShardResult(std::size_t shard, const ServiceResult &result);
+    /// Records the result of a call for the decisions about later requests.
+    void recordShardResult(std::size_t shard, const ServiceResult &result);
     void setShardState(std::size_t shard, ShardState state);
     void replyIfComplete();
     void handleObjective();
@@ -73,6 +75,8 @@
     /// holds the merged records of all.
     std::vector<EndpointResponse> shardResponses;
     std::vector<ShardState> shardStates;
+    /// The shard whose latency is recorded.
+    std::size_t measuredShard;
     std::size_t succeededCount = 0;
     std::size_t failedCount = 0;
     /// True if some endpoint may have run the request.
--- a/Source/forwarding/forwardingcontext.h
+++ b/Source/forwarding/forwardingcontext.h
@@ -7,6 +7,7 @@
 #include "forwarding/latencymodel.h"
 #include "forwarding/messages.h"
 #include "forwarding/organisationquota.h"
+#include "forwarding/overloadcontrol.h"
 #include "forwarding/requestlog.h"
 #include "forwarding/shardrelay.h"
 #include "forwarding/throttledadmission.h"
@@ -31,6 +32,7 @@
     RequestLog &requestLog;
     Random &random;
     ThrottledAdmission &throttledAdmission;
+    OverloadControl &overloadControl;
     /// nullptr if shard requests cannot be relayed through other instances.
     ShardRelay *relay = nullptr;
 };
@@ -43,6 +45,8 @@
     std::shared_ptr<const RouteTable> table;
     const Route *route = nullptr;
     OrganisationId organisation;
+    /// The service that the request goes to, if the route has no shards; startExchange() selects it.
+    ServiceId service;
     /// The earlier of the caller's deadline and the route's timeout.
     TimePoint deadline;
     /// Maximum number of attempts per service, if the requesting and the relaying instance share the attempts of the
--- /dev/null
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -0,0 +1,159 @@
+#include "forwarding/overloadcontrol.h"
+
+#include "forwarding/endpointqueues.h"
+#include "forwarding/forwardingcontext.h"
+#include "forwarding/forwardingtimes.h"
+
+#include <algorithm>
+
+namespace Lycheewall
+{
+
+namespace
+{
+
+/// State about endpoints to which no request goes is dropped after this time.
+constexpr Duration idleTime = std::chrono::seconds(30);
+constexpr Duration cleanupInterval = std::chrono::seconds(10);
+/// Requests that arrive within this time after the queues were counted use the same count.
+constexpr Duration queueCountLifetime = Milliseconds(3);
+/// Requests that are not expected to be served are sent at this interval, so that the expectation follows the
+/// endpoints.
+constexpr Duration probeInterval = Milliseconds(200);
+/// Work that is assumed without measurements: the latency objective divided by this.
+constexpr int fallbackObjectiveDivisor = 8;
+/// Rejected callers return after a random fraction of the time that they have left, so that they do not return together
+/// and can still be served.
+constexpr double minRetryFraction = 0.05;
+constexpr double maxRetryFraction = 0.3;
+constexpr Duration minRetryAfter = Milliseconds(100);
+
+/// The service, or the first shard of the index, that stands for the endpoints of a request.
+const ServiceId &poolKeyOf(const AdmittedRequest &request)
+{
+    return request.route->shards.empty() ? request.service : request.route->shards.front();
+}
+
+}
+
+OverloadControl::OverloadControl(const EndpointSet &knownEndpoints, Random &randomNumbers)
+    : endpoints(knownEndpoints)
+    , random(randomNumbers)
+{
+}
+
+std::optional<OverloadRejection> OverloadControl::decide(const AdmittedRequest &request, TimePoint now)
+{
+    Pool &pool = this->poolOf(request, now);
+    const KindOfRequest kind = this->kindOf(request);
+    pool.kinds.recordArrival(kind, now);
+    const Refusal obstacle = this->findObstacle(request, pool, now);
+    if (obstacle != Refusal::None && !startProbe(pool, now)) {
+        return this->reject(request, obstacle, Duration::zero(), now);
+    }
+    const Duration wait = this->estimatedWait(request, pool, now);
+    if (wait <= Duration::zero()) {
+        return std::nullopt;
+    }
+    const OrganisationSpec *organisation = request.organisationSpec();
+    const bool isSent
+        = wait <= pool.kinds.longestWait(kind, organisation, now) || pool.kinds.isBelowMinimum(kind, organisation);
+    pool.kinds.recordDecision(kind, organisation, isSent, now);
+    return isSent ? std::nullopt : std::optional(this->reject(request, Refusal::QueueFull, wait, now));
+}
+
+void OverloadControl::recordLatency(const AdmittedRequest &request,
+                                    const ServiceId &service,
+                                    Duration latency,
+                                    TimePoint now)
+{
+    // With a queue, the latency includes the time that the request has waited.
+    if (latency > Duration::zero() && EndpointQueues::longest(this->endpoints, service, now) <= 0) {
+        this->work[request.route->name].record(latency);
+    }
+}
+
+void OverloadControl::recordShard(const AdmittedRequest &request, std::size_t shard, bool delivered, TimePoint now)
+{
+    // A shard with a queue rejects requests for lack of room, which ends when fewer are sent.
+    const std::vector<ServiceId> &shards = request.route->shards;
+    if (delivered || EndpointQueues::longest(this->endpoints, shards[shard], now) <= 0) {
+        this->poolOf(request, now).delivery.record(shard, shards.size(), delivered);
+    }
+}
+
+OverloadControl::Pool &OverloadControl::poolOf(const AdmittedRequest &request, TimePoint now)
+{
+    if (now >= this->nextCleanupAt) {
+        this->forgetIdlePools(now);
+        this->nextCleanupAt = now + cleanupInterval;
+    }
+    Pool &pool = this->pools[poolKeyOf(request)];
+    pool.lastRequestAt = now;
+    return pool;
+}
+
+KindOfRequest OverloadControl::kindOf(const AdmittedRequest &request) const
+{
+    const Route &route = *request.route;
+    Duration work = route.latencyObjective / fallbackObjectiveDivisor;
+    const auto estimate = this->work.find(route.name);
+    if (estimate != this->work.end()) {
+        work = estimate->second.typical(work);
+    }
+    return { request.priority(), route.name, work, route.latencyObjective - callerRoundTrip - work };
+}
+
+bool OverloadControl::canMeetDeadline(const AdmittedRequest &request, TimePoint now) const
+{
+    const auto estimate = this->work.find(request.route->name);
+    const Duration lowestWork = estimate == this->work.end() ? Duration::zero() : estimate->second.lowest();
+    return now + lowestWork + deadlineMargin <= request.deadline;
+}
+
+Refusal OverloadControl::findObstacle(const AdmittedRequest &request, const Pool &pool, TimePoint now) const
+{
+    if (!this->canMeetDeadline(request, now)) {
+        return Refusal::DeadlineUnreachable;
+    }
+    const Route &route = *request.route;
+    const bool canBeServed = route.shards.empty() || pool.delivery.canReach(route.requiredShards());
+    return canBeServed ? Refusal::None : Refusal::EndpointShed;
+}
+
+bool OverloadControl::startProbe(Pool &pool, TimePoint now)
+{
+    if (now < pool.nextProbeAt) {
+        return false;
+    }
+    pool.nextProbeAt = now + probeInterval;
+    return true;
+}
+
+Duration OverloadControl::estimatedWait(const AdmittedRequest &request, Pool &pool, TimePoint now) const
+{
+    if (!pool.countedAt || now - *pool.countedAt > queueCountLifetime) {
+        const std::vector<ServiceId> &shards = request.route->shards;
+        pool.queuePerSlot = shards.empty() ? EndpointQueues::median(this->endpoints, request.service, now)
+                                           : EndpointQueues::medianOfShards(this->endpoints, shards, now);
+        pool.countedAt = now;
+    }
+    return pool.queuePerSlot <= 0 ? Duration::zero()
+                                  : fromSeconds(pool.queuePerSlot * fractionalSeconds(pool.kinds.meanWork(now)));
+}
+
+OverloadRejection OverloadControl::reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now)
+{
+    const double remaining = std::max(0.0, fractionalSeconds(request.deadline - now));
+    const double fraction = minRetryFraction + (maxRetryFraction - minRetryFraction) * this->random.uniformReal();
+    return { reason, std::max(minRetryAfter, fromSeconds(remaining * fraction)), wait };
+}
+
+void OverloadControl::forgetIdlePools(TimePoint now)
+{
+    for (auto pool = this->pools.begin(); pool != this->pools.end();) {
+        pool = now - pool->second.lastRequestAt > idleTime ? this->pools.erase(pool) : std::next(pool);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/forwarding/overloadcontrol.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/random.h"
+#include "core/refusal.h"
+#include "forwarding/competingkinds.h"
+#include "forwarding/sharddelivery.h"
+#include "forwarding/workestimate.h"
+
+#include <optional>
+
+namespace Lycheewall
+{
+
+struct AdmittedRequest;
+class EndpointSet;
+
+/// Why a request is not sent to the endpoints.
+struct OverloadRejection
+{
+    /// DeadlineUnreachable: even a free endpoint would respond too late. EndpointShed: too many shards reject requests,
+    /// whatever their load. QueueFull: the room is left to requests whose rejection would cost callers more.
+    Refusal reason = Refusal::None;
+    /// Time after which the caller may send the request again.
+    Duration retryAfter {};
+    /// Estimated waiting time at the endpoints.
+    Duration wait {};
+};
+
+/**
+ * Decides, before anything is sent, which requests are rejected because endpoints are short of room or cannot serve
+ * them. Requests compete if they go to the same service, or to indexes with the same first shard. While no request
+ * waits at the endpoints, all requests that can be served are sent. The state follows from what the endpoints report
+ * and how they respond, so a wrong belief ends when the next responses arrive or the reports are too old. Thread
+ * safety: none; used on the thread of the request loop.
+ */
+class OverloadControl
+{
+public:
+    /// @p endpoints and @p random outlive this object.
+    OverloadControl(const EndpointSet &endpoints, Random &random);
+
+    /// Decides on a request that has arrived; std::nullopt if it may be sent.
+    std::optional<OverloadRejection> decide(const AdmittedRequest &request, TimePoint now);
+
+    /// Records the latency of a response to a request from an endpoint of @p service.
+    void recordLatency(const AdmittedRequest &request, const ServiceId &service, Duration latency, TimePoint now);
+
+    /// Records whether a shard, by its index in Route::shards, has responded to a query.
+    void recordShard(const AdmittedRequest &request, std::size_t shard, bool delivered, TimePoint now);
+
+private:
+    /// The requests that compete for the same endpoints.
+    struct Pool
+    {
+        CompetingKinds kinds;
+        ShardDelivery delivery;
+        /// Waiting requests for each slot, and when they were counted.
+        double queuePerSlot = 0;
+        std::optional<TimePoint> countedAt;
+        TimePoint nextProbeAt;
+        TimePoint lastRequestAt;
+    };
+
+    Pool &poolOf(const AdmittedRequest &request, TimePoint now);
+    KindOfRequest kindOf(const AdmittedRequest &request) const;
+    /// The reason for which the request cannot be served whatever the load; Refusal::None if there is none.
+    Refusal findObstacle(const AdmittedRequest &request, const Pool &pool, TimePoint now) const;
+    /// True if a request is due that is sent although it is not expected to be served. The next one is due later.
+    static bool startProbe(Pool &pool, TimePoint now);
+    /// False if even a free endpoint would respond after the deadline.
+    bool canMeetDeadline(const AdmittedRequest &request, TimePoint now) const;
+    /// Estimated waiting time at the endpoints of the service, or of most of the shards.
+    Duration estimatedWait(const AdmittedRequest &request, Pool &pool, TimePoint now) const;
+    OverloadRejection reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now);
+    void forgetIdlePools(TimePoint now);
+
+    const EndpointSet &endpoints;
+    Random &random;
+    std::map<ServiceId, Pool> pools;
+    /// By route.
+    std::map<std::string, WorkEstimate> work;
+    TimePoint nextCleanupAt;
+};
+
+}
--- /dev/null
+++ b/Source/forwarding/sharddelivery.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+namespace Lycheewall
+{
+
+/**
+ * How often the shards of an index have recently responded to queries, apart from queries for which they had no room.
+ * Tells whether a query can be expected to reach its required coverage.
+ * Thread safety: none; used on the thread of the request loop.
+ */
+class ShardDelivery
+{
+public:
+    /// Records whether a shard has responded. Precondition: shard < shardCount.
+    void record(std::size_t shard, std::size_t shardCount, bool delivered);
+
+    /// False if it is very unlikely that as many as @p required shards respond to a query.
+    bool canReach(std::size_t required) const;
+
+private:
+    /// By shard: moving average of the fraction of queries that it has responded to.
+    std::vector<double> deliveredFractions;
+};
+
+}
--- a/Source/forwarding/singleexchange.cpp
+++ b/Source/forwarding/singleexchange.cpp
@@ -12,7 +12,7 @@
 SingleExchange::start(ForwardingContext &context, const AdmittedRequest &request, ReplyCallback done)
 {
     const std::shared_ptr<SingleExchange> exchange(new SingleExchange(context, request, std::move(done)));
-    const ServiceId service = context.serviceBalancer.nextService(*request.route);
+    const ServiceId &service = request.service;
     if (exchange->refuseIfThrottled(service)) {
         return exchange;
     }
--- a/Source/forwarding/throttledadmission.h
+++ b/Source/forwarding/throttledadmission.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "core/clock.h"
-#include "forwarding/requestrate.h"
-#include "forwarding/routetable.h"
+#include "forwarding/fairshares.h"
 
 #include <map>
 
@@ -26,25 +24,14 @@
     void recordSent(int priority, const OrganisationSpec *organisation, TimePoint now);
 
 private:
-    struct Usage
-    {
-        RequestRate sent;
-        /// Requests per second that the organisation may send; its fair share is proportional to it.
-        double weight = 1;
-        TimePoint lastSentAt;
-    };
-
     /// The requests of one priority.
     struct PriorityClass
     {
         TimePoint lastRequestAt;
-        std::map<OrganisationId, Usage> usage;
+        FairShares shares;
     };
 
     bool isMoreUrgentWaiting(int priority, TimePoint now) const;
-    /// True if the organisation has sent more of the requests of @p priorityClass than its fair share.
-    static bool exceedsFairShare(const PriorityClass &priorityClass, const OrganisationId &organisation, TimePoint now);
-    static void forgetIdleOrganisations(PriorityClass &priorityClass, TimePoint now);
 
     std::map<int, PriorityClass> classes;
 };
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -76,9 +76,10 @@
     , retryBudget(settings.retryLimits, clock)
     , quota(clock)
     , requestLog(clock)
+    , overloadControl(endpoints, random)
     , forwarding { clock,      timers,      counters,           endpoints,       chooser,
                    pool,       retryBudget, latencies,          serviceBalancer, quota,
-                   requestLog, random,      throttledAdmission, nullptr }
+                   requestLog, random,      throttledAdmission, overloadControl, nullptr }
     , freshness(clock)
     , forwarder(settings.forwarding, forwarding, freshness)
     , feedApplier({ clock, timers, counters, codecs.feed, endpoints, forwarder, quota })
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -104,6 +104,7 @@
     OrganisationQuota quota;
     RequestLog requestLog;
     ThrottledAdmission throttledAdmission;
+    OverloadControl overloadControl;
     ForwardingContext forwarding;
     FeedFreshness freshness;
     Forwarder forwarder;
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -114,7 +114,7 @@
 
     static std::shared_ptr<CallerRequest> request(TimePoint now)
     {
-        const auto request = std::make_shared<CallerRequest>();
+        auto request = std::make_shared<CallerRequest>();
         request->attemptId = "id";
         request->method = "GET";
         request->host = "host";
@@ -167,9 +167,10 @@
     OrganisationQuota quota { clock };
     RequestLog requestLog { clock };
     ThrottledAdmission throttledAdmission;
+    OverloadControl overloadControl { endpoints, random };
     ForwardingContext context { clock,          clock,       counters,           endpoints,       chooser,
                                 endpointSender, retryBudget, latencies,          serviceBalancer, quota,
-                                requestLog,     random,      throttledAdmission, nullptr };
+                                requestLog,     random,      throttledAdmission, overloadControl, nullptr };
     RouteTableContent tableContent;
     Route route;
     std::shared_ptr<Exchange> exchange;
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -14,6 +14,11 @@
 
 constexpr double sameZoneDelayMs = 0.1;
 
+std::string prefixOf(std::size_t kind)
+{
+    return '/' + std::to_string(kind) + '/';
+}
+
 OrganisationId organisationId(std::size_t number)
 {
     return OrganisationId("organisation-" + std::to_string(number));
@@ -51,7 +56,7 @@
         simulated->endpoint = call.endpoint;
         simulated->instance = this->instance;
         simulated->sentAt = this->fleet.clock.now();
-        simulated->serviceTimeMs = this->fleet.drawServiceTimeMs();
+        simulated->serviceTimeMs = this->fleet.drawServiceTimeMs(this->kindOf(*call.request).serviceTimeMs);
         simulated->delayMs = server->zone == this->zone ? sameZoneDelayMs : this->fleet.plan.zoneDelayMs;
         simulated->timer = this->fleet.clock.after(fromMilliseconds(simulated->delayMs),
                                                    [server, simulated] { server->receive(simulated); });
@@ -59,6 +64,15 @@
     }
 
 private:
+    const SimulatedKind &kindOf(const CallerRequest &request) const
+    {
+        std::size_t number = 0;
+        while (request.target != prefixOf(number)) {
+            ++number;
+        }
+        return this->fleet.plan.kinds.at(number);
+    }
+
     SimulatedFleet &fleet;
     std::size_t instance;
     std::size_t zone;
@@ -76,7 +90,7 @@
         , requestLog(fleet.clock)
         , context { fleet.clock, fleet.clock, counters,           endpoints,       chooser,
                     sender,      retryBudget, latencies,          serviceBalancer, quota,
-                    requestLog,  random,      throttledAdmission, nullptr }
+                    requestLog,  random,      throttledAdmission, overloadControl, nullptr }
     {
         const double share = 1.0 / static_cast<double>(fleet.plan.instances);
         this->endpoints.setFleetShare(share);
@@ -98,6 +112,7 @@
     OrganisationQuota quota;
     RequestLog requestLog;
     ThrottledAdmission throttledAdmission;
+    OverloadControl overloadControl { endpoints, random };
     ForwardingContext context;
     RequestRate requestRate;
 };
@@ -107,6 +122,7 @@
     , engine(this->plan.seed)
     , start(this->clock.now())
 {
+    this->addDefaultKind();
     this->buildTable();
     this->buildServers();
     this->buildInstances();
@@ -114,27 +130,52 @@
 
 SimulatedFleet::~SimulatedFleet() = default;
 
-void SimulatedFleet::buildTable()
+void SimulatedFleet::addDefaultKind()
+{
+    if (!this->plan.kinds.empty()) {
+        return;
+    }
+    SimulatedKind kind;
+    kind.name = "search";
+    kind.requestsPerSecond = this->plan.requestsPerSecond;
+    kind.serviceTimeMs = this->plan.serviceTimeMs;
+    kind.objective = this->plan.objective;
+    kind.timeout = this->plan.timeout;
+    kind.minShardRatio = this->plan.minShardRatio;
+    this->plan.kinds.push_back(kind);
+}
+
+Route SimulatedFleet::routeOf(const SimulatedKind &kind, std::size_t number) const
 {
-    RouteTableContent content;
-    content.version = 1;
     Route route;
-    route.name = "search";
+    route.name = kind.name;
     route.host = "host";
-    route.prefix = "/";
-    route.latencyObjective = this->plan.objective;
-    route.timeout = this->plan.timeout;
+    route.prefix = prefixOf(number);
+    route.latencyObjective = kind.objective;
+    route.timeout = kind.timeout;
+    route.priority = kind.priority;
     route.maxAttempts = this->plan.maxAttempts;
     route.maxRecords = 10;
-    route.minShardRatio = this->plan.minShardRatio;
+    route.minShardRatio = kind.minShardRatio;
     for (std::size_t shard = 0; shard < this->plan.shards; ++shard) {
         route.shards.push_back(SimulatedServer::serviceOf(shard));
+    }
+    return route;
+}
+
+void SimulatedFleet::buildTable()
+{
+    RouteTableContent content;
+    content.version = 1;
+    for (std::size_t shard = 0; shard < this->plan.shards; ++shard) {
         ServiceSpec spec;
         spec.id = SimulatedServer::serviceOf(shard);
         spec.maxConnections = 1000;
         content.services.push_back(spec);
     }
-    content.routes.push_back(route);
+    for (std::size_t number = 0; number < this->plan.kinds.size(); ++number) {
+        content.routes.push_back(this->routeOf(this->plan.kinds[number], number));
+    }
     for (std::size_t number = 0; number < this->plan.organisations.size(); ++number) {
         OrganisationSpec organisation;
         organisation.id = organisationId(number);
@@ -143,6 +184,7 @@
         content.organisations.push_back(organisation);
     }
     this->result.organisations.resize(this->plan.organisations.size());
+    this->result.kinds.resize(this->plan.kinds.size());
     this->table = RouteTable::create(std::move(content)).value();
 }
 
@@ -169,13 +211,13 @@
     return fractionalSeconds(this->clock.now() - this->start);
 }
 
-double SimulatedFleet::drawServiceTimeMs()
+double SimulatedFleet::drawServiceTimeMs(double meanMs)
 {
     std::lognormal_distribution<double> variation(-this->plan.serviceTimeSigma * this->plan.serviceTimeSigma / 2,
                                                   this->plan.serviceTimeSigma);
     std::uniform_real_distribution<double> uniform(0, 1);
     const double factor = uniform(this->engine) < this->plan.tailFraction ? this->plan.tailFactor : 1;
-    return this->plan.serviceTimeMs * variation(this->engine) * factor;
+    return meanMs * variation(this->engine) * factor;
 }
 
 void SimulatedFleet::recordSend(const ServiceId &service, bool isExtraAttempt)
@@ -228,18 +270,33 @@
 
 void SimulatedFleet::scheduleArrivals()
 {
-    std::exponential_distribution<double> interval(this->plan.requestsPerSecond);
+    for (std::size_t kind = 0; kind < this->plan.kinds.size(); ++kind) {
+        this->scheduleArrivals(kind);
+    }
+}
+
+void SimulatedFleet::scheduleArrivals(std::size_t kind)
+{
+    const SimulatedKind &simulated = this->plan.kinds[kind];
+    std::exponential_distribution<double> interval(simulated.requestsPerSecond);
     const std::size_t used
         = this->plan.instancesWithCallers == 0 ? this->plan.instances : this->plan.instancesWithCallers;
     std::uniform_int_distribution<std::size_t> instanceIndex(0, used - 1);
+    const auto nextInterval = [&](double second) {
+        const double factor = simulated.rateFactor ? simulated.rateFactor(second) : 1;
+        return interval(this->engine) / factor;
+    };
     double arrivalSeconds = 0;
-    while ((arrivalSeconds += interval(this->engine)) < this->plan.durationSeconds) {
+    while ((arrivalSeconds += nextInterval(arrivalSeconds)) < this->plan.durationSeconds) {
         const bool haveMoved = this->plan.callersMoveAtSecond > 0 && arrivalSeconds >= this->plan.callersMoveAtSecond;
-        const std::size_t instance = instanceIndex(this->engine) + (haveMoved ? this->plan.instances - used : 0);
-        const std::size_t organisation = this->drawOrganisation();
+        Arrival arrival;
+        arrival.instance = instanceIndex(this->engine) + (haveMoved ? this->plan.instances - used : 0);
+        arrival.organisation = this->drawOrganisation();
+        arrival.kind = kind;
+        arrival.second = arrivalSeconds;
+        arrival.deadline = this->start + fromMilliseconds(arrivalSeconds * 1000) + simulated.timeout;
         this->arrivals.push_back(
-            this->clock.after(fromMilliseconds(arrivalSeconds * 1000),
-                              [this, instance, organisation] { this->arrive(instance, organisation); }));
+            this->clock.after(fromMilliseconds(arrivalSeconds * 1000), [this, arrival] { this->arrive(arrival); }));
     }
 }
 
@@ -270,33 +327,66 @@
     }
 }
 
-void SimulatedFleet::arrive(std::size_t instance, std::size_t organisation)
+void SimulatedFleet::arrive(Arrival arrival)
 {
-    this->instances[instance]->requestRate.record(this->clock.now());
+    this->instances[arrival.instance]->requestRate.record(this->clock.now());
+    arrival.at = this->clock.now();
     const auto request = std::make_shared<CallerRequest>();
     request->attemptId = std::to_string(this->nextRequest++);
-    request->arrivedAt = this->clock.now();
-    request->deadline = request->arrivedAt + this->plan.timeout;
+    request->target = prefixOf(arrival.kind);
+    request->arrivedAt = arrival.at;
+    request->deadline = arrival.deadline;
     AdmittedRequest admitted;
     admitted.request = request;
     admitted.table = this->table;
-    admitted.route = &this->table->routes().front();
+    admitted.route = &this->table->routes()[arrival.kind];
     admitted.deadline = request->deadline;
     if (!this->plan.organisations.empty()) {
-        admitted.organisation = organisationId(organisation);
+        admitted.organisation = organisationId(arrival.organisation);
     }
-    const Arrival arrival { this->elapsedSeconds(), request->arrivedAt, organisation };
-    startExchange(this->instances[instance]->context, admitted, [this, arrival](const ForwardReply &reply) {
-        this->recordReply(arrival, reply);
+    startExchange(this->instances[arrival.instance]->context, admitted, [this, arrival](const ForwardReply &reply) {
+        if (!this->repeat(arrival, reply)) {
+            this->recordReply(arrival, reply);
+        }
     });
 }
 
+bool SimulatedFleet::repeat(const Arrival &arrival, const ForwardReply &reply)
+{
+    if (reply.merged || !reply.notRun || !reply.retryAfter || arrival.repeats >= this->plan.repeats.maxRepeats) {
+        return false;
+    }
+    const Duration remaining = arrival.deadline - this->clock.now();
+    const Duration longestWait
+        = fromSeconds(std::max(0.0, fractionalSeconds(remaining)) * this->plan.repeats.maxWaitFraction);
+    Arrival next = arrival;
+    ++next.repeats;
+    this->arrivals.push_back(
+        this->clock.after(std::min(*reply.retryAfter, longestWait), [this, next] { this->arrive(next); }));
+    return true;
+}
+
+void SimulatedFleet::recordKindResult(const Arrival &arrival, const ForwardReply &reply)
+{
+    const Duration latency = this->clock.now() - arrival.at + fromMilliseconds(2 * this->plan.callerDelayMs);
+    KindResult &kind = this->result.kinds[arrival.kind];
+    ++kind.requests;
+    if (!reply.merged) {
+        ++(reply.notRun ? kind.refused : kind.failed);
+    } else if (latency > this->plan.kinds[arrival.kind].objective) {
+        ++kind.late;
+    } else {
+        ++(arrival.repeats == 0 ? kind.onTime : kind.onTimeAfterRefusal);
+    }
+}
+
 void SimulatedFleet::recordReply(const Arrival &arrival, const ForwardReply &reply)
 {
     if (arrival.second < this->plan.warmUpSeconds) {
         return;
     }
     ++this->result.requests;
+    this->recordKindResult(arrival, reply);
     if (!this->result.organisations.empty()) {
         OrganisationResult &organisation = this->result.organisations[arrival.organisation];
         ++organisation.requests;
@@ -310,7 +400,7 @@
     if (reply.merged->missingShards > 0) {
         ++this->result.partial;
     }
-    if (latency > this->plan.objective) {
+    if (latency > this->plan.kinds[arrival.kind].objective) {
         ++this->result.late;
         return;
     }
--- a/Tests/forwarding/simulatedfleet.h
+++ b/Tests/forwarding/simulatedfleet.h
@@ -25,22 +25,33 @@
     struct Instance;
     struct Arrival
     {
+        std::size_t instance = 0;
+        std::size_t kind = 0;
+        std::size_t organisation = 0;
+        /// When the caller sent its first attempt, and this one.
         double second = 0;
         TimePoint at;
-        std::size_t organisation = 0;
+        TimePoint deadline;
+        int repeats = 0;
     };
 
+    void addDefaultKind();
     void buildTable();
+    Route routeOf(const SimulatedKind &kind, std::size_t number) const;
     void buildServers();
     void buildInstances();
     void scheduleArrivals();
+    void scheduleArrivals(std::size_t kind);
     std::size_t drawOrganisation();
-    void arrive(std::size_t instance, std::size_t organisation);
+    void arrive(Arrival arrival);
+    /// Lets the caller send the request once more after a refusal, if it does so.
+    bool repeat(const Arrival &arrival, const ForwardReply &reply);
     void gossipSlowEndpoints();
     void gossipRequestRates();
     void recordReply(const Arrival &arrival, const ForwardReply &reply);
+    void recordKindResult(const Arrival &arrival, const ForwardReply &reply);
     double elapsedSeconds() const;
-    double drawServiceTimeMs();
+    double drawServiceTimeMs(double meanMs);
     void recordSend(const ServiceId &service, bool isExtraAttempt);
     double maxBudgetUsage() const;
     double maxLimitUsage() const;
--- a/Tests/forwarding/simulatedserver.cpp
+++ b/Tests/forwarding/simulatedserver.cpp
@@ -95,6 +95,18 @@
     return this->plan.isDown && this->plan.isDown(this->shard, this->index, this->elapsedSeconds());
 }
 
+bool SimulatedServer::rejectsNext()
+{
+    this->rejectionsDue += this->plan.rejectedFraction
+        ? this->plan.rejectedFraction(this->shard, this->index, this->elapsedSeconds())
+        : 0;
+    if (this->rejectionsDue < 1) {
+        return false;
+    }
+    this->rejectionsDue -= 1;
+    return true;
+}
+
 void SimulatedServer::receive(const std::shared_ptr<SimulatedCall> &call)
 {
     if (call->cancelled) {
@@ -107,6 +119,12 @@
         this->sendResponse(call, outcome);
         return;
     }
+    if (this->rejectsNext()) {
+        CallOutcome outcome;
+        outcome.result = CallResult::NotRun;
+        this->sendResponse(call, outcome);
+        return;
+    }
     call->removeFromServer = [this, weak = std::weak_ptr<SimulatedCall>(call)] {
         if (const auto removed = weak.lock()) {
             this->remove(removed);
--- a/Tests/forwarding/simulatedserver.h
+++ b/Tests/forwarding/simulatedserver.h
@@ -57,6 +57,8 @@
     std::optional<double> currentLimit() const;
     void recordArrival(std::size_t instance);
     bool isDown() const;
+    /// True if the server rejects the next request regardless of its load.
+    bool rejectsNext();
     void remove(const std::shared_ptr<SimulatedCall> &call);
     void freeSlot(const std::shared_ptr<SimulatedCall> &call);
     void start(const std::shared_ptr<SimulatedCall> &call);
@@ -72,6 +74,8 @@
     const std::size_t index;
     const double pausePhaseMs;
     int running = 0;
+    /// Requests that are still to be rejected: the sum of the rejected fractions, less the rejected requests.
+    double rejectionsDue = 0;
     std::deque<std::shared_ptr<SimulatedCall>> queue;
     std::optional<double> limitNamedAt;
     /// When each instance first got a response with the limit.
--- a/Tests/forwarding/simulationplan.h
+++ b/Tests/forwarding/simulationplan.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Lycheewall
@@ -20,6 +21,29 @@
     double ratePerSecond = 0;
 };
 
+/// A kind of request in a simulation. The requests of all kinds go to the same shards.
+struct SimulatedKind
+{
+    std::string name;
+    double requestsPerSecond = 0;
+    double serviceTimeMs = 0;
+    Duration objective {};
+    Duration timeout {};
+    double minShardRatio = 1;
+    /// 0 is the highest.
+    int priority = 0;
+    /// Factor on the rate at a time in seconds; 1 if empty.
+    std::function<double(double second)> rateFactor;
+};
+
+/// How callers repeat a request that was refused and has not run.
+struct SimulatedRepeats
+{
+    int maxRepeats = 0;
+    /// Callers wait for the time that the refusal names, but at most this fraction of the time they have left.
+    double maxWaitFraction = 1.0 / 3;
+};
+
 /// Parameters of a simulation: a fleet of instances in front of the shards of one index.
 struct SimulationPlan
 {
@@ -37,6 +61,9 @@
     int slots = 6;
     std::size_t queueLimit = 12;
     double requestsPerSecond = 135;
+    /// Kinds of requests; a single one with the rate, service time and objective of this plan if empty.
+    std::vector<SimulatedKind> kinds;
+    SimulatedRepeats repeats;
     /// Organisations whose callers send the requests; a single one of the highest priority if empty.
     std::vector<SimulatedOrganisation> organisations;
     double serviceTimeMs = 28;
@@ -65,6 +92,8 @@
     std::function<bool(std::size_t shard, std::size_t endpoint, double second)> isDown;
     /// Rate limit in requests per second that an endpoint names in its responses; none if empty.
     std::function<std::optional<double>(std::size_t shard, std::size_t endpoint, double second)> rateLimit;
+    /// Fraction of the requests that an endpoint rejects at a time in seconds, whatever its load; 0 if empty.
+    std::function<double(std::size_t shard, std::size_t endpoint, double second)> rejectedFraction;
 };
 
 /// Requests of one organisation and the replies to them.
@@ -80,6 +109,37 @@
     }
 };
 
+/// Requests of one kind by their result. A request that a caller repeats counts once.
+struct KindResult
+{
+    std::size_t requests = 0;
+    /// Replies to the first attempt on time.
+    std::size_t onTime = 0;
+    /// Replies to a repeat, within the objective from the repeat.
+    std::size_t onTimeAfterRefusal = 0;
+    std::size_t late = 0;
+    /// Requests that were refused at last and have not run.
+    std::size_t refused = 0;
+    /// All other requests without a response of the required coverage.
+    std::size_t failed = 0;
+
+    double servedFraction() const
+    {
+        return this->requests == 0 ? 1
+                                   : static_cast<double>(this->onTime + this->onTimeAfterRefusal + this->late)
+                / static_cast<double>(this->requests);
+    }
+
+    /// Fraction of the requests with a reply on time, where one after a refusal counts half.
+    double onTimeFraction() const
+    {
+        return this->requests == 0
+            ? 1
+            : (static_cast<double>(this->onTime) + static_cast<double>(this->onTimeAfterRefusal) / 2)
+                / static_cast<double>(this->requests);
+    }
+};
+
 /// Measurements of the callers and endpoints.
 struct SimulationResult
 {
@@ -99,6 +159,8 @@
     double maxLimitUsage = 0;
     /// In the order of SimulationPlan::organisations.
     std::vector<OrganisationResult> organisations;
+    /// In the order of SimulationPlan::kinds.
+    std::vector<KindResult> kinds;
     std::size_t sends = 0;
     std::size_t crossZoneSends = 0;
 };
