Forwarding: Reject queries at once while their shards stay silent

They count as not responding now; shards that were not asked for lack of room or rate do not count. Fractions of organisations that send nothing any more are dropped with their fair shares.

rejectsQueriesWhileShardsAreSilent waited for the deadline before (no reply to either query). New load patterns: all instances restarted, and a third of the instances cut off.

Unproved: silent shards under load; no simulated server is silent.

--- a/Source/forwarding/competingkinds.cpp
+++ b/Source/forwarding/competingkinds.cpp
@@ -37,8 +37,9 @@
 
 }
 
-void CompetingKinds::SentFraction::record(bool wasSent)
+void CompetingKinds::SentFraction::record(bool wasSent, TimePoint now)
 {
+    this->recordedAt = now;
     this->value += sentGain * ((wasSent ? 1 : 0) - this->value);
 }
 
@@ -96,9 +97,9 @@
                                     TimePoint now)
 {
     Competitor &own = this->kinds[Key(kind.priority, kind.route)];
-    this->sent.record(wasSent);
-    own.sent.record(wasSent);
-    own.sentByOrganisation[idOf(organisation)].record(wasSent);
+    this->sent.record(wasSent, now);
+    own.sent.record(wasSent, now);
+    own.sentByOrganisation[idOf(organisation)].record(wasSent, now);
     if (wasSent) {
         own.shares.recordSent(organisation, now);
     }
@@ -119,8 +120,14 @@
 void CompetingKinds::forgetIdle(TimePoint now)
 {
     for (auto entry = this->kinds.begin(); entry != this->kinds.end();) {
-        entry->second.shares.forgetIdle(competingTime, now);
-        const bool isIdle = now - entry->second.lastArrivalAt > competingTime;
+        Competitor &competitor = entry->second;
+        competitor.shares.forgetIdle(competingTime, now);
+        auto &fractions = competitor.sentByOrganisation;
+        for (auto fraction = fractions.begin(); fraction != fractions.end();) {
+            const bool isIdle = now - fraction->second.recordedAt > competingTime;
+            fraction = isIdle ? fractions.erase(fraction) : std::next(fraction);
+        }
+        const bool isIdle = now - competitor.lastArrivalAt > competingTime;
         entry = isIdle ? this->kinds.erase(entry) : std::next(entry);
     }
 }
--- a/Source/forwarding/competingkinds.h
+++ b/Source/forwarding/competingkinds.h
@@ -53,9 +53,10 @@
     /// Moving average of the fraction of requests that were sent.
     struct SentFraction
     {
-        void record(bool wasSent);
+        void record(bool wasSent, TimePoint now);
 
         double value = 1;
+        TimePoint recordedAt;
     };
     struct Competitor
     {
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -304,7 +304,8 @@
 
 void FanoutExchange::recordShardResult(std::size_t shard, const ServiceResult &result)
 {
-    if (!this->calls[shard]) {
+    // Without room or rate left, the shard was not asked, or its endpoints take requests again soon.
+    if (result.reason == Refusal::QueueFull || result.reason == Refusal::EndpointThrottled) {
         return;
     }
     const TimePoint now = this->context.clock.now();
@@ -316,6 +317,16 @@
     }
 }
 
+void FanoutExchange::recordSilentShards()
+{
+    const TimePoint now = this->context.clock.now();
+    for (std::size_t shard = 0; shard < this->shardStates.size(); ++shard) {
+        if (this->shardStates[shard] == ShardState::Pending && this->isCallInFlight(shard)) {
+            this->context.overloadControl.recordShard(this->request, shard, false, now);
+        }
+    }
+}
+
 void FanoutExchange::replyIfComplete()
 {
     if (!this->canReachRequiredCoverage()) {
@@ -358,6 +369,7 @@
         this->replyMerged();
         return;
     }
+    this->recordSilentShards();
     this->context.requestLog.write(*this->request.request, "deadline", this->describeMissing());
     this->reply(makeDeadlineReply(this->mayHaveBeenRun()));
 }
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -51,6 +51,8 @@
     void handleShardResult(std::size_t shard, const ServiceResult &result);
     /// Records the result of a call for the decisions about later requests.
     void recordShardResult(std::size_t shard, const ServiceResult &result);
+    /// Records the shards that have not responded by the deadline.
+    void recordSilentShards();
     void setShardState(std::size_t shard, ShardState state);
     void replyIfComplete();
     void handleObjective();
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -17,8 +17,9 @@
 /// Why a request is not sent to the endpoints.
 struct OverloadRejection
 {
-    /// DeadlineUnreachable: even a free endpoint would respond too late. EndpointShed: too many shards reject requests,
-    /// whatever their load. QueueFull: the room is left to requests whose rejection would cost callers more.
+    /// DeadlineUnreachable: even a free endpoint would respond too late. EndpointShed: too many shards reject requests
+    /// whatever their load, or do not respond. QueueFull: the room is left to requests whose rejection would cost
+    /// callers more.
     Refusal reason = Refusal::None;
     /// Time after which the caller may send the request again.
     Duration retryAfter {};
--- a/Tests/forwarding/fanoutexchangetest.cpp
+++ b/Tests/forwarding/fanoutexchangetest.cpp
@@ -152,6 +152,25 @@
     BOOST_TEST(!this->replies.at(0).notRun);
 }
 
+// Guards against queries that wait until their deadline for shards which have not responded for a while.
+BOOST_AUTO_TEST_CASE(rejectsQueriesWhileShardsAreSilent)
+{
+    this->routeToShards(1);
+    for (int query = 0; query < 100; ++query) {
+        this->start();
+        this->clock.advance(this->route.timeout);
+    }
+    this->replies.clear();
+    this->endpointSender.calls.clear();
+    this->start();
+    this->start();
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointShed));
+    BOOST_TEST(this->replies[0].notRun);
+    // The other query finds out whether the shards respond again.
+    BOOST_TEST(this->endpointSender.calls.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/forwarding/overloadloadtest.cpp
+++ b/Tests/forwarding/overloadloadtest.cpp
@@ -129,6 +129,37 @@
     checkOrderOfKinds(result);
 }
 
+// Guards against decisions that need state which instances have lost. Pattern: all instances start without state, and
+// callers that have waited for them send six times the usual for half a second.
+BOOST_AUTO_TEST_CASE(callersReturnAfterRestartOfAllInstances)
+{
+    SimulationPlan plan = sharedShardsPlan(30, 90);
+    plan.warmUpSeconds = 0;
+    for (SimulatedKind &kind : plan.kinds) {
+        kind.rateFactor = [](double second) {
+            return second < 0.5 ? 6 : 1;
+        };
+    }
+    const SimulationResult result = simulate("all callers return to restarted instances", plan);
+    for (const KindResult &kind : result.kinds) {
+        BOOST_TEST(kind.failed <= maxFailedFraction * static_cast<double>(kind.requests));
+    }
+    checkOrderOfKinds(result);
+}
+
+// Guards against instances that take load for theirs alone. Pattern: patientKindBursts, with a third of the instances
+// cut off, so that the others get all requests.
+BOOST_AUTO_TEST_CASE(patientKindBurstsAtFewerInstances)
+{
+    SimulationPlan plan = sharedShardsPlan(30, 90);
+    plan.kinds[patient].rateFactor = burst(2.4);
+    plan.instancesWithCallers = 4;
+    const SimulationResult result = simulate("burst of 2.4 of the patient kind at four of six instances", plan);
+    BOOST_TEST(result.kinds[urgent].onTimeFraction() >= minUrgentOnTime);
+    BOOST_TEST(result.kinds[patient].servedFraction() >= minPatientServed);
+    checkOrderOfKinds(result);
+}
+
 // Guards against the same while two thirds of the work find room, and against patient queries that wait at some shards
 // and are rejected by others. Pattern: a burst of 3.5 of the patient kind.
 BOOST_AUTO_TEST_CASE(patientKindBurstsFarBeyondRoom)
