Forwarding: Simplify overload control and test its refunds

Rejections for lack of room count as refusals of callers now (lycheewall_refusals_total), and the latency of a shard that was relayed before does not count as its work. The id of an organisation that may be absent is derived in one place, and the requests that compete for endpoints have a name of their own.

test_forwarding, test_gateway, test_fleet, test_platform: no errors.

--- a/Source/forwarding/competingkinds.cpp
+++ b/Source/forwarding/competingkinds.cpp
@@ -30,11 +30,6 @@
     return slack <= Duration::zero() ? Duration::max() : fromSeconds(fractionalSeconds(slack) * fraction);
 }
 
-OrganisationId idOf(const OrganisationSpec *organisation)
-{
-    return organisation == nullptr ? OrganisationId() : organisation->id;
-}
-
 }
 
 void CompetingKinds::SentFraction::record(bool wasSent, TimePoint now)
@@ -78,7 +73,7 @@
     if (this->kinds.at(Key(kind.priority, kind.route)).shares.isExceeded(organisation, now)) {
         factor *= aboveFairShareFactor;
     }
-    return scaled(longest, factor);
+    return fromSeconds(fractionalSeconds(longest) * factor);
 }
 
 bool CompetingKinds::isBelowMinimum(const KindOfRequest &kind, const OrganisationSpec *organisation) const
@@ -87,7 +82,7 @@
     if (own.sent.value < minRelativeShare * this->sent.value) {
         return true;
     }
-    const auto entry = own.sentByOrganisation.find(idOf(organisation));
+    const auto entry = own.sentByOrganisation.find(organisationId(organisation));
     return entry != own.sentByOrganisation.end() && entry->second.value < minRelativeShare * own.sent.value;
 }
 
@@ -99,7 +94,7 @@
     Competitor &own = this->kinds[Key(kind.priority, kind.route)];
     this->sent.record(wasSent, now);
     own.sent.record(wasSent, now);
-    own.sentByOrganisation[idOf(organisation)].record(wasSent, now);
+    own.sentByOrganisation[organisationId(organisation)].record(wasSent, now);
     if (wasSent) {
         own.shares.recordSent(organisation, now);
     }
--- a/Source/forwarding/competingkinds.h
+++ b/Source/forwarding/competingkinds.h
@@ -35,8 +35,7 @@
     void recordArrival(const KindOfRequest &kind, TimePoint now);
 
     /// The longest waiting time at the endpoints at which the request is sent; Duration::max() if neither it nor a more
-    /// urgent kind can be served on time. Precondition: the arrival of @p kind was
-    /// recorded.
+    /// urgent kind can be served on time. Precondition: the arrival of @p kind was recorded.
     Duration longestWait(const KindOfRequest &kind, const OrganisationSpec *organisation, TimePoint now) const;
 
     /// True if the kind or the organisation has got less than its minimum share, so that the request is sent whatever
--- a/Source/forwarding/exchange.cpp
+++ b/Source/forwarding/exchange.cpp
@@ -20,6 +20,7 @@
 
 void logRejection(ForwardingContext &context, const AdmittedRequest &request, const OverloadRejection &rejection)
 {
+    context.counters.countRefusal(rejection.reason);
     context.counters.counter("lycheewall_overload_rejections_total", refusalCode(rejection.reason)).add();
     context.requestLog.write(*request.request,
                              std::string(refusalCode(rejection.reason)),
--- a/Source/forwarding/fairshares.cpp
+++ b/Source/forwarding/fairshares.cpp
@@ -9,16 +9,16 @@
 /// Weight of organisations without a limit, and of public routes.
 constexpr double defaultWeight = 1;
 
-OrganisationId idOf(const OrganisationSpec *organisation)
-{
-    return organisation == nullptr ? OrganisationId() : organisation->id;
 }
 
+OrganisationId organisationId(const OrganisationSpec *organisation)
+{
+    return organisation == nullptr ? OrganisationId() : organisation->id;
 }
 
 void FairShares::recordSent(const OrganisationSpec *organisation, TimePoint now)
 {
-    Usage &own = this->usage[idOf(organisation)];
+    Usage &own = this->usage[organisationId(organisation)];
     own.sent.record(now);
     own.weight
         = organisation != nullptr && organisation->ratePerSecond > 0 ? organisation->ratePerSecond : defaultWeight;
@@ -27,7 +27,7 @@
 
 bool FairShares::isExceeded(const OrganisationSpec *organisation, TimePoint now) const
 {
-    const auto own = this->usage.find(idOf(organisation));
+    const auto own = this->usage.find(organisationId(organisation));
     if (own == this->usage.end()) {
         return false;
     }
--- a/Source/forwarding/fairshares.h
+++ b/Source/forwarding/fairshares.h
@@ -8,6 +8,9 @@
 namespace Lycheewall
 {
 
+/// The id of the organisation; empty on public routes, where @p organisation is nullptr.
+OrganisationId organisationId(const OrganisationSpec *organisation);
+
 /**
  * The requests of each organisation that were sent to endpoints which cannot take all requests, in relation to the
  * organisations' fair shares, which are proportional to their rate limits.
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -310,8 +310,8 @@
     }
     const TimePoint now = this->context.clock.now();
     this->context.overloadControl.recordShard(this->request, shard, result.success, now);
-    // One shard stands for all of a query.
-    if (result.success && shard == this->measuredShard) {
+    // One shard stands for all of a query. After an attempt to relay it, the latency would include that.
+    if (result.success && shard == this->measuredShard && !this->pendingRelay) {
         this->context.overloadControl.recordLatency(
             this->request, this->request.route->shards[shard], now - this->request.request->arrivedAt, now);
     }
--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -29,7 +29,7 @@
 constexpr Duration minRetryAfter = Milliseconds(100);
 
 /// The service, or the first shard of the index, that stands for the endpoints of a request.
-const ServiceId &poolKeyOf(const AdmittedRequest &request)
+const ServiceId &endpointsKeyOf(const AdmittedRequest &request)
 {
     return request.route->shards.empty() ? request.service : request.route->shards.front();
 }
@@ -44,21 +44,21 @@
 
 std::optional<OverloadRejection> OverloadControl::decide(const AdmittedRequest &request, TimePoint now)
 {
-    Pool &pool = this->poolOf(request, now);
+    CompetingRequests &competing = this->competingWith(request, now);
     const KindOfRequest kind = this->kindOf(request);
-    pool.kinds.recordArrival(kind, now);
-    const Refusal obstacle = this->findObstacle(request, pool, now);
-    if (obstacle != Refusal::None && !startProbe(pool, now)) {
+    competing.kinds.recordArrival(kind, now);
+    const Refusal obstacle = this->findObstacle(request, competing, now);
+    if (obstacle != Refusal::None && !startProbe(competing, now)) {
         return this->reject(request, obstacle, Duration::zero(), now);
     }
-    const Duration wait = this->estimatedWait(request, pool, now);
+    const Duration wait = this->estimatedWait(request, competing, now);
     if (wait <= Duration::zero()) {
         return std::nullopt;
     }
     const OrganisationSpec *organisation = request.organisationSpec();
-    const bool isSent
-        = wait <= pool.kinds.longestWait(kind, organisation, now) || pool.kinds.isBelowMinimum(kind, organisation);
-    pool.kinds.recordDecision(kind, organisation, isSent, now);
+    const bool isSent = wait <= competing.kinds.longestWait(kind, organisation, now)
+        || competing.kinds.isBelowMinimum(kind, organisation);
+    competing.kinds.recordDecision(kind, organisation, isSent, now);
     return isSent ? std::nullopt : std::optional(this->reject(request, Refusal::QueueFull, wait, now));
 }
 
@@ -78,24 +78,24 @@
     // A shard with a queue rejects requests for lack of room, which ends when fewer are sent.
     const std::vector<ServiceId> &shards = request.route->shards;
     if (delivered || EndpointQueues::longest(this->endpoints, shards[shard], now) <= 0) {
-        this->poolOf(request, now).delivery.record(shard, shards.size(), delivered);
+        this->competingWith(request, now).delivery.record(shard, shards.size(), delivered);
     }
 }
 
 void OverloadControl::recordCoverage(const AdmittedRequest &request, std::size_t delivered, TimePoint now)
 {
-    this->poolOf(request, now).delivery.recordCoverage(delivered);
+    this->competingWith(request, now).delivery.recordCoverage(delivered);
 }
 
-OverloadControl::Pool &OverloadControl::poolOf(const AdmittedRequest &request, TimePoint now)
+OverloadControl::CompetingRequests &OverloadControl::competingWith(const AdmittedRequest &request, TimePoint now)
 {
     if (now >= this->nextCleanupAt) {
-        this->forgetIdlePools(now);
+        this->forgetIdle(now);
         this->nextCleanupAt = now + cleanupInterval;
     }
-    Pool &pool = this->pools[poolKeyOf(request)];
-    pool.lastRequestAt = now;
-    return pool;
+    CompetingRequests &competing = this->competingRequests[endpointsKeyOf(request)];
+    competing.lastRequestAt = now;
+    return competing;
 }
 
 KindOfRequest OverloadControl::kindOf(const AdmittedRequest &request) const
@@ -116,35 +116,38 @@
     return now + lowestWork + deadlineMargin <= request.deadline;
 }
 
-Refusal OverloadControl::findObstacle(const AdmittedRequest &request, const Pool &pool, TimePoint now) const
+Refusal
+OverloadControl::findObstacle(const AdmittedRequest &request, const CompetingRequests &competing, TimePoint now) const
 {
     if (!this->canMeetDeadline(request, now)) {
         return Refusal::DeadlineUnreachable;
     }
     const Route &route = *request.route;
-    const bool canBeServed = route.shards.empty() || pool.delivery.canReach(route.requiredShards());
+    const bool canBeServed = route.shards.empty() || competing.delivery.canReach(route.requiredShards());
     return canBeServed ? Refusal::None : Refusal::EndpointShed;
 }
 
-bool OverloadControl::startProbe(Pool &pool, TimePoint now)
+bool OverloadControl::startProbe(CompetingRequests &competing, TimePoint now)
 {
-    if (now < pool.nextProbeAt) {
+    if (now < competing.nextProbeAt) {
         return false;
     }
-    pool.nextProbeAt = now + probeInterval;
+    competing.nextProbeAt = now + probeInterval;
     return true;
 }
 
-Duration OverloadControl::estimatedWait(const AdmittedRequest &request, Pool &pool, TimePoint now) const
+Duration
+OverloadControl::estimatedWait(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const
 {
-    if (!pool.countedAt || now - *pool.countedAt > queueCountLifetime) {
+    if (!competing.countedAt || now - *competing.countedAt > queueCountLifetime) {
         const std::vector<ServiceId> &shards = request.route->shards;
-        pool.queuePerSlot = shards.empty() ? EndpointQueues::median(this->endpoints, request.service, now)
-                                           : EndpointQueues::medianOfShards(this->endpoints, shards, now);
-        pool.countedAt = now;
+        competing.queuePerSlot = shards.empty() ? EndpointQueues::median(this->endpoints, request.service, now)
+                                                : EndpointQueues::medianOfShards(this->endpoints, shards, now);
+        competing.countedAt = now;
     }
-    return pool.queuePerSlot <= 0 ? Duration::zero()
-                                  : fromSeconds(pool.queuePerSlot * fractionalSeconds(pool.kinds.meanWork(now)));
+    return competing.queuePerSlot <= 0
+        ? Duration::zero()
+        : fromSeconds(competing.queuePerSlot * fractionalSeconds(competing.kinds.meanWork(now)));
 }
 
 OverloadRejection OverloadControl::reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now)
@@ -154,10 +157,11 @@
     return { reason, std::max(minRetryAfter, fromSeconds(remaining * fraction)), wait };
 }
 
-void OverloadControl::forgetIdlePools(TimePoint now)
+void OverloadControl::forgetIdle(TimePoint now)
 {
-    for (auto pool = this->pools.begin(); pool != this->pools.end();) {
-        pool = now - pool->second.lastRequestAt > idleTime ? this->pools.erase(pool) : std::next(pool);
+    for (auto entry = this->competingRequests.begin(); entry != this->competingRequests.end();) {
+        const bool isIdle = now - entry->second.lastRequestAt > idleTime;
+        entry = isIdle ? this->competingRequests.erase(entry) : std::next(entry);
     }
 }
 
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -54,7 +54,7 @@
 
 private:
     /// The requests that compete for the same endpoints.
-    struct Pool
+    struct CompetingRequests
     {
         CompetingKinds kinds;
         ShardDelivery delivery;
@@ -65,22 +65,23 @@
         TimePoint lastRequestAt;
     };
 
-    Pool &poolOf(const AdmittedRequest &request, TimePoint now);
+    CompetingRequests &competingWith(const AdmittedRequest &request, TimePoint now);
     KindOfRequest kindOf(const AdmittedRequest &request) const;
     /// The reason for which the request cannot be served whatever the load; Refusal::None if there is none.
-    Refusal findObstacle(const AdmittedRequest &request, const Pool &pool, TimePoint now) const;
+    Refusal findObstacle(const AdmittedRequest &request, const CompetingRequests &competing, TimePoint now) const;
     /// True if a request is due that is sent although it is not expected to be served. The next one is due later.
-    static bool startProbe(Pool &pool, TimePoint now);
+    static bool startProbe(CompetingRequests &competing, TimePoint now);
     /// False if even a free endpoint would respond after the deadline.
     bool canMeetDeadline(const AdmittedRequest &request, TimePoint now) const;
     /// Estimated waiting time at the endpoints of the service, or of most of the shards.
-    Duration estimatedWait(const AdmittedRequest &request, Pool &pool, TimePoint now) const;
+    Duration estimatedWait(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const;
     OverloadRejection reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now);
-    void forgetIdlePools(TimePoint now);
+    void forgetIdle(TimePoint now);
 
     const EndpointSet &endpoints;
     Random &random;
-    std::map<ServiceId, Pool> pools;
+    /// By the service, or the first shard of the index.
+    std::map<ServiceId, CompetingRequests> competingRequests;
     /// By route.
     std::map<std::string, WorkEstimate> work;
     TimePoint nextCleanupAt;
--- a/Tests/forwarding/forwardertest.cpp
+++ b/Tests/forwarding/forwardertest.cpp
@@ -161,6 +161,19 @@
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
 }
 
+// Guards against an organisation that loses its rate with requests which were rejected for lack of room.
+BOOST_AUTO_TEST_CASE(requestsRejectedForLackOfRoomDoNotCountAgainstRate)
+{
+    this->publishTable();
+    for (const char *endpoint : { "s1a", "s1b" }) {
+        this->endpoints.find(EndpointId(endpoint))->stats.updateLoad({ 4, 100, 4 }, this->clock.now());
+    }
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::QueueFull));
+    }
+    BOOST_TEST(this->quota.recentUsage().empty());
+}
+
 // Guards against forwarding a request whose caller does not wait for the reply any more.
 BOOST_AUTO_TEST_CASE(refusesExpiredDeadlines)
 {
