--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -37,6 +37,7 @@
     , calls(this->request.route->shards.size())
     , shardResponses(this->request.route->shards.size())
     , shardStates(this->request.route->shards.size(), ShardState::Pending)
+    , measuredShard(this->context.random.uniformInteger(this->request.route->shards.size()))
 {
     for (const ServiceId &service : this->request.route->shards) {
         this->targets.emplace_back(service);
@@ -287,6 +288,7 @@
         return;
     }
     this->mayHaveRun = this->mayHaveRun || result.mayHaveRun;
+    this->recordShardResult(shard, result);
     if (result.success) {
         this->shardResponses[shard] = *result.response;
         this->setShardState(shard, ShardState::Succeeded);
@@ -300,6 +302,31 @@
     this->replyIfComplete();
 }
 
+void FanoutExchange::recordShardResult(std::size_t shard, const ServiceResult &result)
+{
+    // Without room or rate left, the shard was not asked, or its endpoints take requests again soon.
+    if (result.reason == Refusal::QueueFull || result.reason == Refusal::EndpointThrottled) {
+        return;
+    }
+    const TimePoint now = this->context.clock.now();
+    this->context.overloadControl.recordShard(this->request, shard, result.success, now);
+    // One shard stands for all of a query. After an attempt to relay it, the latency would include that.
+    if (result.success && shard == this->measuredShard && !this->pendingRelay) {
+        this->context.overloadControl.recordLatency(
+            this->request, this->request.route->shards[shard], now - this->request.request->arrivedAt, now);
+    }
+}
+
+void FanoutExchange::recordSilentShards()
+{
+    const TimePoint now = this->context.clock.now();
+    for (std::size_t shard = 0; shard < this->shardStates.size(); ++shard) {
+        if (this->shardStates[shard] == ShardState::Pending && this->isCallInFlight(shard)) {
+            this->context.overloadControl.recordShard(this->request, shard, false, now);
+        }
+    }
+}
+
 void FanoutExchange::replyIfComplete()
 {
     if (!this->canReachRequiredCoverage()) {
@@ -342,6 +369,7 @@
         this->replyMerged();
         return;
     }
+    this->recordSilentShards();
     this->context.requestLog.write(*this->request.request, "deadline", this->describeMissing());
     this->reply(makeDeadlineReply(this->mayHaveBeenRun()));
 }
@@ -379,6 +407,7 @@
     if (merged.missingShards > 0) {
         this->context.counters.counter("lycheewall_forwarding_missing_parts_total").add(merged.missingShards);
     }
+    this->context.overloadControl.recordCoverage(this->request, this->succeededCount, this->context.clock.now());
     ForwardReply reply;
     reply.merged = std::move(merged);
     this->reply(reply);
