Gateway: Read the rest of an oversized header before the close

The buffer was full when the refusal had been sent, so that no more was read and the connection was reset after a second, which could destroy the refusal. readsRestOfOversizedHeader failed before.

--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -435,6 +435,8 @@
     this->state = State::Closing;
     boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Unread bytes would cause a reset, which may destroy the response; a full buffer would stop reading them.
+    this->buffer.consume(this->buffer.size());
     this->armTimer(lingerTime);
     this->updateBudget();
     this->startRead();
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -153,6 +153,22 @@
     BOOST_TEST(this->endpointSender.calls.empty());
 }
 
+// Guards against a reset that destroys the refusal, because the rest of an oversized header is not read.
+BOOST_FIXTURE_TEST_CASE(readsRestOfOversizedHeader, Fixture)
+{
+    constexpr std::size_t sentBytes = std::size_t { 32 } * 1024 * 1024;
+    this->tableContent.limits.headerBytes = std::size_t { 32 } * 1024;
+    this->forwarder.setTable(this->table());
+    const std::string head = "GET /x HTTP/1.1\r\nX-Long: " + std::string(sentBytes, 'x');
+    std::optional<boost::system::error_code> result;
+    boost::asio::async_write(this->socket,
+                             boost::asio::buffer(head),
+                             [&result](const boost::system::error_code &error, std::size_t) { result = error; });
+    BOOST_REQUIRE(runUntil(this->io, [&result] { return result.has_value(); }));
+    BOOST_TEST(!*result);
+    BOOST_TEST(this->receiveUntil("header-too-large"));
+}
+
 // Guards against accepting a body that is larger than the limit.
 BOOST_FIXTURE_TEST_CASE(enforcesBodyLimit, Fixture)
 {
