Gateway: Let requests in flight leave room for other connections

Complete requests to a slow endpoint could hold all memory or all sockets. Readiness checks and connections of other instances were then closed at once. The three new tests failed before.

--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -24,12 +24,17 @@
 constexpr std::size_t minSockets = 16;
 /// Share of the sockets that is kept for connections to endpoints.
 constexpr std::size_t endpointShareDenominator = 4;
-/// Connections are ended until this fraction of the limit is free, so that the search for them is rare.
+/// Connections are ended until this fraction of what requests in flight leave is free, so that the search for them is
+/// rare.
 constexpr std::size_t freedMemoryDenominator = 8;
 constexpr std::size_t freedConnectionsDenominator = 32;
 /// Requests of this size leave a quarter of the memory to smaller ones.
 constexpr std::size_t largeMessageBytes = std::size_t { 32 } * 1024;
 constexpr std::size_t reservedForSmallDenominator = 4;
+/// Shares of the memory and of the sockets that requests in flight leave to other connections, such as readiness checks
+/// and those of other instances.
+constexpr std::size_t reservedMemoryDenominator = 8;
+constexpr std::size_t reservedSocketsDenominator = 32;
 
 using Phase = ConnectionBudget::Phase;
 using Resource = ConnectionBudget::Resource;
@@ -105,6 +110,7 @@
     }
     this->setBytes(holder, 0);
     this->closedCount -= holder.phase == Phase::Closed ? 1 : 0;
+    this->servingCount -= holder.phase == Phase::Serving ? 1 : 0;
     holder.isAdded = false;
     this->holders.erase(&holder);
 }
@@ -116,9 +122,8 @@
     }
     this->setPhase(holder, phase);
     this->setBytes(holder, bytes);
-    const std::size_t limit = this->currentLimits.memoryBytes;
-    if (this->remainingBytes() > limit) {
-        this->reduceMemory(limit - limit / freedMemoryDenominator);
+    if (this->remainingBytes() > this->currentLimits.memoryBytes) {
+        this->reduceMemory(this->reducedMemory());
     }
 }
 
@@ -130,6 +135,8 @@
     const std::size_t bytes = holder.heldBytes;
     this->setBytes(holder, 0);
     this->closedCount = this->closedCount + (phase == Phase::Closed ? 1 : 0) - (holder.phase == Phase::Closed ? 1 : 0);
+    this->servingCount
+        = this->servingCount + (phase == Phase::Serving ? 1 : 0) - (holder.phase == Phase::Serving ? 1 : 0);
     holder.wasServed = holder.wasServed || (holder.phase == Phase::Sending && phase == Phase::Idle);
     holder.phase = phase;
     holder.phaseSince = this->clock.now();
@@ -158,12 +165,15 @@
 {
     const std::size_t limit = this->currentLimits.memoryBytes;
     const bool isLarge = bytes >= largeMessageBytes;
-    const std::size_t reserved = isLarge ? limit / reservedForSmallDenominator : 0;
+    const std::size_t reserved = limit / (isLarge ? reservedForSmallDenominator : reservedMemoryDenominator);
     const bool hasRoom = this->servingBytes + bytes + reserved <= limit;
     // A single large request is served whatever its size.
     if (!hasRoom && !(isLarge && this->largeServing == 0)) {
         return Resource::Memory;
     }
+    if (!this->hasSocketsToServe(endpointSocketsNeeded)) {
+        return Resource::Descriptors;
+    }
     const Phase previousPhase = holder.phase;
     this->setPhase(holder, Phase::Serving);
     const std::size_t used = this->connectionCount() + this->endpointSocketCount() + endpointSocketsNeeded;
@@ -189,7 +199,7 @@
 {
     const std::size_t limit = this->currentLimits.memoryBytes;
     if (this->remainingBytes() + bytes > limit) {
-        this->reduceMemory(saturatingSubtract(limit - limit / freedMemoryDenominator, bytes));
+        this->reduceMemory(saturatingSubtract(this->reducedMemory(), bytes));
     }
     return bytes < largeMessageBytes || this->totalBytes + bytes <= limit;
 }
@@ -220,6 +230,21 @@
     return this->totalBytes - this->endingBytes;
 }
 
+std::size_t ConnectionBudget::reducedMemory() const
+{
+    const std::size_t limit = this->currentLimits.memoryBytes;
+    return limit - saturatingSubtract(limit, this->servingBytes) / freedMemoryDenominator;
+}
+
+bool ConnectionBudget::hasSocketsToServe(std::size_t endpointSocketsNeeded) const
+{
+    const std::size_t all = this->currentLimits.sockets;
+    const std::size_t forEndpoints
+        = std::max(this->endpointSocketCount() + endpointSocketsNeeded, all / endpointShareDenominator);
+    const std::size_t reserved = std::max<std::size_t>(1, all / reservedSocketsDenominator);
+    return this->servingCount + 1 + forEndpoints + reserved <= all;
+}
+
 std::size_t ConnectionBudget::endpointSocketCount() const
 {
     return this->endpointSockets ? this->endpointSockets() : 0;
--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -126,6 +126,10 @@
     void setPhase(Holder &holder, Phase phase);
     /// Bytes held by connections that are not about to end.
     std::size_t remainingBytes() const;
+    /// Bytes to which connections are reduced when they exceed the limit.
+    std::size_t reducedMemory() const;
+    /// True if one more request with @p endpointSocketsNeeded connections to endpoints leaves sockets to others.
+    bool hasSocketsToServe(std::size_t endpointSocketsNeeded) const;
     std::size_t endpointSocketCount() const;
     /// Most accepted connections at present; a share of the sockets is kept for connections to endpoints.
     std::size_t maxConnections() const;
@@ -147,6 +151,7 @@
     std::size_t totalBytes = 0;
     std::size_t endingBytes = 0;
     std::size_t servingBytes = 0;
+    std::size_t servingCount = 0;
     /// Large requests in phase Serving.
     std::size_t largeServing = 0;
     std::size_t closedCount = 0;
--- a/Tests/gateway/connectionbudgettest.cpp
+++ b/Tests/gateway/connectionbudgettest.cpp
@@ -213,6 +213,54 @@
     BOOST_TEST(this->endpointSockets > sockets / 2);
 }
 
+// Guards against readiness checks and connections of other instances that end because small requests in flight hold all
+// memory.
+BOOST_FIXTURE_TEST_CASE(requestsInFlightLeaveMemoryToOtherConnections, Fixture)
+{
+    constexpr std::size_t manySockets = 4096;
+    this->budget.setLimits({ memoryBytes, memoryBytes, manySockets });
+    TestConnection &idle = this->connect(Phase::Idle, idleBytes);
+    std::optional<Resource> shortage;
+    while (!shortage) {
+        shortage = this->budget.startServing(this->connect(), 31 * kibibyte, 0);
+    }
+    this->clock.advance(Milliseconds(1));
+    TestConnection &readiness = this->connect(Phase::Idle, idleBytes);
+    this->connect(Phase::Receiving, mebibyte);
+    BOOST_TEST(!idle.ended);
+    BOOST_TEST(!readiness.ended);
+}
+
+// Guards against readiness checks that are rejected because requests that wait for an endpoint use all descriptors.
+BOOST_FIXTURE_TEST_CASE(requestsInFlightLeaveDescriptorsToOtherConnections, Fixture)
+{
+    std::optional<Resource> shortage;
+    while (!shortage) {
+        TestConnection &connection = this->connect();
+        BOOST_REQUIRE(connection.wasAdded);
+        shortage = this->budget.startServing(connection, idleBytes, 1);
+    }
+    BOOST_TEST((shortage == Resource::Descriptors));
+    BOOST_TEST(this->connect().wasAdded);
+}
+
+// Guards against readiness checks that are rejected because requests and their endpoints use all descriptors.
+BOOST_FIXTURE_TEST_CASE(requestsAndTheirEndpointsLeaveDescriptorsToOtherConnections, Fixture)
+{
+    this->budget.setEndpointSockets([this] { return this->endpointSockets; });
+    std::optional<Resource> shortage;
+    while (!shortage) {
+        TestConnection &connection = this->connect();
+        BOOST_REQUIRE(connection.wasAdded);
+        shortage = this->budget.startServing(connection, idleBytes, 1);
+        this->endpointSockets += shortage ? 0 : 1;
+    }
+    TestConnection &readiness = this->connect();
+    BOOST_TEST(readiness.wasAdded);
+    BOOST_TEST((this->budget.startServing(this->connect(), idleBytes, 1) == Resource::Descriptors));
+    BOOST_TEST(!readiness.ended);
+}
+
 // Guards against limits that leave no room on a small machine, or that exceed its memory.
 BOOST_AUTO_TEST_CASE(limitsFollowTheMachine)
 {
