Gateway: Read less ahead when requests in flight hold the memory

What a client sends while its request is served adds up to 32 KiB to that request, after it was admitted: many small requests could so exceed the limit and end all other connections.

--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -195,6 +195,12 @@
     return limit - limit / reservedForSmallDenominator;
 }
 
+bool ConnectionBudget::mayReadAhead() const
+{
+    const std::size_t limit = this->currentLimits.memoryBytes;
+    return this->servingBytes < limit - limit / reservedMemoryDenominator;
+}
+
 bool ConnectionBudget::makeRoomForResponse(std::size_t bytes)
 {
     const std::size_t limit = this->currentLimits.memoryBytes;
--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -106,6 +106,10 @@
     /// needs more is still served if no other large one is.
     std::size_t maxRequestBytes() const;
 
+    /// True if a connection that is served may buffer more of the requests that follow. Otherwise it reads only while
+    /// its buffer is empty, to notice that the client has left.
+    bool mayReadAhead() const;
+
     /// True if a response of @p bytes may be held in addition. May end other connections to make room. Counts what
     /// connections hold until they have ended, because many responses may arrive before that; small ones are always
     /// accepted.
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -155,10 +155,11 @@
 
 std::size_t FrontConnection::bufferLimit() const
 {
-    // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
-    return this->state == State::Reading
-        ? std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize)
-        : pipelineLimit;
+    if (this->state == State::Reading) {
+        // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
+        return std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize);
+    }
+    return this->budget->mayReadAhead() ? pipelineLimit : 0;
 }
 
 void FrontConnection::startRead()
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -384,6 +384,29 @@
     BOOST_TEST(this->receiveUntil("served"));
 }
 
+// Guards against requests in flight that grow beyond the memory by what their clients send ahead, and against requests
+// ahead that are not read later.
+BOOST_FIXTURE_TEST_CASE(readsLessAheadWhenMemoryIsShort, Fixture)
+{
+    constexpr std::size_t shortMemory = std::size_t { 16 } * 1024;
+    std::string ahead;
+    while (ahead.size() < 2 * shortMemory) {
+        ahead += plainRequest;
+    }
+    this->budget->setLimits({ shortMemory, largeBodyBytes, 100 });
+    this->send(plainRequest);
+    BOOST_REQUIRE(this->waitForCalls(1));
+    this->send(ahead);
+    runFor(this->io, std::chrono::milliseconds(50));
+    BOOST_TEST(this->budget->heldBytes() < shortMemory + shortMemory / 2);
+    this->budget->setLimits({ largeBodyBytes, largeBodyBytes, 100 });
+    const std::size_t requests = 1 + ahead.size() / plainRequest.size();
+    for (std::size_t number = 0; number < requests; ++number) {
+        BOOST_REQUIRE(this->waitForCalls(number + 1));
+        this->call(number).finish(CallResult::Answered, 200, "served");
+    }
+}
+
 // Guards against running out of descriptors for clients that connect and send nothing, and against a request in flight
 // that is cut for them.
 BOOST_FIXTURE_TEST_CASE(idleConnectionsAreClosedWhenDescriptorsAreShort, Fixture)
