--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -106,6 +106,10 @@
     /// needs more is still served if no other large one is.
     std::size_t maxRequestBytes() const;
 
+    /// True if a connection that is served may buffer more of the requests that follow. Otherwise it reads only while
+    /// its buffer is empty, to notice that the client has left.
+    bool mayReadAhead() const;
+
     /// True if a response of @p bytes may be held in addition. May end other connections to make room. Counts what
     /// connections hold until they have ended, because many responses may arrive before that; small ones are always
     /// accepted.
@@ -126,6 +130,10 @@
     void setPhase(Holder &holder, Phase phase);
     /// Bytes held by connections that are not about to end.
     std::size_t remainingBytes() const;
+    /// Bytes to which connections are reduced when they exceed the limit.
+    std::size_t reducedMemory() const;
+    /// True if one more request with @p endpointSocketsNeeded connections to endpoints leaves sockets to others.
+    bool hasSocketsToServe(std::size_t endpointSocketsNeeded) const;
     std::size_t endpointSocketCount() const;
     /// Most accepted connections at present; a share of the sockets is kept for connections to endpoints.
     std::size_t maxConnections() const;
@@ -147,6 +155,7 @@
     std::size_t totalBytes = 0;
     std::size_t endingBytes = 0;
     std::size_t servingBytes = 0;
+    std::size_t servingCount = 0;
     /// Large requests in phase Serving.
     std::size_t largeServing = 0;
     std::size_t closedCount = 0;
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -155,10 +155,11 @@
 
 std::size_t FrontConnection::bufferLimit() const
 {
-    // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
-    return this->state == State::Reading
-        ? std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize)
-        : pipelineLimit;
+    if (this->state == State::Reading) {
+        // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
+        return std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize);
+    }
+    return this->budget->mayReadAhead() ? pipelineLimit : 0;
 }
 
 void FrontConnection::startRead()
@@ -435,6 +436,8 @@
     this->state = State::Closing;
     boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Unread bytes would cause a reset, which may destroy the response; a full buffer would stop reading them.
+    this->buffer.consume(this->buffer.size());
     this->armTimer(lingerTime);
     this->updateBudget();
     this->startRead();
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -153,6 +153,22 @@
     BOOST_TEST(this->endpointSender.calls.empty());
 }
 
+// Guards against a reset that destroys the refusal, because the rest of an oversized header is not read.
+BOOST_FIXTURE_TEST_CASE(readsRestOfOversizedHeader, Fixture)
+{
+    constexpr std::size_t sentBytes = std::size_t { 32 } * 1024 * 1024;
+    this->tableContent.limits.headerBytes = std::size_t { 32 } * 1024;
+    this->forwarder.setTable(this->table());
+    const std::string head = "GET /x HTTP/1.1\r\nX-Long: " + std::string(sentBytes, 'x');
+    std::optional<boost::system::error_code> result;
+    boost::asio::async_write(this->socket,
+                             boost::asio::buffer(head),
+                             [&result](const boost::system::error_code &error, std::size_t) { result = error; });
+    BOOST_REQUIRE(runUntil(this->io, [&result] { return result.has_value(); }));
+    BOOST_TEST(!*result);
+    BOOST_TEST(this->receiveUntil("header-too-large"));
+}
+
 // Guards against accepting a body that is larger than the limit.
 BOOST_FIXTURE_TEST_CASE(enforcesBodyLimit, Fixture)
 {
@@ -368,6 +384,29 @@
     BOOST_TEST(this->receiveUntil("served"));
 }
 
+// Guards against requests in flight that grow beyond the memory by what their clients send ahead, and against requests
+// ahead that are not read later.
+BOOST_FIXTURE_TEST_CASE(readsLessAheadWhenMemoryIsShort, Fixture)
+{
+    constexpr std::size_t shortMemory = std::size_t { 16 } * 1024;
+    std::string ahead;
+    while (ahead.size() < 2 * shortMemory) {
+        ahead += plainRequest;
+    }
+    this->budget->setLimits({ shortMemory, largeBodyBytes, 100 });
+    this->send(plainRequest);
+    BOOST_REQUIRE(this->waitForCalls(1));
+    this->send(ahead);
+    runFor(this->io, std::chrono::milliseconds(50));
+    BOOST_TEST(this->budget->heldBytes() < shortMemory + shortMemory / 2);
+    this->budget->setLimits({ largeBodyBytes, largeBodyBytes, 100 });
+    const std::size_t requests = 1 + ahead.size() / plainRequest.size();
+    for (std::size_t number = 0; number < requests; ++number) {
+        BOOST_REQUIRE(this->waitForCalls(number + 1));
+        this->call(number).finish(CallResult::Answered, 200, "served");
+    }
+}
+
 // Guards against running out of descriptors for clients that connect and send nothing, and against a request in flight
 // that is cut for them.
 BOOST_FIXTURE_TEST_CASE(idleConnectionsAreClosedWhenDescriptorsAreShort, Fixture)
