Forwarding: Probe endpoints whose reported queues are old

With work factors, the estimated queue of an endpoint that reports nothing new is halved in 5 s only. When all requests to it were rejected, none brought a new report. A request is now sent if none was for 0.2 s.

Each reason for rejections has its own probes: requests with too short a deadline used up those that find out whether silent shards respond again. Results for another number of shards no longer count: a route over fewer of the same shards made queries over all of them be rejected.

--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -18,7 +18,7 @@
 /// Requests that arrive within this time after the queues were counted use the same count.
 constexpr Duration queueCountLifetime = Milliseconds(3);
 /// Requests that are not expected to be served are sent at this interval, so that the expectation follows the
-/// endpoints.
+/// endpoints. Requests that find too long a queue are sent only if no other request was sent in this time.
 constexpr Duration probeInterval = Milliseconds(200);
 /// Work that is assumed without measurements: the latency objective divided by this.
 constexpr int fallbackObjectiveDivisor = 8;
@@ -51,16 +51,21 @@
     const KindOfRequest kind = this->kindOf(request);
     competing.kinds.recordArrival(kind, now);
     const Refusal obstacle = this->findObstacle(request, competing, now);
-    if (obstacle != Refusal::None && !startProbe(competing, now)) {
+    if (obstacle != Refusal::None && !startProbe(competing, obstacle, now)) {
         return this->reject(request, obstacle, Duration::zero(), now);
     }
     const Duration wait = this->estimatedWait(request, competing, now);
     if (wait <= Duration::zero()) {
+        delayProbe(competing, Refusal::QueueFull, now);
         return std::nullopt;
     }
+    competing.nextProbeAt.try_emplace(Refusal::QueueFull, now + probeInterval);
     const OrganisationSpec *organisation = request.organisationSpec();
     const bool isSent = wait <= competing.kinds.longestWait(kind, organisation, now)
-        || competing.kinds.isBelowMinimum(kind, organisation);
+        || competing.kinds.isBelowMinimum(kind, organisation) || startProbe(competing, Refusal::QueueFull, now);
+    if (isSent) {
+        delayProbe(competing, Refusal::QueueFull, now);
+    }
     competing.kinds.recordDecision(kind, organisation, isSent, now);
     return isSent ? std::nullopt : std::optional(this->reject(request, Refusal::QueueFull, wait, now));
 }
@@ -126,19 +131,25 @@
         return Refusal::DeadlineUnreachable;
     }
     const Route &route = *request.route;
-    const bool canBeServed = route.shards.empty() || competing.delivery.canReach(route.requiredShards());
+    const bool canBeServed
+        = route.shards.empty() || competing.delivery.canReach(route.requiredShards(), route.shards.size());
     return canBeServed ? Refusal::None : Refusal::EndpointShed;
 }
 
-bool OverloadControl::startProbe(CompetingRequests &competing, TimePoint now)
+bool OverloadControl::startProbe(CompetingRequests &competing, Refusal reason, TimePoint now)
 {
-    if (now < competing.nextProbeAt) {
+    if (now < competing.nextProbeAt[reason]) {
         return false;
     }
-    competing.nextProbeAt = now + probeInterval;
+    delayProbe(competing, reason, now);
     return true;
 }
 
+void OverloadControl::delayProbe(CompetingRequests &competing, Refusal reason, TimePoint now)
+{
+    competing.nextProbeAt[reason] = now + probeInterval;
+}
+
 Duration
 OverloadControl::estimatedWait(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const
 {
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -6,6 +6,7 @@
 #include "forwarding/sharddelivery.h"
 #include "forwarding/workestimate.h"
 
+#include <map>
 #include <optional>
 
 namespace Lycheewall
@@ -62,7 +63,9 @@
         /// Waiting requests for each slot, and when they were counted.
         double queuePerSlot = 0;
         std::optional<TimePoint> countedAt;
-        TimePoint nextProbeAt;
+        /// By the reason for which other requests are rejected. A request with too short a deadline does not tell
+        /// whether silent shards respond again.
+        std::map<Refusal, TimePoint> nextProbeAt;
         TimePoint lastRequestAt;
     };
 
@@ -71,7 +74,8 @@
     /// The reason for which the request cannot be served whatever the load; Refusal::None if there is none.
     Refusal findObstacle(const AdmittedRequest &request, const CompetingRequests &competing, TimePoint now) const;
     /// True if a request is due that is sent although it is not expected to be served. The next one is due later.
-    static bool startProbe(CompetingRequests &competing, TimePoint now);
+    static bool startProbe(CompetingRequests &competing, Refusal reason, TimePoint now);
+    static void delayProbe(CompetingRequests &competing, Refusal reason, TimePoint now);
     /// False if even a free endpoint would respond after the deadline.
     bool canMeetDeadline(const AdmittedRequest &request, TimePoint now) const;
     /// Estimated waiting time at the endpoints of the service, or of most of the shards.
--- a/Source/forwarding/sharddelivery.cpp
+++ b/Source/forwarding/sharddelivery.cpp
@@ -27,14 +27,14 @@
 
 void ShardDelivery::recordCoverage(std::size_t delivered)
 {
-    if (!this->canReach(delivered)) {
+    if (!this->canReach(delivered, this->deliveredFractions.size())) {
         this->deliveredFractions.clear();
     }
 }
 
-bool ShardDelivery::canReach(std::size_t required) const
+bool ShardDelivery::canReach(std::size_t required, std::size_t shardCount) const
 {
-    if (this->deliveredFractions.empty()) {
+    if (this->deliveredFractions.empty() || this->deliveredFractions.size() != shardCount) {
         return true;
     }
     double mean = 0;
--- a/Source/forwarding/sharddelivery.h
+++ b/Source/forwarding/sharddelivery.h
@@ -21,8 +21,9 @@
     /// changed and what is known about them is forgotten.
     void recordCoverage(std::size_t delivered);
 
-    /// False if it is very unlikely that as many as @p required shards respond to a query.
-    bool canReach(std::size_t required) const;
+    /// False if it is very unlikely that as many as @p required of @p shardCount shards respond to a query. True if the
+    /// recorded responses are those of another number of shards.
+    bool canReach(std::size_t required, std::size_t shardCount) const;
 
 private:
     /// By shard: moving average of the fraction of queries that it has responded to.
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -303,6 +303,41 @@
     BOOST_TEST(!this->decide("patient").has_value());
 }
 
+// Guards against callers that are rejected for seconds because of queues that endpoints reported before they recovered:
+// without requests, there are no new reports.
+BOOST_AUTO_TEST_CASE(sendsProbesWhileNothingElseIsSent)
+{
+    this->recordWork("urgent", Milliseconds(10));
+    for (const char *id : { "s1a", "s1b", "s2a", "s2b" }) {
+        EndpointStats &stats = this->endpoints.find(EndpointId(id))->stats;
+        const auto token = stats.requestStarted(this->clock.now(), Milliseconds(10));
+        stats.requestSucceeded(token, this->clock.now() + Milliseconds(10));
+    }
+    this->clock.advance(Milliseconds(10));
+    this->countSent(10, "urgent");
+    this->reportWaiting(100);
+    this->countSent(100, "urgent");
+    int sent = 0;
+    for (int number = 0; number < 200; ++number) {
+        sent += this->decide("urgent") ? 0 : 1;
+    }
+    // One each 0.2 s.
+    BOOST_TEST(sent >= 4);
+    BOOST_TEST(sent <= 6);
+}
+
+// Guards against queries that are rejected because a route over fewer of the same shards has no results for the others.
+BOOST_AUTO_TEST_CASE(sendsQueriesOverShardsWithoutResults)
+{
+    this->recordShards(10, true);
+    this->tableContent.routes.front().shards = { ServiceId("s1") };
+    this->tableContent.routes.front().name = "single-shard";
+    this->overloadControl.recordShard(this->admitted("single-shard"), 0, true, this->clock.now());
+    for (int number = 0; number < 10; ++number) {
+        BOOST_TEST(!this->decide("patient").has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
