--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -320,6 +320,10 @@
 void FanoutExchange::recordSilentShards()
 {
     const TimePoint now = this->context.clock.now();
+    // A caller that waits for less than the latency objective does not tell that the shards are silent.
+    if (now - this->request.request->arrivedAt < this->request.route->latencyObjective) {
+        return;
+    }
     for (std::size_t shard = 0; shard < this->shardStates.size(); ++shard) {
         if (this->shardStates[shard] == ShardState::Pending && this->isCallInFlight(shard)) {
             this->context.overloadControl.recordShard(this->request, shard, false, now);
--- a/Tests/forwarding/fanoutexchangetest.cpp
+++ b/Tests/forwarding/fanoutexchangetest.cpp
@@ -195,6 +195,27 @@
     BOOST_TEST(this->endpointSender.calls.size() == 2U);
 }
 
+// Guards against shards that are taken for silent because callers wait for less time than queries usually take: the
+// queries of all other callers would be rejected.
+BOOST_AUTO_TEST_CASE(sendsQueriesAfterCallersWithShortDeadlines)
+{
+    this->routeToShards(1);
+    for (const char *id : { "s1a", "s2a" }) {
+        this->endpoints.find(EndpointId(id))->stats.updateLoad({ 0, 0, 4, 1 }, this->clock.now());
+    }
+    const Duration usualTimeout = this->route.timeout;
+    this->route.timeout = this->route.latencyObjective / 2;
+    for (int query = 0; query < 100; ++query) {
+        this->start();
+        this->clock.advance(this->route.timeout);
+    }
+    this->route.timeout = usualTimeout;
+    this->replies.clear();
+    this->start();
+    this->start();
+    BOOST_TEST(this->replies.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
