--- a/Source/forwarding/exchange.cpp
+++ b/Source/forwarding/exchange.cpp
@@ -14,6 +14,7 @@
     ForwardReply reply;
     reply.refusal = rejection.reason;
     reply.notRun = true;
+    reply.isOverloadRejection = true;
     reply.retryAfter = rejection.retryAfter;
     return reply;
 }
--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -77,8 +77,8 @@
         admitted.value(),
         [this, organisation = admitted.value().organisation, done = std::move(done)](const ForwardReply &reply) {
             // The caller will retry, and the organisation's rate counts the requests that endpoints get.
-            const bool wasNotSent = reply.refusal == Refusal::EndpointThrottled || reply.refusal == Refusal::QueueFull;
-            if (reply.notRun && wasNotSent) {
+            const bool wasThrottled = reply.refusal == Refusal::EndpointThrottled;
+            if (reply.notRun && (wasThrottled || reply.isOverloadRejection)) {
                 this->context.quota.refund(organisation);
             }
             done(reply);
--- a/Source/forwarding/messages.h
+++ b/Source/forwarding/messages.h
@@ -130,6 +130,8 @@
     Refusal refusal = Refusal::None;
     /// With a refusal: true if the request has not run and will not run.
     bool notRun = false;
+    /// With a refusal: true if overload control rejected the request before anything was sent.
+    bool isOverloadRejection = false;
     /// With a refusal: the time after which a retry can succeed; std::nullopt if none is known.
     std::optional<Duration> retryAfter;
 };
--- a/Tests/forwarding/forwardertest.cpp
+++ b/Tests/forwarding/forwardertest.cpp
@@ -174,6 +174,31 @@
     BOOST_TEST(this->quota.recentUsage().empty());
 }
 
+// Guards against an organisation that loses its rate with requests which were rejected because no endpoint can meet
+// their deadline.
+BOOST_AUTO_TEST_CASE(requestsRejectedForTheirDeadlineDoNotCountAgainstRate)
+{
+    this->publishTable();
+    for (const char *endpoint : { "s1a", "s1b" }) {
+        this->endpoints.find(EndpointId(endpoint))->stats.updateLoad({ 0, 0, 4, 1 }, this->clock.now());
+    }
+    AdmittedRequest slow;
+    slow.table = this->table();
+    slow.route = &slow.table->routes().front();
+    slow.request = request(this->clock.now());
+    for (int number = 0; number < 20; ++number) {
+        this->overloadControl.recordLatency(slow, ServiceId("s1"), std::chrono::minutes(1), this->clock.now());
+    }
+    slow.service = ServiceId("s1");
+    slow.deadline = this->clock.now() + std::chrono::seconds(1);
+    // The first request is a probe.
+    BOOST_TEST(!this->overloadControl.decide(slow, this->clock.now()).has_value());
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::DeadlineUnreachable));
+    }
+    BOOST_TEST(this->quota.recentUsage().empty());
+}
+
 // Guards against forwarding a request whose caller does not wait for the reply any more.
 BOOST_AUTO_TEST_CASE(refusesExpiredDeadlines)
 {
