Forwarding: Bound reported request counts

The sum of two large counts overflowed, as did durations computed from it. The number of samples of a work estimate no longer grows without bound.

--- a/Source/forwarding/endpointload.cpp
+++ b/Source/forwarding/endpointload.cpp
@@ -11,6 +11,8 @@
 
 /// Lifetime of the request counts of a report. They are of little use once the requests that they counted have ended.
 constexpr double requestCountLifetimeSeconds = 0.15;
+/// Reported numbers of requests are believed up to this. Durations that are computed from larger ones would overflow.
+constexpr int maxRequestCount = 10'000;
 /// Reported factors are believed within these bounds.
 constexpr double minFactor = 0.25;
 constexpr double maxFactor = 10;
@@ -57,7 +59,9 @@
 
 void EndpointLoad::update(const LoadReport &report, int ownInFlight, TimePoint now)
 {
-    this->remoteAtReport = std::max(0, report.running + report.waiting - ownInFlight);
+    this->remoteAtReport = std::max(0,
+                                    std::clamp(report.running, 0, maxRequestCount)
+                                        + std::clamp(report.waiting, 0, maxRequestCount) - ownInFlight);
     this->reportReceivedAt = now;
     this->meanRemoteInFlight += meanGain * (this->remoteAtReport - this->meanRemoteInFlight);
     if (report.workFactor) {
--- a/Source/forwarding/workestimate.cpp
+++ b/Source/forwarding/workestimate.cpp
@@ -11,8 +11,8 @@
 
 /// Latencies that are recorded before the estimate is used.
 constexpr int minSamples = 10;
-/// Weight of a latency in the averages. The first latencies have larger weights, so that the average forms quickly.
-constexpr double minGain = 0.02;
+/// Number of recent latencies that the averages follow.
+constexpr int maxSamples = 50;
 /// Distance of the lowest latency from the mean in standard deviations.
 constexpr double lowestDeviations = 2.5;
 
@@ -21,8 +21,8 @@
 void WorkEstimate::record(Duration latency)
 {
     const double logLatency = std::log(fractionalSeconds(latency));
-    ++this->samples;
-    const double gain = std::max(minGain, 1.0 / this->samples);
+    this->samples = std::min(this->samples + 1, maxSamples);
+    const double gain = 1.0 / this->samples;
     const double difference = logLatency - this->logMean;
     this->logMean += gain * difference;
     this->logVariance = (1 - gain) * (this->logVariance + gain * difference * difference);
--- a/Tests/forwarding/loadestimatetest.cpp
+++ b/Tests/forwarding/loadestimatetest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 namespace Lycheewall
 {
 
@@ -239,6 +241,19 @@
     BOOST_TEST(chosen == "2012001000000111033444433443333333333444");
 }
 
+// Guards against durations that overflow because an endpoint reports an absurd number of requests.
+BOOST_AUTO_TEST_CASE(boundsReportedNumberOfRequests)
+{
+    constexpr int highest = std::numeric_limits<int>::max();
+    constexpr double plausibleCount = 100'000;
+    EndpointLoad load;
+    load.update({ highest, highest, 4, 1 }, 0, TimePoint());
+    BOOST_TEST(load.remoteInFlight(TimePoint(), 1) > 0);
+    BOOST_TEST(load.remoteInFlight(TimePoint(), 1) <= plausibleCount);
+    load.update({ -highest, -highest, 4, 1 }, 0, TimePoint());
+    BOOST_TEST(load.remoteInFlight(TimePoint(), 1) >= 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
