--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -41,10 +41,7 @@
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return Refusal::HeaderTooLarge;
     }
-    if (error == http::error::body_limit) {
-        return Refusal::BodyTooLarge;
-    }
-    return Refusal::BadRequest;
+    return error == http::error::body_limit ? Refusal::BodyTooLarge : Refusal::BadRequest;
 }
 
 CallerLimits callerLimits(const Forwarder &forwarder)
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -68,6 +68,13 @@
     }
 
     std::shared_ptr<OutgoingCall> start(const std::string &id, bool nonIdempotent = false)
+    {
+        return this->start(
+            id, nonIdempotent, [this](const CallOutcome &outcome) { this->outcomes.push_back(outcome); });
+    }
+
+    std::shared_ptr<OutgoingCall>
+    start(const std::string &id, bool nonIdempotent, const std::function<void(const CallOutcome &)> &done)
     {
         const auto request = std::make_shared<CallerRequest>();
         request->attemptId = id;
@@ -78,15 +85,19 @@
         call.deadline = this->clock.now() + std::chrono::seconds(1);
         call.nonIdempotent = nonIdempotent;
         call.connectionLimit = this->connectionLimit;
-        return this->pool.send(call, [this](const CallOutcome &outcome) { this->outcomes.push_back(outcome); });
+        return this->pool.send(call, done);
     }
 
+    /// Sends a request and waits for its own outcome; other calls may end meanwhile.
     CallOutcome call(const std::string &id)
     {
-        const std::size_t before = this->outcomes.size();
-        const auto started = this->start(id);
-        BOOST_REQUIRE(runUntil(this->io, [&] { return this->outcomes.size() > before; }));
-        return this->outcomes.back();
+        std::optional<CallOutcome> own;
+        const auto started = this->start(id, false, [this, &own](const CallOutcome &outcome) {
+            this->outcomes.push_back(outcome);
+            own = outcome;
+        });
+        BOOST_REQUIRE(runUntil(this->io, [&own] { return own.has_value(); }));
+        return *own;
     }
 
     boost::asio::io_context io;
