--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -77,7 +77,8 @@
         admitted.value(),
         [this, organisation = admitted.value().organisation, done = std::move(done)](const ForwardReply &reply) {
             // The caller will retry, and the organisation's rate counts the requests that endpoints get.
-            if (reply.notRun && reply.refusal == Refusal::EndpointThrottled) {
+            const bool wasThrottled = reply.refusal == Refusal::EndpointThrottled;
+            if (reply.notRun && (wasThrottled || reply.isOverloadRejection)) {
                 this->context.quota.refund(organisation);
             }
             done(reply);
--- /dev/null
+++ b/Source/forwarding/sharddelivery.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+namespace Lycheewall
+{
+
+/**
+ * How often the shards of an index have recently responded to queries, apart from queries for which they had no room.
+ * Tells whether a query can be expected to reach its required coverage.
+ * Thread safety: none; used on the thread of the request loop.
+ */
+class ShardDelivery
+{
+public:
+    /// Records whether a shard has responded. Precondition: shard < shardCount.
+    void record(std::size_t shard, std::size_t shardCount, bool delivered);
+
+    /// Records to how many shards' responses a query has come. If so many were very unlikely, the endpoints have
+    /// changed and what is known about them is forgotten.
+    void recordCoverage(std::size_t delivered);
+
+    /// False if it is very unlikely that as many as @p required of @p shardCount shards respond to a query. True if the
+    /// recorded responses are those of another number of shards.
+    bool canReach(std::size_t required, std::size_t shardCount) const;
+
+private:
+    /// By shard: moving average of the fraction of queries that it has responded to.
+    std::vector<double> deliveredFractions;
+};
+
+}
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -41,10 +41,7 @@
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return Refusal::HeaderTooLarge;
     }
-    if (error == http::error::body_limit) {
-        return Refusal::BodyTooLarge;
-    }
-    return Refusal::BadRequest;
+    return error == http::error::body_limit ? Refusal::BodyTooLarge : Refusal::BadRequest;
 }
 
 CallerLimits callerLimits(const Forwarder &forwarder)
@@ -155,10 +152,11 @@
 
 std::size_t FrontConnection::bufferLimit() const
 {
-    // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
-    return this->state == State::Reading
-        ? std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize)
-        : pipelineLimit;
+    if (this->state == State::Reading) {
+        // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
+        return std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize);
+    }
+    return this->budget->mayReadAhead() ? pipelineLimit : 0;
 }
 
 void FrontConnection::startRead()
@@ -435,6 +433,8 @@
     this->state = State::Closing;
     boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Unread bytes would cause a reset, which may destroy the response; a full buffer would stop reading them.
+    this->buffer.consume(this->buffer.size());
     this->armTimer(lingerTime);
     this->updateBudget();
     this->startRead();
