--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Time between the end of FeedReaderSettings::rewriteTime and the check that confirms the data. Exceeds the
+/// differences between the clocks and links of two instances.
+constexpr Duration rewriteCheckDelay = Milliseconds(50);
+
 Log &logger()
 {
     static Log &log = Log::component("feed");
@@ -106,10 +110,23 @@
         this->handleFailure(page ? make_error_code(FeedError::Busy) : page.error());
         return;
     }
+    const FeedPosition position = page.value().position;
+    if (!this->acceptEra(position.era)) {
+        this->listing = Listing();
+        this->handleFailure(make_error_code(FeedError::OutdatedEra));
+        return;
+    }
+    if (this->listing.started && this->listing.position.era != position.era) {
+        // Pages of two eras do not add up to a state of the store.
+        this->listing = Listing();
+        this->isRequestCancelled = false;
+        this->scheduleRead(Duration::zero());
+        return;
+    }
     if (!this->listing.started) {
         this->listing.started = true;
         // Later pages may hold newer entries; the watch delivers the changes since the first page.
-        this->listing.revision = page.value().revision;
+        this->listing.position = position;
         this->listing.confirmedUntil = startedAt - page.value().age;
     }
     this->listing.items.insert(this->listing.items.end(), page.value().items.begin(), page.value().items.end());
@@ -117,21 +134,55 @@
         this->scheduleRead(Duration::zero());
         return;
     }
-    const Listing complete = std::move(this->listing);
-    this->listing = Listing();
-    if (complete.revision < this->context.replica.revision()) {
+    this->applyListing(std::exchange(this->listing, Listing()));
+}
+
+void FeedReader::applyListing(const Listing &complete)
+{
+    if (complete.position < this->context.replica.position()) {
         // The listing of this source is older than the replica.
         this->handleFailure(make_error_code(FeedError::Busy));
         return;
     }
     this->needsListing = false;
     this->handleSuccess();
+    if (!this->context.replica.isEmpty() && this->context.replica.position().era < complete.position.era) {
+        this->handleRestoration(complete);
+    }
     this->confirm(complete.confirmedUntil);
-    this->context.replica.replace(complete.items, complete.revision);
+    this->context.replica.replace(complete.items, complete.position);
     this->context.updated();
     this->scheduleRead(Duration::zero());
 }
 
+void FeedReader::handleRestoration(const Listing &complete)
+{
+    // An instance that reads from this one counts from the same time, so that one check confirms the data of both.
+    const TimePoint restoredAt = this->usingStore ? this->context.clock.now() : complete.confirmedUntil;
+    this->context.freshness.storeRestored(restoredAt + this->settings.rewriteTime);
+    this->rewriteTimer
+        = this->context.timers.after(this->settings.rewriteTime + rewriteCheckDelay, [this] { this->checkRevision(); });
+    this->context.restored();
+}
+
+bool FeedReader::acceptEra(StoreEra era)
+{
+    if (era < this->knownEra) {
+        return false;
+    }
+    if (this->knownEra < era) {
+        this->knownEra = era;
+        this->checkedPosition.reset();
+        this->needsListing = true;
+        if (!this->context.replica.isEmpty()) {
+            this->context.counters.counter("lycheewall_feed_era_changes_total").add();
+            logger().warn("The store has come back from an older copy of its data, as era "
+                          + std::to_string(era.value()) + "; listing all entries.");
+        }
+    }
+    return true;
+}
+
 Duration FeedReader::watchTimeout() const
 {
     if (!this->usingStore) {
@@ -142,7 +193,7 @@
 
 void FeedReader::watch(TimePoint startedAt)
 {
-    this->source().watch(this->context.replica.revision(),
+    this->source().watch(this->context.replica.position(),
                          this->watchTimeout(),
                          [this, startedAt](const Result<FeedBatch> &batch) { this->handleBatch(startedAt, batch); });
 }
@@ -151,7 +202,7 @@
 {
     this->storeRequestSentAt.reset();
     if (!batch && requiresListing(batch.error())) {
-        logger().info("The changes after revision " + std::to_string(this->context.replica.revision())
+        logger().info("The changes after revision " + std::to_string(this->context.replica.position().revision)
                       + " cannot be read (" + batch.error().message() + "); listing all entries.");
         this->needsListing = true;
         this->scheduleRead(Duration::zero());
@@ -161,7 +212,16 @@
         this->handleFailure(batch ? make_error_code(FeedError::Busy) : batch.error());
         return;
     }
+    if (!this->acceptEra(batch.value().position.era)) {
+        this->handleFailure(make_error_code(FeedError::OutdatedEra));
+        return;
+    }
     this->handleSuccess();
+    if (batch.value().position.era != this->context.replica.position().era) {
+        // The watch asked for the changes after a revision of an older era, which the source has given out again.
+        this->scheduleRead(Duration::zero());
+        return;
+    }
     // While the source has later changes, its age says nothing about this replica.
     if (!this->usingStore && !batch.value().hasMore) {
         this->confirm(startedAt - batch.value().age);
@@ -171,7 +231,7 @@
         this->context.recovered();
     }
     this->context.replica.apply(batch.value());
-    this->confirmCheckedRevision();
+    this->confirmCheckedPosition();
     this->context.updated();
     if (batch.value().hasMore) {
         this->scheduleRead(Duration::zero());
@@ -188,53 +248,75 @@
         return;
     }
     this->checkInFlight = true;
-    this->context.revisionSource.currentRevision(
-        [this, startedAt = this->context.clock.now()](const Result<Revision> &revision) {
+    this->context.revisionSource.currentPosition(
+        [this, startedAt = this->context.clock.now()](const Result<FeedPosition> &position) {
             this->checkInFlight = false;
-            this->handleRevision(startedAt, revision);
+            this->handlePosition(startedAt, position);
         });
 }
 
-void FeedReader::handleRevision(TimePoint startedAt, const Result<Revision> &revision)
+void FeedReader::handlePosition(TimePoint startedAt, const Result<FeedPosition> &position)
 {
-    if (!revision) {
-        this->context.counters.counter("lycheewall_feed_check_failures_total", revision.error().message()).add();
+    if (!position) {
+        this->context.counters.counter("lycheewall_feed_check_failures_total", position.error().message()).add();
         if (this->usingStore) {
             // The watch itself would only notice seconds later that the store is unavailable.
             this->context.store.cancelUnanswered();
         }
         return;
     }
-    this->checkedRevision = CheckedRevision { revision.value(), startedAt };
-    this->confirmCheckedRevision();
+    const bool wasWatching = !this->needsListing;
+    const bool isAccepted = this->acceptEra(position.value().era);
+    if (wasWatching && this->needsListing) {
+        this->cancelWatchOfOlderEra();
+    }
+    if (!isAccepted) {
+        const std::error_code error = FeedError::OutdatedEra;
+        this->context.counters.counter("lycheewall_feed_check_failures_total", error.message()).add();
+        return;
+    }
+    if (position.value().era != this->context.replica.position().era) {
+        return;
+    }
+    this->checkedPosition = CheckedPosition { position.value(), startedAt };
+    this->confirmCheckedPosition();
     this->context.updated();
-    if (this->checkedRevision) {
+    if (this->checkedPosition) {
         this->overdueTimer
             = this->context.timers.after(this->settings.overdueResponseDelay, [this] { this->cancelOverdueRequest(); });
     }
 }
 
+void FeedReader::cancelWatchOfOlderEra()
+{
+    // The watch may wait for a revision that the new era reaches much later.
+    if (this->storeRequestSentAt) {
+        this->isRequestCancelled = true;
+        this->context.store.cancelUnanswered();
+    }
+}
+
 void FeedReader::cancelOverdueRequest()
 {
     // A younger request may still be answered in time.
     const bool isOverdue = this->storeRequestSentAt
         && this->context.clock.now() - *this->storeRequestSentAt >= this->settings.overdueResponseDelay;
-    if (!this->checkedRevision || !isOverdue) {
+    if (!this->checkedPosition || !isOverdue) {
         return;
     }
-    this->isOverdueRequestCancelled = true;
+    this->isRequestCancelled = true;
     this->context.counters.counter("lycheewall_feed_overdue_responses_total").add();
     logger().warn("The store has not reported its changes after revision "
-                  + std::to_string(this->context.replica.revision()) + ", although it is at revision "
-                  + std::to_string(this->checkedRevision->revision) + "; the request is cancelled.");
+                  + std::to_string(this->context.replica.position().revision) + ", although it is at revision "
+                  + std::to_string(this->checkedPosition->position.revision) + "; the request is cancelled.");
     this->context.store.cancelUnanswered();
 }
 
-void FeedReader::confirmCheckedRevision()
+void FeedReader::confirmCheckedPosition()
 {
-    if (this->checkedRevision && this->context.replica.revision() >= this->checkedRevision->revision) {
-        this->confirm(this->checkedRevision->startedAt);
-        this->checkedRevision.reset();
+    if (this->checkedPosition && !(this->context.replica.position() < this->checkedPosition->position)) {
+        this->confirm(this->checkedPosition->startedAt);
+        this->checkedPosition.reset();
     }
 }
 
@@ -254,12 +336,12 @@
 
 bool FeedReader::isUnavailable() const
 {
-    return this->context.freshness.age() > this->settings.outageThreshold;
+    return this->context.freshness.replicaAge() > this->settings.outageThreshold;
 }
 
 void FeedReader::handleSuccess()
 {
-    this->isOverdueRequestCancelled = false;
+    this->isRequestCancelled = false;
     if (this->usingStore) {
         this->storeBackoff = this->settings.initialStoreBackoff;
     }
@@ -276,7 +358,7 @@
 
 void FeedReader::handleFailure(const std::error_code &error)
 {
-    if (std::exchange(this->isOverdueRequestCancelled, false)) {
+    if (std::exchange(this->isRequestCancelled, false)) {
         this->scheduleRead(Duration::zero());
         return;
     }
--- a/Source/forwarding/fleetretrybudget.cpp
+++ b/Source/forwarding/fleetretrybudget.cpp
@@ -13,22 +13,34 @@
 constexpr double usedRatioFraction = 0.85;
 constexpr double usedCapacityFraction = 0.55;
 constexpr double usedRefillFraction = 0.25;
+/// A new instance has learned the size of the fleet after this time. Until then its share may be much too large, so the
+/// slack does not accrue.
+constexpr Duration shareSettlingTime = std::chrono::seconds(3);
+/// The expected wait of a budget that is not refilled.
+constexpr double longestWaitSeconds = 3600;
 
 }
 
-FleetRetryBudget::FleetRetryBudget(const FleetRetryLimits &retryLimits, const Clock &budgetClock)
+FleetRetryBudget::FleetRetryBudget(const FleetRetryLimits &retryLimits, const Clock &budgetClock, Random &budgetRandom)
     : limits(retryLimits)
     , clock(budgetClock)
+    , random(budgetRandom)
 {
+    this->unusedBucket.refilledAt = budgetClock.now() + shareSettlingTime;
 }
 
 void FleetRetryBudget::setLimits(const FleetRetryLimits &newLimits)
 {
+    this->refillAll();
     this->limits = newLimits;
 }
 
 void FleetRetryBudget::setFleetShare(double newShare)
 {
+    if (newShare == this->fleetShare) {
+        return;
+    }
+    this->refillAll();
     this->fleetShare = newShare;
 }
 
@@ -37,19 +49,44 @@
     return std::max(1.0, usedCapacityFraction * this->limits.slack * this->fleetShare);
 }
 
-FleetRetryBudget::Bucket &FleetRetryBudget::refilledBucket(const ServiceId &service)
+double FleetRetryBudget::refillRate() const
+{
+    return usedRefillFraction * this->limits.slack * this->fleetShare / fractionalSeconds(this->limits.window);
+}
+
+void FleetRetryBudget::refill(Bucket &bucket, double bucketCapacity) const
 {
     const TimePoint now = this->clock.now();
+    const double elapsed = std::max(0.0, fractionalSeconds(now - bucket.refilledAt));
+    bucket.tokens = std::min(bucket.tokens + this->refillRate() * elapsed, bucketCapacity);
+    bucket.refilledAt = std::max(bucket.refilledAt, now);
+}
+
+void FleetRetryBudget::refillAll()
+{
+    for (auto &[service, bucket] : this->buckets) {
+        this->refill(bucket, this->capacity());
+    }
+    this->refillUnusedBucket();
+}
+
+void FleetRetryBudget::refillUnusedBucket()
+{
+    // The minimum capacity of one extra attempt does not apply before the first use: added up over a large fleet, it
+    // could exceed the limit.
+    this->refill(this->unusedBucket, usedCapacityFraction * this->limits.slack * this->fleetShare);
+}
+
+FleetRetryBudget::Bucket &FleetRetryBudget::refilledBucket(const ServiceId &service)
+{
     const auto [entry, added] = this->buckets.try_emplace(service);
     Bucket &bucket = entry->second;
     if (added) {
-        bucket.refilledAt = now;
+        this->refillUnusedBucket();
+        bucket.tokens = this->unusedBucket.tokens + this->random.uniformReal();
+        bucket.refilledAt = this->unusedBucket.refilledAt;
     }
-    const double elapsed = fractionalSeconds(now - bucket.refilledAt);
-    const double window = fractionalSeconds(this->limits.window);
-    bucket.tokens += elapsed / window * usedRefillFraction * this->limits.slack * this->fleetShare;
-    bucket.tokens = std::min(bucket.tokens, this->capacity());
-    bucket.refilledAt = now;
+    this->refill(bucket, this->capacity());
     return bucket;
 }
 
@@ -59,10 +96,11 @@
     bucket.tokens = std::min(bucket.tokens + usedRatioFraction * this->limits.ratio, this->capacity());
 }
 
-bool FleetRetryBudget::tryAcquire(const ServiceId &service)
+bool FleetRetryBudget::tryAcquire(const ServiceId &service, ExtraAttempt kind)
 {
     Bucket &bucket = this->refilledBucket(service);
-    if (bucket.tokens < 1) {
+    const bool isReservedForRetries = kind == ExtraAttempt::Hedge && bucket.waitingRetries() > 0;
+    if (bucket.tokens < 1 || isReservedForRetries) {
         return false;
     }
     bucket.tokens -= 1;
@@ -75,4 +113,21 @@
     bucket.tokens = std::min(bucket.tokens + 1, this->capacity());
 }
 
+Duration FleetRetryBudget::expectedWait(const ServiceId &service)
+{
+    const Bucket &bucket = this->refilledBucket(service);
+    const double missing = 1 + static_cast<double>(bucket.waitingRetries()) - bucket.tokens;
+    if (missing <= 0) {
+        return Duration::zero();
+    }
+    const double secondsToRefill = missing / std::max(this->refillRate(), 1 / longestWaitSeconds);
+    const Duration untilSettled = std::max(bucket.refilledAt - this->clock.now(), Duration::zero());
+    return untilSettled + fromSeconds(std::min(secondsToRefill, longestWaitSeconds));
+}
+
+FleetRetryBudget::WaitTicketPtr FleetRetryBudget::addWaitingRetry(const ServiceId &service)
+{
+    return this->refilledBucket(service).waitTicket;
+}
+
 }
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -1,8 +1,10 @@
 #include "gateway/frontconnection.h"
 
 #include "core/log.h"
+#include "gateway/requestmemory.h"
 #include "runtime/httppayload.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -26,17 +28,20 @@
 /// The connection is closed if a reply could not be sent completely within this time.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
 /// No more bytes are read while more than this many bytes of pipelined requests are buffered.
-constexpr std::size_t pipelineLimit = std::size_t { 64 } * 1024;
+constexpr std::size_t pipelineLimit = std::size_t { 16 } * 1024;
+/// A buffer that has grown beyond this is released when it is empty.
+constexpr std::size_t keptBufferBytes = 2 * readSize;
+/// How long the memory of a request counts after its caller has disconnected.
+constexpr Duration cancelledRequestTime = Milliseconds(50);
+/// When a caller that was refused for a shortage may try again. The connections that caused it have ended by then.
+constexpr Duration shortageRetryAfter = Milliseconds(250);
 
 Refusal refusalForParseError(const boost::system::error_code &error)
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return Refusal::HeaderTooLarge;
     }
-    if (error == http::error::body_limit) {
-        return Refusal::BodyTooLarge;
-    }
-    return Refusal::BadRequest;
+    return error == http::error::body_limit ? Refusal::BodyTooLarge : Refusal::BadRequest;
 }
 
 CallerLimits callerLimits(const Forwarder &forwarder)
@@ -51,17 +56,69 @@
                                  ClosedCallback closedCallback)
     : socket(std::move(clientSocket))
     , context(frontContext)
+    , budget(frontContext.budget)
     , onClosed(std::move(closedCallback))
     , timer(this->socket.get_executor())
 {
 }
 
-void FrontConnection::start()
+FrontConnection::~FrontConnection()
+{
+    this->budget->remove(*this);
+}
+
+bool FrontConnection::start()
 {
     boost::system::error_code ignored;
+    if (!this->budget->add(*this)) {
+        this->state = State::Closed;
+        this->socket.close(ignored);
+        return false;
+    }
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->beginRequest();
     this->startRead();
+    return true;
+}
+
+ConnectionBudget::Phase FrontConnection::budgetPhase() const
+{
+    if (this->state == State::Reading) {
+        return this->requestStarted ? ConnectionBudget::Phase::Receiving : ConnectionBudget::Phase::Idle;
+    }
+    if (this->state == State::Serving) {
+        return ConnectionBudget::Phase::Serving;
+    }
+    if (this->state == State::Writing) {
+        return ConnectionBudget::Phase::Sending;
+    }
+    return this->state == State::Closing ? ConnectionBudget::Phase::Closing : ConnectionBudget::Phase::Closed;
+}
+
+std::size_t FrontConnection::connectionBytes() const
+{
+    return sizeof(FrontConnection) + socketMemoryBytes + this->buffer.capacity();
+}
+
+void FrontConnection::updateBudget()
+{
+    const std::size_t receivedBytes = this->parser ? this->headerBytes + this->parser->get().body().capacity() : 0;
+    this->budget->update(*this,
+                         this->budgetPhase(),
+                         this->connectionBytes() + receivedBytes + this->requestBytes
+                             + this->response.body().capacity());
+}
+
+void FrontConnection::endForShortage(ConnectionBudget::Resource resource)
+{
+    const bool isIncomplete = this->state == State::Reading && this->requestStarted;
+    if (resource == ConnectionBudget::Resource::Memory && isIncomplete) {
+        this->refuse(Refusal::MemoryExceeded);
+    } else if (resource == ConnectionBudget::Resource::Memory && this->state == State::Reading) {
+        this->beginLingeringClose();
+    } else {
+        this->close();
+    }
 }
 
 void FrontConnection::beginRequest()
@@ -69,10 +126,13 @@
     this->parser.emplace();
     this->parser->eager(true);
     this->state = State::Reading;
+    this->headerBytes = 0;
+    this->requestBytes = 0;
     this->requestStarted = false;
     this->continueSent = false;
     this->idleSince = std::chrono::steady_clock::now();
     this->armTimer(callerLimits(this->context.forwarder).idleTimeout + timeoutMargin);
+    this->updateBudget();
 }
 
 void FrontConnection::startRequest()
@@ -90,11 +150,23 @@
         && !this->parser->chunked();
 }
 
+std::size_t FrontConnection::bufferLimit() const
+{
+    if (this->state == State::Reading) {
+        // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
+        return std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize);
+    }
+    return this->budget->mayReadAhead() ? pipelineLimit : 0;
+}
+
 void FrontConnection::startRead()
 {
-    if (this->reading || this->state == State::Closed || this->buffer.size() > pipelineLimit) {
+    if (this->reading || this->state == State::Closed || this->buffer.size() > this->bufferLimit()) {
         return;
     }
+    if (this->buffer.size() == 0 && this->buffer.capacity() > keptBufferBytes) {
+        this->buffer.shrink_to_fit();
+    }
     this->reading = true;
     this->socket.async_read_some(
         this->buffer.prepare(readSize),
@@ -104,6 +176,14 @@
         });
 }
 
+void FrontConnection::continueReading()
+{
+    this->startRead();
+    if (this->state != State::Closed) {
+        this->updateBudget();
+    }
+}
+
 void FrontConnection::handleRead(const boost::system::error_code &error, std::size_t size)
 {
     if (this->state == State::Closed) {
@@ -120,13 +200,19 @@
     if (this->state == State::Reading) {
         this->parse();
     }
-    this->startRead();
+    this->continueReading();
 }
 
 bool FrontConnection::parseAvailable(boost::system::error_code &error)
 {
     while (this->buffer.size() > 0 && !this->parser->is_done()) {
+        const bool hadHeader = this->parser->is_header_done();
         const std::size_t used = this->parser->put(this->buffer.data(), error);
+        if (!hadHeader) {
+            const auto *bytes = static_cast<const char *>(this->buffer.data().data());
+            this->headerBytes = this->parser->is_header_done() ? memoryOf(this->parser->get())
+                                                               : this->headerBytes + memoryOfHeaderText(bytes, used);
+        }
         this->buffer.consume(used);
         if (error == http::error::need_more) {
             error = {};
@@ -151,6 +237,10 @@
         this->refuse(refusalForParseError(error));
         return;
     }
+    if (!isComplete && this->buffer.size() > this->bufferLimit()) {
+        this->refuse(Refusal::HeaderTooLarge);
+        return;
+    }
     if (this->hasUnknownLength()) {
         this->refuse(Refusal::BadRequest);
         return;
@@ -185,21 +275,47 @@
     this->countedInFlight = true;
     ++this->context.requestsInFlight;
     ++this->context.requestsReceived;
-    const HttpRequestMessage message = this->parser->release();
-    this->keepAlive = message.keep_alive();
-    const auto decoded = this->context.codec.decode(message, this->context.clock.now());
-    if (!decoded) {
+    if (!this->decodeRequest()) {
         this->refuse(Refusal::BadRequest);
         return;
     }
-    this->request = decoded.value();
+    if (!this->admitToService()) {
+        return;
+    }
+    const CallerRequestPtr forwarded = this->request;
     const auto started = this->context.forwarder.forward(
-        this->request, [self = this->shared_from_this()](const ForwardReply &reply) { self->sendReply(reply); });
+        forwarded, [self = this->shared_from_this()](const ForwardReply &reply) { self->sendReply(reply); });
     if (this->state == State::Serving) {
         this->exchange = started;
     }
 }
 
+bool FrontConnection::decodeRequest()
+{
+    const HttpRequestMessage message = this->parser->release();
+    this->parser.reset();
+    this->keepAlive = message.keep_alive();
+    const auto decoded = this->context.codec.decode(message, this->context.clock.now());
+    if (!decoded) {
+        return false;
+    }
+    this->request = decoded.value();
+    return true;
+}
+
+bool FrontConnection::admitToService()
+{
+    const std::size_t endpoints = endpointCount(*this->request, this->context.forwarder.table().get());
+    this->requestBytes = std::min((1 + endpoints) * memoryOf(*this->request), this->budget->maxRequestBytes());
+    const auto shortage = this->budget->startServing(*this, this->connectionBytes() + this->requestBytes, endpoints);
+    if (!shortage) {
+        return true;
+    }
+    this->refuse(*shortage == ConnectionBudget::Resource::Memory ? Refusal::MemoryExceeded
+                                                                 : Refusal::TooManyConnections);
+    return false;
+}
+
 void FrontConnection::sendReply(const ForwardReply &reply)
 {
     if (this->state != State::Serving) {
@@ -207,7 +323,13 @@
     }
     this->exchange.reset();
     this->context.requestDurations.record(this->context.clock.now() - this->request->arrivedAt);
-    this->write(this->context.codec.encode(reply, this->request.get()), this->keepAlive);
+    HttpResponseMessage message = this->context.codec.encode(reply, this->request.get());
+    if (!this->budget->makeRoomForResponse(message.body().size())) {
+        this->context.counters.counter("lycheewall_front_responses_dropped_total").add();
+        this->close();
+        return;
+    }
+    this->write(std::move(message), this->keepAlive);
 }
 
 void FrontConnection::refuse(Refusal refusal)
@@ -216,6 +338,9 @@
     ForwardReply reply;
     reply.refusal = refusal;
     reply.notRun = true;
+    if (refusal == Refusal::MemoryExceeded || refusal == Refusal::TooManyConnections) {
+        reply.retryAfter = shortageRetryAfter;
+    }
     this->write(this->context.codec.encode(reply, this->request.get()), false);
 }
 
@@ -226,7 +351,14 @@
     this->response = std::move(message);
     this->response.keep_alive(this->keepAlive);
     preparePayload(this->response, this->method);
+    this->parser.reset();
+    this->request.reset();
+    this->requestBytes = 0;
     this->armTimer(writeTimeout);
+    this->updateBudget();
+    if (this->state != State::Writing) {
+        return;
+    }
     http::async_write(this->socket,
                       this->response,
                       [self = this->shared_from_this()](const boost::system::error_code &error, std::size_t) {
@@ -240,7 +372,7 @@
         this->countedInFlight = false;
         --this->context.requestsInFlight;
     }
-    this->request.reset();
+    this->response = {};
     if (this->state != State::Writing) {
         return;
     }
@@ -253,20 +385,28 @@
         return;
     }
     this->beginRequest();
-    if (this->buffer.size() > 0) {
+    if (this->state == State::Reading && this->buffer.size() > 0) {
         this->parse();
     }
-    this->startRead();
+    this->continueReading();
 }
 
 void FrontConnection::callerDisconnected()
 {
-    if (this->exchange) {
-        this->context.counters.counter("lycheewall_front_callers_left_total").add();
-        this->exchange->cancel();
-        this->exchange.reset();
+    if (!this->exchange) {
+        this->close();
+        return;
     }
+    this->context.counters.counter("lycheewall_front_callers_left_total").add();
+    this->exchange->cancel();
+    this->exchange.reset();
     this->close();
+    // The calls to endpoints keep their copies of the request for a grace period.
+    this->budget->update(*this, ConnectionBudget::Phase::Serving, this->requestBytes);
+    this->timer.expires_after(cancelledRequestTime);
+    this->timer.async_wait([self = this->shared_from_this()](const boost::system::error_code &) {
+        self->budget->update(*self, ConnectionBudget::Phase::Closed, 0);
+    });
 }
 
 void FrontConnection::closeIfIdle()
@@ -293,7 +433,10 @@
     this->state = State::Closing;
     boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Unread bytes would cause a reset, which may destroy the response; a full buffer would stop reading them.
+    this->buffer.consume(this->buffer.size());
     this->armTimer(lingerTime);
+    this->updateBudget();
     this->startRead();
 }
 
@@ -342,6 +485,7 @@
         return;
     }
     this->state = State::Closed;
+    this->parser.reset();
     if (this->countedInFlight) {
         this->countedInFlight = false;
         --this->context.requestsInFlight;
@@ -349,6 +493,7 @@
     this->timer.cancel();
     boost::system::error_code ignored;
     this->socket.close(ignored);
+    this->updateBudget();
     this->onClosed(this);
 }
 
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -73,12 +73,13 @@
     , chooser(endpoints, settings.zone, random)
     , statementHandler(clock, counters, random)
     , pool(io, clock, timers, counters, statementHandler, codecs.endpoints)
-    , retryBudget(settings.retryLimits, clock)
+    , retryBudget(settings.retryLimits, clock, random)
     , quota(clock)
     , requestLog(clock)
+    , overloadControl(endpoints, random)
     , forwarding { clock,      timers,      counters,           endpoints,       chooser,
                    pool,       retryBudget, latencies,          serviceBalancer, quota,
-                   requestLog, random,      throttledAdmission, nullptr }
+                   requestLog, random,      throttledAdmission, overloadControl, nullptr }
     , freshness(clock)
     , forwarder(settings.forwarding, forwarding, freshness)
     , feedApplier({ clock, timers, counters, codecs.feed, endpoints, forwarder, quota })
@@ -100,6 +101,7 @@
                *store.revision,
                feedSourcePolicy,
                [this] { this->feedApplier.storeRecovered(); },
+               [this] { this->feedApplier.storeRestored(); },
                [this] {
                    this->handleFeedUpdate();
                } })
@@ -108,11 +110,23 @@
     , rateLimitShare(members)
     , directory(activeInstances)
     , feedServer(clock, timers, replica, freshness)
-    , frontContext { clock, counters, forwarder, codecs.callers, requestDurations }
+    , connectionBudget(std::make_shared<ConnectionBudget>(clock, counters, ConnectionLimits()))
+    , frontContext { clock, counters, forwarder, codecs.callers, requestDurations, connectionBudget }
     , signals(io)
     , cpuMeter(clock)
 {
+    this->endpoints.setCounters(this->counters);
     this->replica.setListener([this](const FeedEvent &event) { this->feedApplier.apply(event); });
+    this->connectionBudget->setEndpointSockets([this] { return this->pool.connectionCount(); });
+    this->applyMachineLimits();
+}
+
+void Gateway::applyMachineLimits()
+{
+    const ConnectionLimits limits
+        = ConnectionLimits::ofMachine(this->settings.memoryLimitBytes, this->settings.maxDescriptors);
+    this->connectionBudget->setLimits(limits);
+    this->pool.setResponseMemoryLimit(limits.responseBytes);
 }
 
 Result<void> Gateway::start()
@@ -189,7 +203,7 @@
         if (address.empty()) {
             return success();
         }
-        auto server = AuxiliaryServer::create(this->io, address, std::move(handler));
+        auto server = AuxiliaryServer::create(this->io, address, this->connectionBudget, std::move(handler));
         if (!server) {
             return server.error();
         }
@@ -323,7 +337,17 @@
 {
     respond({ statusOk,
               "text/plain; version=0.0.4",
-              this->counters.exposition() + this->requestDurations.exposition("lycheewall_front_duration_ms") });
+              this->counters.exposition() + this->connectionGauges()
+                  + this->requestDurations.exposition("lycheewall_front_duration_ms") });
+}
+
+std::string Gateway::connectionGauges() const
+{
+    const auto gauge = [](const std::string &name, std::size_t value) {
+        return "# TYPE " + name + " gauge\n" + name + ' ' + std::to_string(value) + '\n';
+    };
+    return gauge("lycheewall_front_open_connections", this->connectionBudget->connectionCount())
+        + gauge("lycheewall_front_held_bytes", this->connectionBudget->heldBytes());
 }
 
 void Gateway::awaitSignal()
@@ -362,8 +386,12 @@
     this->settings.shutdownServingTime = reloaded->shutdownServingTime;
     this->settings.shutdownTimeout = reloaded->shutdownTimeout;
     this->settings.addressTtl = reloaded->addressTtl;
+    this->settings.memoryLimitBytes = reloaded->memoryLimitBytes;
+    this->settings.maxDescriptors = reloaded->maxDescriptors;
+    this->applyMachineLimits();
     logger().info(
-        "Reloaded the settings: retry limits, feed age limits, seeds, shutdown times and the address TTL take effect.");
+        "Reloaded the settings: retry limits, feed age limits, seeds, shutdown times, the address TTL and the "
+        "limits of memory and descriptors take effect.");
 }
 
 void Gateway::logCounters()
@@ -371,6 +399,8 @@
     std::ostringstream cpuUsage;
     cpuUsage << "request-cores=" << this->requestLoad.cores() << " control-cores=" << this->requestLoad.controlCores()
              << " available-cores=" << this->self.cpuUsage.availableCores
+             << " connections=" << this->connectionBudget->connectionCount()
+             << " held-bytes=" << this->connectionBudget->heldBytes()
              << " carries-work=" << (this->activeInstances.isSelfActive() ? "yes" : "no");
     logger().info("Counters: " + cpuUsage.str() + ' ' + this->counters.summary());
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -82,6 +82,9 @@
     void awaitSignal();
     void reloadSettings();
     void logCounters();
+    void applyMachineLimits();
+    /// What all accepted connections hold, in the format of the metrics.
+    std::string connectionGauges() const;
     void beginShutdown();
     void stopServing();
     void stopWhenRequestsFinished();
@@ -104,6 +107,7 @@
     OrganisationQuota quota;
     RequestLog requestLog;
     ThrottledAdmission throttledAdmission;
+    OverloadControl overloadControl;
     ForwardingContext forwarding;
     FeedFreshness freshness;
     Forwarder forwarder;
@@ -119,6 +123,7 @@
     RateLimitShare rateLimitShare;
     InstanceDirectory directory;
     PeerFeedServer feedServer;
+    std::shared_ptr<ConnectionBudget> connectionBudget;
     FrontContext frontContext;
     std::unique_ptr<DatagramSocket> datagrams;
     std::unique_ptr<Gossip> gossip;
--- a/Tests/forwarding/fanoutexchangetest.cpp
+++ b/Tests/forwarding/fanoutexchangetest.cpp
@@ -101,6 +101,27 @@
     BOOST_TEST(this->call(1).cancelled);
 }
 
+// Guards against a query that fails because the retry budget of one shard is exhausted for a moment, long before the
+// latency objective.
+BOOST_AUTO_TEST_CASE(shardRetryWaitsForBudget)
+{
+    this->routeToShards(1);
+    this->route.latencyObjective = Milliseconds(1500);
+    this->route.timeout = std::chrono::seconds(3);
+    this->retryBudget.setLimits({ 0, 50, std::chrono::seconds(10) });
+    // The retry budget of a new instance does not accrue before.
+    this->clock.advance(std::chrono::seconds(3));
+    this->start();
+    this->call(0).finish(CallResult::Lost);
+    this->call(1).finish(CallResult::Answered, 200, middle);
+    BOOST_TEST(this->replies.empty());
+    this->clock.advance(Milliseconds(800));
+    BOOST_REQUIRE(this->endpointSender.calls.size() == 3U);
+    this->call(2).finish(CallResult::Answered, 200, low);
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies[0].merged->missingShards == 0U);
+}
+
 // Guards against shard calls that continue, and against a reply, after the caller has disconnected.
 BOOST_AUTO_TEST_CASE(cancelStopsAllShardCalls)
 {
@@ -152,6 +173,49 @@
     BOOST_TEST(!this->replies.at(0).notRun);
 }
 
+// Guards against queries that wait until their deadline for shards which have not responded for a while.
+BOOST_AUTO_TEST_CASE(rejectsQueriesWhileShardsAreSilent)
+{
+    this->routeToShards(1);
+    for (const char *id : { "s1a", "s2a" }) {
+        this->endpoints.find(EndpointId(id))->stats.updateLoad({ 0, 0, 4, 1 }, this->clock.now());
+    }
+    for (int query = 0; query < 100; ++query) {
+        this->start();
+        this->clock.advance(this->route.timeout);
+    }
+    this->replies.clear();
+    this->endpointSender.calls.clear();
+    this->start();
+    this->start();
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointShed));
+    BOOST_TEST(this->replies[0].notRun);
+    // The other query finds out whether the shards respond again.
+    BOOST_TEST(this->endpointSender.calls.size() == 2U);
+}
+
+// Guards against shards that are taken for silent because callers wait for less time than queries usually take: the
+// queries of all other callers would be rejected.
+BOOST_AUTO_TEST_CASE(sendsQueriesAfterCallersWithShortDeadlines)
+{
+    this->routeToShards(1);
+    for (const char *id : { "s1a", "s2a" }) {
+        this->endpoints.find(EndpointId(id))->stats.updateLoad({ 0, 0, 4, 1 }, this->clock.now());
+    }
+    const Duration usualTimeout = this->route.timeout;
+    this->route.timeout = this->route.latencyObjective / 2;
+    for (int query = 0; query < 100; ++query) {
+        this->start();
+        this->clock.advance(this->route.timeout);
+    }
+    this->route.timeout = usualTimeout;
+    this->replies.clear();
+    this->start();
+    this->start();
+    BOOST_TEST(this->replies.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -114,7 +114,7 @@
 
     static std::shared_ptr<CallerRequest> request(TimePoint now)
     {
-        const auto request = std::make_shared<CallerRequest>();
+        auto request = std::make_shared<CallerRequest>();
         request->attemptId = "id";
         request->method = "GET";
         request->host = "host";
@@ -161,15 +161,16 @@
     EndpointSet endpoints;
     EndpointChooser chooser { endpoints, ZoneId("here"), random };
     FakeEndpointSender endpointSender;
-    FleetRetryBudget retryBudget { { 0.2, 50, std::chrono::seconds(10) }, clock };
+    FleetRetryBudget retryBudget { { 0.2, 50, std::chrono::seconds(10) }, clock, random };
     LatencyModel latencies;
     WeightedRoundRobin serviceBalancer;
     OrganisationQuota quota { clock };
     RequestLog requestLog { clock };
     ThrottledAdmission throttledAdmission;
+    OverloadControl overloadControl { endpoints, random };
     ForwardingContext context { clock,          clock,       counters,           endpoints,       chooser,
                                 endpointSender, retryBudget, latencies,          serviceBalancer, quota,
-                                requestLog,     random,      throttledAdmission, nullptr };
+                                requestLog,     random,      throttledAdmission, overloadControl, nullptr };
     RouteTableContent tableContent;
     Route route;
     std::shared_ptr<Exchange> exchange;
--- a/Tests/forwarding/simulatedserver.cpp
+++ b/Tests/forwarding/simulatedserver.cpp
@@ -95,6 +95,18 @@
     return this->plan.isDown && this->plan.isDown(this->shard, this->index, this->elapsedSeconds());
 }
 
+bool SimulatedServer::rejectsNext()
+{
+    this->rejectionsDue += this->plan.rejectedFraction
+        ? this->plan.rejectedFraction(this->shard, this->index, this->elapsedSeconds())
+        : 0;
+    if (this->rejectionsDue < 1) {
+        return false;
+    }
+    this->rejectionsDue -= 1;
+    return true;
+}
+
 void SimulatedServer::receive(const std::shared_ptr<SimulatedCall> &call)
 {
     if (call->cancelled) {
@@ -107,6 +119,12 @@
         this->sendResponse(call, outcome);
         return;
     }
+    if (this->rejectsNext()) {
+        CallOutcome outcome;
+        outcome.result = CallResult::NotRun;
+        this->sendResponse(call, outcome);
+        return;
+    }
     call->removeFromServer = [this, weak = std::weak_ptr<SimulatedCall>(call)] {
         if (const auto removed = weak.lock()) {
             this->remove(removed);
@@ -153,12 +171,46 @@
 {
     call->running = true;
     ++this->running;
-    const double slowdown
-        = this->plan.slowdown ? this->plan.slowdown(this->shard, this->index, this->elapsedSeconds()) : 1;
-    const double time = this->withPauses(call->serviceTimeMs * slowdown);
+    const double slowdownNow = this->slowdown(this->elapsedSeconds());
+    const double time = this->withPauses(this->withWorkFactor(call->serviceTimeMs * slowdownNow));
     call->timer = this->clock.after(fromMilliseconds(time), [this, call] { this->complete(call); });
 }
 
+double SimulatedServer::workFactor(double second) const
+{
+    return this->plan.workFactor ? this->plan.workFactor(this->shard, this->index, second) : 1;
+}
+
+double SimulatedServer::slowdown(double second) const
+{
+    return this->plan.slowdown ? this->plan.slowdown(this->shard, this->index, second) : 1;
+}
+
+double SimulatedServer::withWorkFactor(double serviceTimeMs) const
+{
+    if (!this->plan.workFactor) {
+        return serviceTimeMs;
+    }
+    constexpr double stepMs = 5;
+    double elapsedMs = 0;
+    double remainingMs = serviceTimeMs;
+    while (true) {
+        const double factor = this->workFactor(this->elapsedSeconds() + elapsedMs / 1000);
+        if (remainingMs * factor <= stepMs) {
+            return elapsedMs + remainingMs * factor;
+        }
+        remainingMs -= stepMs / factor;
+        elapsedMs += stepMs;
+    }
+}
+
+LoadReport SimulatedServer::exactLoad() const
+{
+    const double second = this->elapsedSeconds();
+    const double factor = this->workFactor(second) * this->slowdown(second);
+    return { this->running, static_cast<int>(this->queue.size()), this->plan.slots, factor };
+}
+
 double SimulatedServer::withPauses(double serviceTimeMs) const
 {
     if (this->plan.pauseMs <= 0) {
@@ -190,7 +242,12 @@
     if (statement.requestsPerSecond && !this->limitNamedAt) {
         this->limitNamedAt = this->elapsedSeconds();
     }
-    const LoadReport report { this->running, static_cast<int>(this->queue.size()), this->plan.slots };
+    LoadReport report = this->exactLoad();
+    report.workFactor.reset();
+    if (this->plan.loadKnowledge == LoadKnowledge::WorkFactors) {
+        const auto &reported = this->plan.reportedFactor ? this->plan.reportedFactor : this->plan.workFactor;
+        report.workFactor = reported(this->shard, this->index, this->elapsedSeconds());
+    }
     call->timer = this->clock.after(fromMilliseconds(call->delayMs), [this, call, outcome, report, statement] {
         if (outcome.result != CallResult::Lost) {
             this->applyResponse(*call, report, statement);
--- a/Tests/forwarding/simulatedserver.h
+++ b/Tests/forwarding/simulatedserver.h
@@ -46,6 +46,9 @@
 
     void receive(const std::shared_ptr<SimulatedCall> &call);
 
+    /// The load as it is now, with the factor of everything that affects the time of work.
+    LoadReport exactLoad() const;
+
     /// See SimulationResult::maxLimitUsage.
     double maxLimitUsage() const;
 
@@ -57,10 +60,16 @@
     std::optional<double> currentLimit() const;
     void recordArrival(std::size_t instance);
     bool isDown() const;
+    /// True if the server rejects the next request regardless of its load.
+    bool rejectsNext();
     void remove(const std::shared_ptr<SimulatedCall> &call);
     void freeSlot(const std::shared_ptr<SimulatedCall> &call);
     void start(const std::shared_ptr<SimulatedCall> &call);
     void complete(const std::shared_ptr<SimulatedCall> &call);
+    double workFactor(double second) const;
+    double slowdown(double second) const;
+    /// Time that work takes which begins now, through all changes of the work factor.
+    double withWorkFactor(double serviceTimeMs) const;
     double withPauses(double serviceTimeMs) const;
     void sendResponse(const std::shared_ptr<SimulatedCall> &call, const CallOutcome &outcome);
     void applyResponse(SimulatedCall &call, const LoadReport &report, const RateLimitStatement &statement);
@@ -72,6 +81,8 @@
     const std::size_t index;
     const double pausePhaseMs;
     int running = 0;
+    /// Requests that are still to be rejected: the sum of the rejected fractions, less the rejected requests.
+    double rejectionsDue = 0;
     std::deque<std::shared_ptr<SimulatedCall>> queue;
     std::optional<double> limitNamedAt;
     /// When each instance first got a response with the limit.
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -226,6 +226,31 @@
     BOOST_TEST(PlatformEndpointCodec().inspect(misdirected).notRun);
 }
 
+// Guards against a work factor that is misread or lost. Without a valid one, the counts are used as before; a value
+// that is no factor is reported as malformed.
+BOOST_AUTO_TEST_CASE(parsesWorkFactors)
+{
+    const auto parse = [](const std::string &text) {
+        HttpResponseMessage message(http::status::ok, 11);
+        message.set(Names::Header::serverLoad, text);
+        return PlatformEndpointCodec().inspect(message);
+    };
+    BOOST_TEST(parse("3,1,8,100").load->workFactor.value() == 1);
+    BOOST_TEST(parse("3, 1, 8, 37.5").load->workFactor.value() == 0.375);
+    BOOST_TEST(parse("3,1,8,250,9").load->workFactor.value() == 2.5);
+    const EndpointResponseMetadata withoutFactor = parse("3,1,8");
+    BOOST_TEST(!withoutFactor.load->workFactor);
+    BOOST_TEST(withoutFactor.statement.malformedFields.empty());
+    for (const char *factor : { "", "0", "-100", "nan", "inf", "1e999", "100001", "100 x", "x" }) {
+        const EndpointResponseMetadata metadata = parse(std::string("3,1,8,") + factor);
+        BOOST_TEST(metadata.load->slots == 8, factor);
+        BOOST_TEST(!metadata.load->workFactor, factor);
+        BOOST_TEST(metadata.statement.malformedFields.size() == 1U, factor);
+    }
+    BOOST_TEST(!parse("").load);
+    BOOST_TEST(parse("").statement.malformedFields.empty());
+}
+
 // Guards against a rate limit that is misread: anything but a decimal number is reported as malformed and names none.
 BOOST_AUTO_TEST_CASE(parsesRateLimits)
 {
@@ -308,17 +333,18 @@
 BOOST_AUTO_TEST_CASE(decodesStoreResponses)
 {
     const auto page = decodeRange(R"({"items":[{"Key":"k","Value":"bm9kZS0x","Revision":4,"Created":2,"Lease":0},
-        {"Key":"l","Value":"YQ==","Revision":5}],"HasMore":true,"At":9})");
+        {"Key":"l","Value":"YQ==","Revision":5}],"HasMore":true,"At":9})",
+                                  StoreEra(2));
     BOOST_REQUIRE(page);
     BOOST_TEST(page.value().items.at(0).value == "node-1");
     BOOST_TEST(page.value().items.at(1).value == "a");
     BOOST_TEST(page.value().hasMore);
-    BOOST_TEST(page.value().revision == 9U);
-    const auto batch = decodeWatch(R"({"events":[{"Key":"k","Revision":10,"Deleted":true}],"At":11})");
+    BOOST_TEST(page.value().position == (FeedPosition { StoreEra(2), 9 }));
+    const auto batch = decodeWatch(R"({"events":[{"Key":"k","Revision":10,"Deleted":true}],"At":11})", {});
     BOOST_REQUIRE(batch);
     BOOST_TEST(batch.value().events.at(0).deleted);
-    BOOST_TEST((decodeRange("{}").error() == FeedError::MalformedResponse));
-    BOOST_TEST((decodeWatch("cut").error() == FeedError::MalformedResponse));
+    BOOST_TEST((decodeRange("{}", {}).error() == FeedError::MalformedResponse));
+    BOOST_TEST((decodeWatch("cut", {}).error() == FeedError::MalformedResponse));
 }
 
 // Guards against misread settings, and against an invalid change of the file that replaces valid settings.
@@ -340,9 +366,14 @@
     BOOST_TEST(settings.value().gateway.seeds.at(0) == "10.2.0.28:7740");
     BOOST_TEST(settings.value().gateway.retryLimits.slack == 56);
     BOOST_TEST((settings.value().gateway.forwarding.maxFeedAgeForKeys < std::chrono::seconds(5)));
+    BOOST_TEST(settings.value().gateway.memoryLimitBytes == GatewaySettings().memoryLimitBytes);
+    BOOST_TEST(settings.value().gateway.maxDescriptors == GatewaySettings().maxDescriptors);
     BOOST_TEST(!file.reloadIfChanged());
-    write(text + "New: field\n");
-    BOOST_TEST(file.reloadIfChanged().has_value());
+    write(text + "Limits: {MemoryMb: 112, MaxFds: 2870}\n");
+    const auto reloaded = file.reloadIfChanged();
+    BOOST_REQUIRE(reloaded.has_value());
+    BOOST_TEST(reloaded->gateway.memoryLimitBytes == 112U * 1024 * 1024);
+    BOOST_TEST(reloaded->gateway.maxDescriptors == 2870U);
     write("NodeName: n1\n");
     BOOST_TEST(!file.reloadIfChanged());
     std::remove(path.c_str());
