--- a/Source/feed/feedapplier.h
+++ b/Source/feed/feedapplier.h
@@ -43,7 +43,7 @@
     void storeRecovered();
 
     /// The store has come back from an older copy of its data, and the changes that follow are the differences to that
-    /// copy. Defers also what is deferred already.
+    /// copy. What is deferred already is deferred anew, for the whole time.
     void storeRestored();
 
 private:
--- a/Source/feed/feedreplica.h
+++ b/Source/feed/feedreplica.h
@@ -15,7 +15,8 @@
  * A copy of the store's entries, from which other instances can read as from the store. Of each entry it keeps the
  * latest change only, removals included, so its size does not depend on how often an entry changes. It never moves
  * backwards: older positions of the store and older revisions of an entry within an era are ignored. It enters a new
- * era with a complete listing. Thread safety: none; used on the thread of the request loop.
+ * era with a complete listing.
+ * Thread safety: none; used on the thread of the request loop.
  */
 class FeedReplica
 {
--- a/Source/forwarding/competingkinds.h
+++ b/Source/forwarding/competingkinds.h
@@ -18,7 +18,8 @@
     std::string route;
     /// Time for which a request occupies a slot of an endpoint.
     Duration work {};
-    /// Time that a request can wait at an endpoint and still be served on time.
+    /// Time that a request can wait at an endpoint and still be served on time; zero or negative if it cannot be on
+    /// time even without waiting.
     Duration slack {};
 };
 
--- a/Source/forwarding/endpointload.cpp
+++ b/Source/forwarding/endpointload.cpp
@@ -16,15 +16,18 @@
 /// Reported factors are believed within these bounds.
 constexpr double minFactor = 0.25;
 constexpr double maxFactor = 10;
-/// Weight of one report in the mean factor of an endpoint.
+/// Weight of one report in an endpoint's mean factor and mean number of requests of others.
 constexpr double meanGain = 0.05;
+/// Weight of one response in the mean latency of an endpoint.
 constexpr double latencyGain = 0.1;
-/// Without reports, an endpoint's mean relaxes to the typical factor, so that it is tried again.
+/// Without reports, an endpoint's mean factor approaches the typical one and its mean number of requests of others
+/// approaches 0, so that it is tried again.
 constexpr double meanHalfLifeSeconds = 5;
-/// Weight of one response in the speed, and the bounds of the speed. Beyond them, an endpoint is slow and becomes
-/// suspect.
+/// The weight of a response in the speed falls with the number of responses down to this. The speed starts at 1, with
+/// the weight of this number of responses.
 constexpr double minSpeedGain = 0.03;
 constexpr double speedPriorSamples = 4;
+/// The speed stays between this factor and its inverse. An endpoint that is slower becomes suspect.
 const double maxLogSpeed = std::log(1.7);
 constexpr double speedHalfLifeSeconds = 30;
 /// A response is no measure of the speed if it is late or early by more than this factor.
--- a/Source/forwarding/endpointstats.h
+++ b/Source/forwarding/endpointstats.h
@@ -65,7 +65,8 @@
     int inFlight() const;
 
     /// Estimated number of requests of other clients at the endpoint: the count of the latest load report without the
-    /// requests of this instance, decreasing as the report ages.
+    /// requests of this instance. As the report ages, the estimate approaches the mean of recent reports if the
+    /// endpoint reports a work factor, otherwise 0.
     double estimatedRemoteInFlight(TimePoint now) const;
 
     /// Factor on the typical latency that is expected of work at the endpoint at @p now, from the factors that it has
--- a/Source/forwarding/fleetretrybudget.h
+++ b/Source/forwarding/fleetretrybudget.h
@@ -65,8 +65,8 @@
     /// Returns an extra attempt that was taken but not sent.
     void refund(const ServiceId &service);
 
-    /// The longest time until a retry that begins to wait now can be made, after those that wait already. Requests to
-    /// the service shorten it.
+    /// Time until a retry that begins to wait now can be made, after those that wait already, if only the slack refills
+    /// the budget; limited to about an hour. Requests to the service shorten it.
     Duration expectedWait(const ServiceId &service);
 
     /// Counts a retry as waiting for the budget of @p service for as long as the ticket exists.
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -33,8 +33,8 @@
  * them. Requests compete if they go to the same service, or to indexes with the same first shard. While no request
  * waits at the endpoints, all requests that can be served are sent. The same holds if the endpoints do not report their
  * work factors: the time for which requests wait cannot be estimated then. The state follows from what the endpoints
- * report and how they respond, so a wrong belief ends when the next responses arrive or the reports are too old. Thread
- * safety: none; used on the thread of the request loop.
+ * report and how they respond, so a wrong belief ends when the next responses arrive or the reports are too old.
+ * Thread safety: none; used on the thread of the request loop.
  */
 class OverloadControl
 {
--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -26,7 +26,7 @@
 constexpr int backlog = 1024;
 /// Delay of the next accept after one that has failed.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-/// Requests are short.
+/// Most bytes of one read. Requests are usually shorter, so one read receives them whole.
 constexpr std::size_t readSize = 1024;
 constexpr std::uint32_t headerLimit = 16 * 1024;
 /// Time from the first bytes of a request to its end.
@@ -118,7 +118,7 @@
     void handle()
     {
         this->stream.expires_never();
-        // The response can be requested again, also when the handler responds later.
+        // Idle, not serving: the connection may be ended while the handler works, as the request can be repeated.
         this->updateBudget(Phase::Idle);
         if (this->phase == Phase::Closed) {
             return;
--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -24,11 +24,12 @@
 constexpr std::size_t minSockets = 16;
 /// Share of the sockets that is kept for connections to endpoints.
 constexpr std::size_t endpointShareDenominator = 4;
-/// Connections are ended until this fraction of what requests in flight leave is free, so that the search for them is
-/// rare.
+/// More connections are ended than necessary, so that the search for them is rare: until an eighth of the memory that
+/// requests in flight leave is free, or a 32nd of the connections has ended.
 constexpr std::size_t freedMemoryDenominator = 8;
 constexpr std::size_t freedConnectionsDenominator = 32;
-/// Requests of this size leave a quarter of the memory to smaller ones.
+/// Requests and responses from this size on are large: the requests leave a quarter of the memory to smaller ones, the
+/// responses are dropped if there is no room for them.
 constexpr std::size_t largeMessageBytes = std::size_t { 32 } * 1024;
 constexpr std::size_t reservedForSmallDenominator = 4;
 /// Shares of the memory and of the sockets that requests in flight leave to other connections, such as readiness checks
@@ -300,7 +301,7 @@
             candidates.push_back(holder);
         }
     }
-    // First connections that end anyway, then those that have not been of use yet.
+    // First connections that end anyway, then those that have sent no response yet, each by the time in their phase.
     const auto key = [](const Holder *holder) {
         return std::make_tuple(holder->phase != Phase::Closing, holder->wasServed, holder->phaseSince);
     };
--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -23,7 +23,8 @@
     /// Sockets: accepted connections and connections to endpoints together.
     std::size_t sockets = 0;
 
-    /// Divides the memory and the descriptors of a machine.
+    /// Divides the memory and the descriptors that one process may use. However small they are, the result allows 2 MiB
+    /// of each kind of memory and 16 sockets. Thread safety: any thread.
     static ConnectionLimits ofMachine(std::size_t memoryLimitBytes, std::size_t maxDescriptors);
 };
 
@@ -99,7 +100,8 @@
 
     /// Changes the phase of @p holder to Serving if its request may be served with @p bytes of memory and
     /// @p endpointSockets connections to endpoints; may end other connections to make room. Otherwise returns what is
-    /// short and changes nothing.
+    /// short and keeps the phase and the memory of @p holder; others may have been ended nevertheless. Precondition:
+    /// @p holder was added.
     std::optional<Resource> startServing(Holder &holder, std::size_t bytes, std::size_t endpointSockets);
 
     /// Most bytes that a request should count with, so that a single request leaves room for small ones. A request that
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -31,7 +31,8 @@
 constexpr std::size_t pipelineLimit = std::size_t { 16 } * 1024;
 /// A buffer that has grown beyond this is released when it is empty.
 constexpr std::size_t keptBufferBytes = 2 * readSize;
-/// How long the memory of a request counts after its caller has disconnected.
+/// How long the memory of a request counts after its caller has disconnected. Longer than the grace period of its
+/// cancelled calls to endpoints, which keep copies of it.
 constexpr Duration cancelledRequestTime = Milliseconds(50);
 /// When a caller that was refused for a shortage may try again. The connections that caused it have ended by then.
 constexpr Duration shortageRetryAfter = Milliseconds(250);
