Feed: Count the time for lost changes from when the rise is noticed

An instance that reads from another one counted the time within which lost changes are written again from the age of that instance's data, which may have been confirmed last before the store came back. So it confirmed the copy, with the withdrawn key, too early.

The time counts from when the listing is applied. agedCopyOfPeerDoesNotConfirmKeys fails with the time counted as before. Instances that read from another one confirm keys up to one check later.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -157,9 +157,11 @@
 
 void FeedReader::handleRestoration(const Listing &complete)
 {
-    // An instance that reads from this one counts from the same time, so that one check confirms the data of both.
-    const TimePoint restoredAt = this->usingStore ? this->context.clock.now() : complete.confirmedUntil;
-    this->context.freshness.storeRestored(restoredAt + this->settings.rewriteTime);
+    logger().info("The copy is at revision " + std::to_string(complete.position.revision)
+                  + "; what the store has lost is expected within "
+                  + std::to_string(toMilliseconds(this->settings.rewriteTime)) + " ms.");
+    // Not from the age of the data: a peer may have confirmed them last before the store came back.
+    this->context.freshness.storeRestored(this->context.clock.now() + this->settings.rewriteTime);
     this->rewriteTimer
         = this->context.timers.after(this->settings.rewriteTime + rewriteCheckDelay, [this] { this->checkRevision(); });
     this->context.restored();
--- a/Tests/feed/storeeratest.cpp
+++ b/Tests/feed/storeeratest.cpp
@@ -144,6 +144,27 @@
     BOOST_TEST((this->freshness.age() <= Milliseconds(300)));
 }
 
+// Guards against accepting such a key at an instance that reads from a peer whose data were confirmed last before the
+// store came back.
+BOOST_FIXTURE_TEST_CASE(agedCopyOfPeerDoesNotConfirmKeys, Fixture)
+{
+    const auto peer = std::make_shared<FakeSource>(this->clock);
+    peer->items = this->store.items;
+    peer->latestRevision = this->store.latestRevision;
+    this->sourcePolicy.candidates = { { InstanceId("peer"), peer } };
+    this->sourcePolicy.readsStoreNow = false;
+    this->startFor(std::chrono::seconds(2));
+    peer->age = Milliseconds(1500);
+    peer->restore({ { "a", "1", 3, false } }, 4);
+    for (int step = 0; step < 2000 && this->position() != at(1, 4); ++step) {
+        this->clock.advance(Milliseconds(1));
+    }
+    BOOST_REQUIRE(this->position() == at(1, 4));
+    peer->age = {};
+    this->clock.advance(Milliseconds(1800));
+    BOOST_TEST((this->freshness.age() >= Milliseconds(1800)));
+}
+
 // Guards against an instance that stays in the middle era when the store goes back again while it lists.
 BOOST_FIXTURE_TEST_CASE(storeGoesBackTwice, Fixture)
 {
