Gateway: Accept connections in one place

ConnectionAcceptor has both now, with the drain of the listen queue. Log lines and counters are as before, as is the behaviour. test_gateway passes; a failed accept has no test, as before.

--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -3,7 +3,6 @@
 #include "core/log.h"
 #include "gateway/requestmemory.h"
 #include "runtime/httppayload.h"
-#include "runtime/listener.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -22,16 +21,17 @@
 
 constexpr auto idleTimeout = std::chrono::seconds(30);
 constexpr auto writeTimeout = std::chrono::seconds(5);
-/// Length of the accept queue; a full queue delays the connections of callers by seconds.
-constexpr int backlog = 1024;
-/// Delay of the next accept after one that has failed.
-constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 /// Most bytes of one read. Requests are usually shorter, so one read receives them whole.
 constexpr std::size_t readSize = 1024;
 constexpr std::uint32_t headerLimit = 16 * 1024;
 /// Time from the first bytes of a request to its end.
 constexpr auto requestTimeout = std::chrono::seconds(5);
 
+void reportAcceptError(const boost::system::error_code &error)
+{
+    Log::component("side").warn("Could not accept a connection to an auxiliary server: " + error.message() + ".");
+}
+
 }
 
 class AuxiliaryServer::Connection : public std::enable_shared_from_this<Connection>, private ConnectionBudget::Holder
@@ -194,57 +194,32 @@
                                                                  Handler handler)
 {
     std::unique_ptr<AuxiliaryServer> server(new AuxiliaryServer(io, std::move(budget), std::move(handler)));
-    const auto listening = listenOn(server->acceptor, address, backlog);
+    const auto listening = server->acceptor.listen(address);
     if (!listening) {
         return listening.error();
     }
-    server->accept();
     return server;
 }
 
 AuxiliaryServer::AuxiliaryServer(asio::io_context &io,
                                  std::shared_ptr<ConnectionBudget> connectionBudget,
                                  Handler requestHandler)
-    : acceptor(io)
-    , acceptTimer(io)
-    , budget(std::move(connectionBudget))
+    : budget(std::move(connectionBudget))
     , handler(std::move(requestHandler))
+    , acceptor(io,
+               this->budget,
+               { [this](asio::ip::tcp::socket socket) { this->addConnection(std::move(socket)); }, &reportAcceptError })
 {
 }
 
 std::uint16_t AuxiliaryServer::port() const
 {
-    return this->acceptor.local_endpoint().port();
-}
-
-void AuxiliaryServer::accept()
-{
-    this->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
-            this->handleAcceptError(error);
-            return;
-        }
-        std::make_shared<Connection>(std::move(socket), this->budget, this->handler)->start();
-        this->accept();
-    });
+    return this->acceptor.port();
 }
 
-void AuxiliaryServer::handleAcceptError(const boost::system::error_code &error)
+void AuxiliaryServer::addConnection(asio::ip::tcp::socket socket)
 {
-    Log::component("side").warn("Could not accept a connection to an auxiliary server: " + error.message() + ".");
-    if (error == asio::error::no_descriptors) {
-        this->budget->releaseDescriptors();
-    }
-    // The connection stays in the queue, so that the next accept would fail at once.
-    this->acceptTimer.expires_after(acceptRetryDelay);
-    this->acceptTimer.async_wait([this](const boost::system::error_code &waitError) {
-        if (!waitError) {
-            this->accept();
-        }
-    });
+    std::make_shared<Connection>(std::move(socket), this->budget, this->handler)->start();
 }
 
 }
--- a/Source/gateway/auxiliaryserver.h
+++ b/Source/gateway/auxiliaryserver.h
@@ -2,10 +2,9 @@
 
 #include "core/counters.h"
 #include "core/result.h"
-#include "gateway/connectionbudget.h"
+#include "gateway/connectionacceptor.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,13 +45,11 @@
     class Connection;
 
     AuxiliaryServer(boost::asio::io_context &io, std::shared_ptr<ConnectionBudget> budget, Handler handler);
-    void accept();
-    void handleAcceptError(const boost::system::error_code &error);
+    void addConnection(boost::asio::ip::tcp::socket socket);
 
-    boost::asio::ip::tcp::acceptor acceptor;
-    boost::asio::steady_timer acceptTimer;
     std::shared_ptr<ConnectionBudget> budget;
     Handler handler;
+    ConnectionAcceptor acceptor;
 };
 
 }
--- a/Source/gateway/frontserver.cpp
+++ b/Source/gateway/frontserver.cpp
@@ -1,7 +1,6 @@
 #include "gateway/frontserver.h"
 
 #include "core/log.h"
-#include "runtime/listener.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -10,64 +9,32 @@
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-/// Length of the accept queue; a full queue delays the connections of callers by seconds.
-constexpr int backlog = 1024;
-/// Delay of the next accept after one that has failed.
-constexpr Duration acceptRetryDelay = Milliseconds(50);
-
-}
-
 Result<std::unique_ptr<FrontServer>>
 FrontServer::create(asio::io_context &io, const std::string &address, FrontContext &context)
 {
     std::unique_ptr<FrontServer> server(new FrontServer(io, context));
-    const auto listening = listenOn(server->acceptor, address, backlog);
+    const auto listening = server->acceptor.listen(address);
     if (!listening) {
         return listening.error();
     }
-    server->accept();
     return server;
 }
 
 FrontServer::FrontServer(asio::io_context &io, FrontContext &frontContext)
-    : acceptor(io)
-    , acceptTimer(io)
-    , context(frontContext)
+    : context(frontContext)
+    , acceptor(io,
+               frontContext.budget,
+               { [this](asio::ip::tcp::socket socket) { this->addConnection(std::move(socket)); },
+                 [this](const boost::system::error_code &error) {
+                     this->reportAcceptError(error);
+                 } })
 {
 }
 
-void FrontServer::accept()
-{
-    this->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
-            this->handleAcceptError(error);
-            return;
-        }
-        this->addConnection(std::move(socket));
-        this->accept();
-    });
-}
-
-void FrontServer::handleAcceptError(const boost::system::error_code &error)
+void FrontServer::reportAcceptError(const boost::system::error_code &error)
 {
     this->context.counters.counter("lycheewall_front_accept_errors_total").add();
     Log::component("front").warn("Could not accept a caller connection: " + error.message() + ".");
-    if (error == asio::error::no_descriptors) {
-        this->context.budget->releaseDescriptors();
-    }
-    // The connection stays in the queue, so that the next accept would fail at once.
-    this->acceptTimer.expires_after(acceptRetryDelay);
-    this->acceptTimer.async_wait([this](const boost::system::error_code &waitError) {
-        if (!waitError && this->acceptor.is_open()) {
-            this->accept();
-        }
-    });
 }
 
 void FrontServer::addConnection(asio::ip::tcp::socket socket)
@@ -105,22 +72,12 @@
 
 std::uint16_t FrontServer::port() const
 {
-    return this->acceptor.local_endpoint().port();
+    return this->acceptor.port();
 }
 
 void FrontServer::stopAccepting()
 {
-    // Closing the listening socket would reset the connections in its queue, whose callers may have sent a request.
-    boost::system::error_code error;
-    this->acceptor.non_blocking(true, error);
-    while (!error) {
-        asio::ip::tcp::socket socket = this->acceptor.accept(error);
-        if (!error) {
-            this->addConnection(std::move(socket));
-        }
-    }
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    this->acceptor.stop();
 }
 
 }
--- a/Source/gateway/frontserver.h
+++ b/Source/gateway/frontserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/connectionacceptor.h"
 #include "gateway/frontconnection.h"
 
 #include <unordered_map>
@@ -35,14 +36,12 @@
 
 private:
     FrontServer(boost::asio::io_context &io, FrontContext &context);
-    void accept();
-    void handleAcceptError(const boost::system::error_code &error);
+    void reportAcceptError(const boost::system::error_code &error);
     void addConnection(boost::asio::ip::tcp::socket socket);
 
-    boost::asio::ip::tcp::acceptor acceptor;
-    boost::asio::steady_timer acceptTimer;
     FrontContext &context;
     std::unordered_map<FrontConnection *, std::shared_ptr<FrontConnection>> connections;
+    ConnectionAcceptor acceptor;
 };
 
 }
