Http: Tell final statuses in one place

EndpointConnection and HttpClient each had bounds of their own for the statuses that end a request, 200 to 599. Both ask isFinalStatus() now.

--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -1,5 +1,7 @@
 #include "gateway/endpointconnection.h"
 
+#include "runtime/httpstatus.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -27,9 +29,7 @@
 /// TCP_USER_TIMEOUT: the kernel drops the connection if sent data stays unacknowledged for this long, which means that
 /// the network path to the endpoint is broken.
 constexpr int userTimeoutMs = 4000;
-constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned firstRedirectStatus = 300;
-constexpr unsigned firstInvalidStatus = 600;
 
 /// True for interim responses that an endpoint may send before any response. 101 is none of them, as no request asks
 /// for an upgrade.
@@ -213,7 +213,7 @@
         this->skipResponse();
         return;
     }
-    if (status < firstFinalStatus || status >= firstInvalidStatus) {
+    if (!isFinalStatus(status)) {
         this->failRequest();
         return;
     }
--- a/Source/gateway/httpclient.cpp
+++ b/Source/gateway/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "gateway/httpclient.h"
 
+#include "runtime/httpstatus.h"
 #include "runtime/socketaddress.h"
 
 #include <boost/asio/io_context.hpp>
@@ -27,9 +28,6 @@
 /// Far below the memory of an instance, as the body is copied while it grows.
 constexpr std::uint64_t responseBodyLimit = std::uint64_t { 16 } * 1024 * 1024;
 
-constexpr unsigned minFinalStatus = 200;
-constexpr unsigned maxStatus = 599;
-
 std::error_code toFeedError(const beast::error_code &error)
 {
     if (error == http::error::body_limit) {
@@ -121,7 +119,8 @@
             this->fail(error);
             return;
         }
-        if (this->parser.is_header_done() && !this->hasValidStatus()) {
+        // Interim responses fail too: no request asks for one, and they could go on without end.
+        if (this->parser.is_header_done() && !isFinalStatus(this->parser.get().result_int())) {
             this->closeConnection();
             this->done(make_error_code(FeedError::MalformedResponse));
             return;
@@ -138,13 +137,6 @@
         this->read();
     }
 
-    /// False for interim responses too: no request asks for one, and they could go on without end.
-    bool hasValidStatus() const
-    {
-        const unsigned status = this->parser.get().result_int();
-        return status >= minFinalStatus && status <= maxStatus;
-    }
-
     void succeed()
     {
         this->connection->stream.expires_never();
