Gateway: Reduce memory and connections with one loop

The loops of ConnectionBudget that end connections for memory and for descriptors differed in the order and the measure only; reduce() has both. The bound of incomplete responses is that of ResponseMemory and no second 32 MiB. ConnectionBudget::limits() was used by nobody.

FrontConnection ended a partly received request at a shutdown and at a shortage with the same steps; endReading() has them.

--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -46,6 +46,11 @@
     return this->routeTable;
 }
 
+CallerLimits Forwarder::callerLimits() const
+{
+    return this->routeTable ? this->routeTable->limits() : CallerLimits();
+}
+
 ForwardReply Forwarder::makeRefusal(Refusal refusal, std::optional<Duration> retryAfter) const
 {
     ForwardReply reply;
--- a/Source/forwarding/forwarder.h
+++ b/Source/forwarding/forwarder.h
@@ -40,6 +40,9 @@
     /// The current route table; nullptr before the first call of setTable().
     const std::shared_ptr<const RouteTable> &table() const;
 
+    /// The limits for callers in force; the defaults before the first call of setTable().
+    CallerLimits callerLimits() const;
+
     /// Admits and starts @p request. @p done is called once, possibly from within forward(), unless the exchange is
     /// cancelled first. Returns nullptr if the request was not admitted; @p done has been called then.
     std::shared_ptr<Exchange> forward(const CallerRequestPtr &request, Exchange::ReplyCallback done);
--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -1,5 +1,7 @@
 #include "gateway/connectionbudget.h"
 
+#include "gateway/responsememory.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -17,7 +19,6 @@
 constexpr std::size_t shareNumerator = 3;
 constexpr std::size_t shareDenominator = 8;
 constexpr std::size_t minMemoryBytes = 2 * mebibyte;
-constexpr std::size_t maxResponseBytes = 32 * mebibyte;
 /// Descriptors that the platform keeps for files, and those of listeners, timers, the store and the other instances.
 constexpr std::size_t fileDescriptors = 200;
 constexpr std::size_t ownDescriptors = 32;
@@ -63,7 +64,7 @@
     const std::size_t share = std::max(minMemoryBytes, available / shareDenominator * shareNumerator);
     ConnectionLimits limits;
     limits.memoryBytes = share;
-    limits.responseBytes = std::min(maxResponseBytes, share);
+    limits.responseBytes = std::min(ResponseMemory::maxTotalBytes, share);
     limits.sockets = std::max(minSockets, saturatingSubtract(maxDescriptors, fileDescriptors + ownDescriptors));
     return limits;
 }
@@ -91,7 +92,7 @@
 {
     const std::size_t limit = this->maxConnections();
     if (this->connectionCount() >= limit) {
-        this->reduceConnections(limit - std::max<std::size_t>(1, limit / freedConnectionsDenominator));
+        this->reduce(Resource::Descriptors, limit - std::max<std::size_t>(1, limit / freedConnectionsDenominator));
     }
     if (this->connectionCount() >= limit) {
         this->counters.counter("lycheewall_front_connections_rejected_total").add();
@@ -124,7 +125,7 @@
     this->setPhase(holder, phase);
     this->setBytes(holder, bytes);
     if (this->remainingBytes() > this->currentLimits.memoryBytes) {
-        this->reduceMemory(this->reducedMemory());
+        this->reduce(Resource::Memory, this->reducedMemory());
     }
 }
 
@@ -180,7 +181,7 @@
     const std::size_t used = this->connectionCount() + this->endpointSocketCount() + endpointSocketsNeeded;
     if (used > this->currentLimits.sockets) {
         const std::size_t excess = used - this->currentLimits.sockets;
-        this->reduceConnections(saturatingSubtract(this->connectionCount(), excess));
+        this->reduce(Resource::Descriptors, saturatingSubtract(this->connectionCount(), excess));
     }
     if (this->connectionCount() + this->endpointSocketCount() + endpointSocketsNeeded > this->currentLimits.sockets) {
         this->setPhase(holder, previousPhase);
@@ -206,7 +207,7 @@
 {
     const std::size_t limit = this->currentLimits.memoryBytes;
     if (this->remainingBytes() + bytes > limit) {
-        this->reduceMemory(saturatingSubtract(this->reducedMemory(), bytes));
+        this->reduce(Resource::Memory, saturatingSubtract(this->reducedMemory(), bytes));
     }
     return bytes < largeMessageBytes || this->totalBytes + bytes <= limit;
 }
@@ -214,7 +215,7 @@
 void ConnectionBudget::releaseDescriptors()
 {
     const std::size_t count = this->connectionCount();
-    this->reduceConnections(saturatingSubtract(count, 1 + count / freedConnectionsDenominator));
+    this->reduce(Resource::Descriptors, saturatingSubtract(count, 1 + count / freedConnectionsDenominator));
 }
 
 std::size_t ConnectionBudget::heldBytes() const
@@ -227,11 +228,6 @@
     return this->holders.size() - this->closedCount;
 }
 
-const ConnectionLimits &ConnectionBudget::limits() const
-{
-    return this->currentLimits;
-}
-
 std::size_t ConnectionBudget::remainingBytes() const
 {
     return this->totalBytes - this->endingBytes;
@@ -311,32 +307,22 @@
     return candidates;
 }
 
-void ConnectionBudget::reduceMemory(std::size_t target)
+std::size_t ConnectionBudget::inUse(Resource resource) const
 {
-    if (this->reducing) {
-        return;
-    }
-    this->reducing = true;
-    for (Holder *holder : this->orderedByMemory()) {
-        if (this->remainingBytes() <= target) {
-            break;
-        }
-        this->end(*holder, Resource::Memory);
-    }
-    this->reducing = false;
+    return resource == Resource::Memory ? this->remainingBytes() : this->connectionCount();
 }
 
-void ConnectionBudget::reduceConnections(std::size_t target)
+void ConnectionBudget::reduce(Resource resource, std::size_t target)
 {
     if (this->reducing) {
         return;
     }
     this->reducing = true;
-    for (Holder *holder : this->orderedByProgress()) {
-        if (this->connectionCount() <= target) {
+    for (Holder *holder : resource == Resource::Memory ? this->orderedByMemory() : this->orderedByProgress()) {
+        if (this->inUse(resource) <= target) {
             break;
         }
-        this->end(*holder, Resource::Descriptors);
+        this->end(*holder, resource);
     }
     this->reducing = false;
 }
--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -123,7 +123,6 @@
     std::size_t heldBytes() const;
     /// Number of connections whose sockets are open.
     std::size_t connectionCount() const;
-    const ConnectionLimits &limits() const;
 
 private:
     using Holders = std::vector<Holder *>;
@@ -139,10 +138,10 @@
     std::size_t endpointSocketCount() const;
     /// Most accepted connections at present; a share of the sockets is kept for connections to endpoints.
     std::size_t maxConnections() const;
-    /// Ends connections until the others hold at most @p target bytes.
-    void reduceMemory(std::size_t target);
-    /// Ends connections until at most @p target sockets are open.
-    void reduceConnections(std::size_t target);
+    /// Bytes that connections hold which are not about to end, or the number of open sockets.
+    std::size_t inUse(Resource resource) const;
+    /// Ends connections until at most @p target of the resource is in use.
+    void reduce(Resource resource, std::size_t target);
     /// The connections that may be ended for memory, the first one first.
     Holders orderedByMemory() const;
     /// The connections that may be ended for descriptors, the first one first.
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -45,11 +45,6 @@
     return error == http::error::body_limit ? Refusal::BodyTooLarge : Refusal::BadRequest;
 }
 
-CallerLimits callerLimits(const Forwarder &forwarder)
-{
-    return forwarder.table() ? forwarder.table()->limits() : CallerLimits();
-}
-
 }
 
 FrontConnection::FrontConnection(asio::ip::tcp::socket clientSocket,
@@ -112,11 +107,8 @@
 
 void FrontConnection::endForShortage(ConnectionBudget::Resource resource)
 {
-    const bool isIncomplete = this->state == State::Reading && this->requestStarted;
-    if (resource == ConnectionBudget::Resource::Memory && isIncomplete) {
-        this->refuse(Refusal::MemoryExceeded);
-    } else if (resource == ConnectionBudget::Resource::Memory && this->state == State::Reading) {
-        this->beginLingeringClose();
+    if (resource == ConnectionBudget::Resource::Memory && this->state == State::Reading) {
+        this->endReading(Refusal::MemoryExceeded);
     } else {
         this->close();
     }
@@ -132,13 +124,13 @@
     this->requestStarted = false;
     this->continueSent = false;
     this->idleSince = std::chrono::steady_clock::now();
-    this->armTimer(callerLimits(this->context.forwarder).idleTimeout + timeoutMargin);
+    this->armTimer(this->context.forwarder.callerLimits().idleTimeout + timeoutMargin);
     this->updateBudget();
 }
 
 void FrontConnection::startRequest()
 {
-    const CallerLimits limits = callerLimits(this->context.forwarder);
+    const CallerLimits limits = this->context.forwarder.callerLimits();
     this->requestStarted = true;
     this->parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     this->parser->body_limit(limits.bodyBytes);
@@ -155,7 +147,7 @@
 {
     if (this->state == State::Reading) {
         // A header field, or the trailer of a chunked body, is parsed once it has been received completely.
-        return std::max(pipelineLimit, callerLimits(this->context.forwarder).headerBytes + readSize);
+        return std::max(pipelineLimit, this->context.forwarder.callerLimits().headerBytes + readSize);
     }
     return this->budget->mayReadAhead() ? pipelineLimit : 0;
 }
@@ -422,8 +414,15 @@
     if (this->state == State::Serving && this->exchange) {
         const auto ending = this->exchange;
         ending->finishEarly();
-    } else if (this->state == State::Reading && this->requestStarted) {
-        this->refuse(Refusal::ShuttingDown);
+    } else {
+        this->endReading(Refusal::ShuttingDown);
+    }
+}
+
+void FrontConnection::endReading(Refusal refusal)
+{
+    if (this->state == State::Reading && this->requestStarted) {
+        this->refuse(refusal);
     } else {
         this->closeIfIdle();
     }
@@ -471,7 +470,7 @@
 void FrontConnection::handleIdleTimeout()
 {
     // The limit may have been raised since the connection became idle.
-    const Duration limit = callerLimits(this->context.forwarder).idleTimeout + timeoutMargin;
+    const Duration limit = this->context.forwarder.callerLimits().idleTimeout + timeoutMargin;
     const Duration idleTime = std::chrono::steady_clock::now() - this->idleSince;
     if (idleTime < limit) {
         this->armTimer(limit - idleTime);
--- a/Source/gateway/frontconnection.h
+++ b/Source/gateway/frontconnection.h
@@ -91,6 +91,8 @@
     void serve();
     void sendReply(const ForwardReply &reply);
     void refuse(Refusal refusal);
+    /// Refuses a request that has been received in part, or closes the connection if it is idle.
+    void endReading(Refusal refusal);
     void write(HttpResponseMessage message, bool allowKeepAlive);
     void responseWritten(const boost::system::error_code &error);
     void callerDisconnected();
