Forwarding: Estimate the latency of a candidate once

EndpointChooser estimated each candidate a second time, only to count the choices that work factors have changed: cost() returns that part with the total now, from the same estimate. ServiceCall's three searches for an attempt in flight share one loop, and EndpointLoadModel's three counters one check. MeanLatencyRatio has files of its name.

--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -55,15 +55,10 @@
     double cost = 0;
 };
 
-/// The part of the estimated latency that is due to the work factor; negative for a fast endpoint.
-double workFactorCost(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now)
+/// The work factor that is expected in the middle of a run that starts now; it stands for all of the run.
+double workFactorOfRun(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now)
 {
-    if (!endpoint.stats.reportsWorkFactor()) {
-        return 0;
-    }
-    const double workFactor = endpoint.stats.workFactor(now + typicalLatency / 2);
-    const Duration latency = EndpointChooser::estimatedLatency(endpoint, typicalLatency, now);
-    return fractionalMilliseconds(latency) * (1 - 1 / workFactor);
+    return endpoint.stats.workFactor(now + typicalLatency / 2);
 }
 
 bool contains(const std::vector<EndpointId> &ids, const EndpointId &id)
@@ -92,10 +87,10 @@
         if (!endpoint->acceptsRequest(share, now) || endpoint->fillLevel(share, now) < criteria.minFillLevel) {
             continue;
         }
-        const double endpointCost
-            = this->cost(*endpoint, criteria, now) + tieBreakJitterMs * this->random.uniformReal();
+        const Cost cost = this->cost(*endpoint, criteria, now);
+        const double endpointCost = cost.total + tieBreakJitterMs * this->random.uniformReal();
         best.add(endpoint, endpointCost);
-        bestWithoutWorkFactors.add(endpoint, endpointCost - workFactorCost(*endpoint, criteria.typicalLatency, now));
+        bestWithoutWorkFactors.add(endpoint, endpointCost - cost.dueToWorkFactor);
     }
     if (best.endpoint != bestWithoutWorkFactors.endpoint) {
         this->endpoints.loadModel().countChangedChoice();
@@ -171,8 +166,7 @@
     const double load = endpoint.stats.inFlight() + endpoint.stats.estimatedRemoteInFlight(now);
     const double slots = std::max(1, endpoint.record.slots);
     const double queuedRatio = std::max(0.0, load + 1 - slots) / slots;
-    // The factor in the middle of the run stands for all of it.
-    const double workFactor = endpoint.stats.workFactor(now + typicalLatency / 2);
+    const double workFactor = workFactorOfRun(endpoint, typicalLatency, now);
     return std::chrono::duration_cast<Duration>(typicalLatency * (warmupFactor * (1 + queuedRatio) * workFactor));
 }
 
@@ -182,10 +176,16 @@
     return std::chrono::duration_cast<Duration>(nominalLatency(endpoint, typicalLatency, now) * slowness);
 }
 
-double EndpointChooser::cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const
+EndpointChooser::Cost
+EndpointChooser::cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const
 {
     const EndpointStats &stats = endpoint.stats;
-    double total = fractionalMilliseconds(estimatedLatency(endpoint, criteria.typicalLatency, now));
+    const double latencyMs = fractionalMilliseconds(estimatedLatency(endpoint, criteria.typicalLatency, now));
+    double dueToWorkFactor = 0;
+    if (stats.reportsWorkFactor()) {
+        dueToWorkFactor = latencyMs * (1 - 1 / workFactorOfRun(endpoint, criteria.typicalLatency, now));
+    }
+    double total = latencyMs;
     const double load = stats.inFlight() + stats.estimatedRemoteInFlight(now);
     total += loadCostFraction * fractionalMilliseconds(criteria.typicalLatency) * load
         / std::max(1, endpoint.record.slots);
@@ -200,7 +200,7 @@
     if (endpoint.record.zone != this->zone) {
         total += crossZoneCostMs;
     }
-    return total;
+    return { total, dueToWorkFactor };
 }
 
 }
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -75,7 +75,15 @@
     static Duration estimatedLatency(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now);
 
 private:
-    double cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const;
+    /// In milliseconds of latency.
+    struct Cost
+    {
+        double total;
+        /// The part that is due to the work factor; negative for a fast endpoint.
+        double dueToWorkFactor;
+    };
+
+    Cost cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const;
 
     const EndpointSet &endpoints;
     ZoneId zone;
--- a/Source/forwarding/endpointload.h
+++ b/Source/forwarding/endpointload.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "forwarding/endpointloadmodel.h"
-#include "forwarding/endpointloadratio.h"
+#include "forwarding/meanlatencyratio.h"
 
 #include <memory>
 #include <optional>
--- a/Source/forwarding/endpointloadmodel.cpp
+++ b/Source/forwarding/endpointloadmodel.cpp
@@ -21,6 +21,13 @@
 constexpr double initialSquares = 2;
 constexpr double maxSquares = 100;
 
+void increment(Counter *counter)
+{
+    if (counter != nullptr) {
+        counter->add();
+    }
+}
+
 }
 
 EndpointLoadModel::EndpointLoadModel()
@@ -86,23 +93,17 @@
 
 void EndpointLoadModel::countReport()
 {
-    if (this->reports != nullptr) {
-        this->reports->add();
-    }
+    increment(this->reports);
 }
 
 void EndpointLoadModel::countDistrust()
 {
-    if (this->distrusts != nullptr) {
-        this->distrusts->add();
-    }
+    increment(this->distrusts);
 }
 
 void EndpointLoadModel::countChangedChoice()
 {
-    if (this->changedChoices != nullptr) {
-        this->changedChoices->add();
-    }
+    increment(this->changedChoices);
 }
 
 }
--- a/Source/forwarding/endpointloadratio.cpp
+++ b/Source/forwarding/meanlatencyratio.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/endpointloadratio.h"
+#include "forwarding/meanlatencyratio.h"
 
 #include <algorithm>
 
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -312,18 +312,24 @@
     return true;
 }
 
+template<typename Predicate> bool ServiceCall::hasAttemptInFlight(Predicate predicate) const
+{
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [&predicate](const ServiceAttemptPtr &attempt) {
+        return !attempt->ended && predicate(*attempt);
+    });
+}
+
 bool ServiceCall::hasAttemptInFlight() const
 {
-    return std::any_of(
-        this->attempts.begin(), this->attempts.end(), [](const ServiceAttemptPtr &attempt) { return !attempt->ended; });
+    return this->hasAttemptInFlight([](const ServiceAttempt &) { return true; });
 }
 
 bool ServiceCall::isResponsePlausible() const
 {
     const TimePoint now = this->context.clock.now();
     const Duration limit = implausibleLatency(this->context.latencies, *this->request.route);
-    return std::any_of(this->attempts.begin(), this->attempts.end(), [&](const ServiceAttemptPtr &attempt) {
-        return !attempt->ended && !attempt->isSilent(limit, now) && !attempt->isGone(limit, now);
+    return this->hasAttemptInFlight([limit, now](const ServiceAttempt &attempt) {
+        return !attempt.isSilent(limit, now) && !attempt.isGone(limit, now);
     });
 }
 
@@ -331,9 +337,8 @@
 {
     const TimePoint now = this->context.clock.now();
     const Duration limit = implausibleLatency(this->context.latencies, *this->request.route);
-    return std::any_of(this->attempts.begin(), this->attempts.end(), [&](const ServiceAttemptPtr &attempt) {
-        return !attempt->ended && !attempt->isGone(limit, now);
-    });
+    return this->hasAttemptInFlight(
+        [limit, now](const ServiceAttempt &attempt) { return !attempt.isGone(limit, now); });
 }
 
 void ServiceCall::finish(const ServiceResult &result)
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -142,6 +142,8 @@
     /// True if the request may go on waiting for the retry budget; begins to wait if it is worth it.
     bool waitForBudget();
     bool hasAttemptInFlight() const;
+    /// True if an attempt is in flight for which @p predicate returns true.
+    template<typename Predicate> bool hasAttemptInFlight(Predicate predicate) const;
     /// True if an attempt is in flight that is neither silent nor gone.
     bool isResponsePlausible() const;
     /// True if an attempt is in flight whose endpoint is not gone.
