--- a/Source/feed/feedreplica.cpp
+++ b/Source/feed/feedreplica.cpp
@@ -128,20 +128,17 @@
     this->byRevision.clear();
     this->removals.clear();
     for (const FeedEvent &item : items) {
+        const auto before = previous.find(item.key);
+        const bool isKnown = before != previous.end();
+        const bool isUnchanged = isKnown && !before->second.deleted && before->second.revision == item.revision
+            && before->second.value == item.value;
         FeedEvent event = item;
-        event.reappeared = this->removedBeforeListing.count(item.key) > 0;
+        event.reappeared = isKnown ? before->second.deleted : this->removedBeforeListing.count(item.key) > 0;
         this->store(item);
-        const auto before = previous.find(item.key);
-        if (before == previous.end()) {
-            this->notify(event);
-            continue;
-        }
-        const FeedEvent &entry = before->second;
-        if (entry.deleted || entry.revision != item.revision || entry.value != item.value) {
-            event.reappeared = entry.deleted;
+        if (!isUnchanged) {
             this->notify(event);
         }
-        previous.erase(before);
+        previous.erase(item.key);
     }
     for (const auto &[key, entry] : previous) {
         if (!entry.deleted) {
