Tests: Share what several load and crowd tests do

The memory of a process and the port of an address were read in two soak tests with the same code; it stands beside SingleInstance now. The three bursts of the patient kind share their plan and their checks. All assertions and bounds are as before, as are the simulated figures.

--- a/Tests/forwarding/overloadloadtest.cpp
+++ b/Tests/forwarding/overloadloadtest.cpp
@@ -98,6 +98,14 @@
     return result;
 }
 
+/// A burst of 2.4 of a patient kind that needs three times the work, on shards that then have room for 95 % of it.
+SimulationPlan patientBurstPlan()
+{
+    SimulationPlan plan = sharedShardsPlan(30, 90);
+    plan.kinds[patient].rateFactor = burst(2.4);
+    return plan;
+}
+
 void checkOrderOfKinds(const SimulationResult &result)
 {
     const KindResult &first = result.kinds[urgent];
@@ -106,31 +114,29 @@
     BOOST_TEST(first.onTimeFraction() >= second.onTimeFraction() - maxOnTimeDifference);
 }
 
+void checkPatientBurst(const SimulationResult &result)
+{
+    BOOST_TEST(result.kinds[urgent].onTimeFraction() >= minUrgentOnTime);
+    BOOST_TEST(result.kinds[patient].servedFraction() >= minPatientServed);
+    checkOrderOfKinds(result);
+}
+
 }
 
 // Guards against urgent queries that are late behind patient ones. Pattern: a burst of 2.4 of a patient kind that needs
 // three times the work, on shards that then have room for 95 % of the work.
 BOOST_AUTO_TEST_CASE(patientKindBursts)
 {
-    SimulationPlan plan = sharedShardsPlan(30, 90);
-    plan.kinds[patient].rateFactor = burst(2.4);
-    const SimulationResult result = simulate("burst of 2.4 of the patient kind", plan);
-    BOOST_TEST(result.kinds[urgent].onTimeFraction() >= minUrgentOnTime);
-    BOOST_TEST(result.kinds[patient].servedFraction() >= minPatientServed);
-    checkOrderOfKinds(result);
+    checkPatientBurst(simulate("burst of 2.4 of the patient kind", patientBurstPlan()));
 }
 
 // Guards against callers that lengthen a shortage by repeating rejected queries at once. Pattern: patientKindBursts,
 // with callers that ignore Retry-After and repeat up to four times.
 BOOST_AUTO_TEST_CASE(patientKindBurstsAndRepeatsAtOnce)
 {
-    SimulationPlan plan = sharedShardsPlan(30, 90);
-    plan.kinds[patient].rateFactor = burst(2.4);
+    SimulationPlan plan = patientBurstPlan();
     plan.repeats = { 4, 0 };
-    const SimulationResult result = simulate("burst of 2.4 of the patient kind, repeats at once", plan);
-    BOOST_TEST(result.kinds[urgent].onTimeFraction() >= minUrgentOnTime);
-    BOOST_TEST(result.kinds[patient].servedFraction() >= minPatientServed);
-    checkOrderOfKinds(result);
+    checkPatientBurst(simulate("burst of 2.4 of the patient kind, repeats at once", plan));
 }
 
 // Guards against decisions that need state which instances have lost. Pattern: all instances start without state, and
@@ -155,13 +161,9 @@
 // cut off, so that the others get all requests.
 BOOST_AUTO_TEST_CASE(patientKindBurstsAtFewerInstances)
 {
-    SimulationPlan plan = sharedShardsPlan(30, 90);
-    plan.kinds[patient].rateFactor = burst(2.4);
+    SimulationPlan plan = patientBurstPlan();
     plan.instancesWithCallers = 4;
-    const SimulationResult result = simulate("burst of 2.4 of the patient kind at four of six instances", plan);
-    BOOST_TEST(result.kinds[urgent].onTimeFraction() >= minUrgentOnTime);
-    BOOST_TEST(result.kinds[patient].servedFraction() >= minPatientServed);
-    checkOrderOfKinds(result);
+    checkPatientBurst(simulate("burst of 2.4 of the patient kind at four of six instances", plan));
 }
 
 // Guards against the same while two thirds of the work find room, and against patient queries that wait at some shards
--- a/Tests/soak/clientcrowdtest.cpp
+++ b/Tests/soak/clientcrowdtest.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
-#include <fstream>
 
 namespace Soak
 {
@@ -104,21 +103,9 @@
                  { "IdleTimeoutMs", 15000 } } } };
 }
 
-std::uint16_t portOf(const std::string &address)
-{
-    return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
-}
-
-/// Greatest memory that the process has had in use.
 int peakMemoryMb(pid_t process)
 {
-    constexpr const char *field = "VmHWM:";
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (status >> word && word != field) { }
-    int kilobytes = 0;
-    status >> kilobytes;
-    return (kilobytes + 1023) / 1024;
+    return static_cast<int>((peakMemoryKb(process) + 1023) / 1024);
 }
 
 int openDescriptors(pid_t process)
--- a/Tests/soak/endlessresponsetest.cpp
+++ b/Tests/soak/endlessresponsetest.cpp
@@ -2,7 +2,6 @@
 #include "singleinstance.h"
 
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 
 namespace Soak
 {
@@ -31,24 +30,6 @@
     return result;
 }
 
-std::uint16_t portOf(const Lycheewall::RawHttpServer &server)
-{
-    const std::string address = server.address();
-    return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
-}
-
-/// Greatest memory that the process has had in use.
-std::size_t peakMemoryKb(pid_t process)
-{
-    constexpr const char *field = "VmHWM:";
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (status >> word && word != field) { }
-    std::size_t kilobytes = 0;
-    status >> kilobytes;
-    return kilobytes;
-}
-
 struct Fixture
 {
     SingleInstance instance { 2, gracePeriodS };
@@ -70,8 +51,8 @@
 BOOST_FIXTURE_TEST_CASE(instanceSurvivesEndlessResponses, Fixture)
 {
     BOOST_REQUIRE(this->instance.start(configuration(),
-                                       { { "faulty", endpointEntry("faulty", portOf(this->faulty)) },
-                                         { "sound", endpointEntry("sound", portOf(this->sound)) } }));
+                                       { { "faulty", endpointEntry("faulty", portOf(this->faulty.address())) },
+                                         { "sound", endpointEntry("sound", portOf(this->sound.address())) } }));
     const auto begin = std::chrono::steady_clock::now() + 500ms;
     const auto send = [&](const std::string &path, const std::string &id, std::chrono::milliseconds delay) {
         return std::async(std::launch::async, [this, path, id, sendAt = begin + delay] {
--- a/Tests/soak/singleinstance.cpp
+++ b/Tests/soak/singleinstance.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 
 namespace Soak
 {
@@ -21,6 +22,22 @@
 
 }
 
+std::uint16_t portOf(const std::string &address)
+{
+    return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+}
+
+std::size_t peakMemoryKb(pid_t process)
+{
+    constexpr const char *field = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::string word;
+    while (status >> word && word != field) { }
+    std::size_t kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes;
+}
+
 std::string endpointEntry(const std::string &service, std::uint16_t port)
 {
     return nlohmann::json {
--- a/Tests/soak/singleinstance.h
+++ b/Tests/soak/singleinstance.h
@@ -14,6 +14,12 @@
 /// The entry of an endpoint that serves @p service on @p port of the loopback interface.
 std::string endpointEntry(const std::string &service, std::uint16_t port);
 
+/// The port of @p address ("ip:port").
+std::uint16_t portOf(const std::string &address);
+
+/// Greatest memory that the process has had in use.
+std::size_t peakMemoryKb(pid_t process);
+
 /// A public route to one service. Its prefix is its name.
 nlohmann::json publicRoute(const std::string &name,
                            const std::string &kind,
