Core: Erase the entries of a map by their values in one place

C++17 has no std::erase_if. Two loops that do more than erase stay as they are. test_core, test_lease, test_query and test_forwarding pass.

--- a/Source/core/loglimiter.cpp
+++ b/Source/core/loglimiter.cpp
@@ -1,5 +1,7 @@
 #include "core/loglimiter.h"
 
+#include "core/erasevaluesif.h"
+
 namespace Lycheewall
 {
 
@@ -35,10 +37,7 @@
     if (this->entries.size() < maxEntries) {
         return;
     }
-    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        const bool expired = now - entry->second.lastWritten >= suppressionPeriod;
-        entry = expired ? this->entries.erase(entry) : std::next(entry);
-    }
+    eraseValuesIf(this->entries, [now](const auto &entry) { return now - entry.lastWritten >= suppressionPeriod; });
     if (this->entries.size() >= maxEntries) {
         this->entries.clear();
     }
--- a/Source/forwarding/competingkinds.cpp
+++ b/Source/forwarding/competingkinds.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/competingkinds.h"
 
+#include "core/erasevaluesif.h"
+
 #include <algorithm>
 
 namespace Lycheewall
@@ -114,16 +116,12 @@
 
 void CompetingKinds::forgetIdle(TimePoint now)
 {
-    for (auto entry = this->kinds.begin(); entry != this->kinds.end();) {
-        Competitor &competitor = entry->second;
+    eraseValuesIf(this->kinds,
+                  [now](const Competitor &competitor) { return now - competitor.lastArrivalAt > competingTime; });
+    for (auto &[key, competitor] : this->kinds) {
         competitor.shares.forgetIdle(competingTime, now);
-        auto &fractions = competitor.sentByOrganisation;
-        for (auto fraction = fractions.begin(); fraction != fractions.end();) {
-            const bool isIdle = now - fraction->second.recordedAt > competingTime;
-            fraction = isIdle ? fractions.erase(fraction) : std::next(fraction);
-        }
-        const bool isIdle = now - competitor.lastArrivalAt > competingTime;
-        entry = isIdle ? this->kinds.erase(entry) : std::next(entry);
+        eraseValuesIf(competitor.sentByOrganisation,
+                      [now](const SentFraction &fraction) { return now - fraction.recordedAt > competingTime; });
     }
 }
 
--- a/Source/forwarding/fairshares.cpp
+++ b/Source/forwarding/fairshares.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/fairshares.h"
 
+#include "core/erasevaluesif.h"
+
 namespace Lycheewall
 {
 
@@ -42,10 +44,7 @@
 
 void FairShares::forgetIdle(Duration idleTime, TimePoint now)
 {
-    for (auto entry = this->usage.begin(); entry != this->usage.end();) {
-        const bool isIdle = now - entry->second.lastSentAt >= idleTime;
-        entry = isIdle ? this->usage.erase(entry) : std::next(entry);
-    }
+    eraseValuesIf(this->usage, [idleTime, now](const Usage &entry) { return now - entry.lastSentAt >= idleTime; });
 }
 
 }
--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/overloadcontrol.h"
 
+#include "core/erasevaluesif.h"
 #include "forwarding/endpointqueues.h"
 #include "forwarding/forwardingcontext.h"
 #include "forwarding/forwardingtimes.h"
@@ -173,10 +174,8 @@
 
 void OverloadControl::forgetIdle(TimePoint now)
 {
-    for (auto entry = this->competingRequests.begin(); entry != this->competingRequests.end();) {
-        const bool isIdle = now - entry->second.lastRequestAt > idleTime;
-        entry = isIdle ? this->competingRequests.erase(entry) : std::next(entry);
-    }
+    eraseValuesIf(this->competingRequests,
+                  [now](const CompetingRequests &competing) { return now - competing.lastRequestAt > idleTime; });
 }
 
 }
--- a/Source/lease/leaseholder.cpp
+++ b/Source/lease/leaseholder.cpp
@@ -1,5 +1,7 @@
 #include "lease/leaseholder.h"
 
+#include "core/erasevaluesif.h"
+
 #include <algorithm>
 
 namespace Lycheewall
@@ -93,10 +95,8 @@
 
 void LeaseHolder::prunePending(TimePoint now)
 {
-    for (auto entry = this->pending.begin(); entry != this->pending.end();) {
-        const bool useless = now - entry->second.sent >= this->settings.period;
-        entry = useless ? this->pending.erase(entry) : std::next(entry);
-    }
+    eraseValuesIf(this->pending,
+                  [this, now](const auto &request) { return now - request.sent >= this->settings.period; });
 }
 
 void LeaseHolder::reply(const InstanceId &from, const LeaseReply &answer)
--- a/Source/lease/leasevoter.cpp
+++ b/Source/lease/leasevoter.cpp
@@ -1,5 +1,7 @@
 #include "lease/leasevoter.h"
 
+#include "core/erasevaluesif.h"
+
 #include <algorithm>
 
 namespace Lycheewall
@@ -160,10 +162,7 @@
         return;
     }
     this->lastPrune = now;
-    for (auto entry = this->grants.begin(); entry != this->grants.end();) {
-        const bool old = entry->second.expires <= now && entry->second.forget <= now;
-        entry = old ? this->grants.erase(entry) : std::next(entry);
-    }
+    eraseValuesIf(this->grants, [now](const auto &grant) { return grant.expires <= now && grant.forget <= now; });
 }
 
 }
--- a/Source/query/snapshotchooser.cpp
+++ b/Source/query/snapshotchooser.cpp
@@ -1,5 +1,7 @@
 #include "query/snapshotchooser.h"
 
+#include "core/erasevaluesif.h"
+
 namespace Lycheewall
 {
 
@@ -35,9 +37,7 @@
 {
     const std::lock_guard lock(this->mutex);
     const TimePoint now = this->clock.now();
-    for (auto note = this->notes.begin(); note != this->notes.end();) {
-        note = note->second <= now ? this->notes.erase(note) : std::next(note);
-    }
+    eraseValuesIf(this->notes, [now](TimePoint expiry) { return expiry <= now; });
     this->notes[{ pool, version }] = now + noteLifetime;
 }
 
