Soak: Count DRAIN from the response that the instance has passed on

Cause, concluded: the checker counted from the endpoint's first response with the statement, also if the instance never got it. A response that arrives after that of a hedge ends with its connection (40 ms after the cancellation), and an endpoint that was slow gets only probes for seconds, so its next request can come more than 3 s later. The rule counts from a response that the instance has passed on.

Ruled out: a request after a statement that was read.

Change: the check counts from the end of the caller's attempt whose response names the endpoint's stamp, as the rule says, and prints both times.

--- a/Tests/soak/checker.cpp
+++ b/Tests/soak/checker.cpp
@@ -3,6 +3,7 @@
 #include "endpointstandin.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -42,6 +43,9 @@
             this->arrivalsByAttempt[arrival.attemptId].push_back(&arrival);
             this->arrivalsByEndpoint[arrival.endpoint].push_back(&arrival);
         }
+        for (const CallerAttempt &attempt : seen.attempts) {
+            this->attemptsById[attempt.attemptId] = &attempt;
+        }
     }
 
     std::vector<std::string> run()
@@ -129,14 +133,24 @@
         }
     }
 
+    /// The endpoints' stamps in the response to @p attempt.
+    static std::vector<std::string> stampsOf(const CallerAttempt &attempt)
+    {
+        std::vector<std::string> stamps;
+        std::istringstream list(attempt.partStamps);
+        std::string stamp;
+        while (std::getline(list >> std::ws, stamp, ',')) {
+            stamps.push_back(stamp);
+        }
+        return stamps;
+    }
+
     void checkMerged(const CallerAttempt &attempt)
     {
         std::set<std::string> services;
         std::vector<std::string> records;
-        std::istringstream stamps(attempt.partStamps);
-        std::string stamp;
         int parts = 0;
-        while (std::getline(stamps >> std::ws, stamp, ',')) {
+        for (const std::string &stamp : stampsOf(attempt)) {
             ++parts;
             bool isOwn = false;
             for (const Arrival *arrival : this->arrivalsOf(attempt.attemptId)) {
@@ -249,7 +263,7 @@
     void checkStatements()
     {
         std::map<std::string, std::vector<const Statement *>> limits;
-        std::map<std::pair<std::string, int>, const Statement *> firstLeaving;
+        std::map<std::pair<std::string, int>, double> firstLeavingAt;
         for (const Statement &statement : this->observations.statements) {
             switch (statement.kind) {
             case Statement::Kind::RateLimit:
@@ -259,15 +273,19 @@
                 this->checkBackoff(statement);
                 break;
             case Statement::Kind::Leaving:
-                firstLeaving.try_emplace({ statement.endpoint, statement.instance }, &statement);
+                if (const auto at = this->passedOnAt(statement)) {
+                    const auto [first, isNew]
+                        = firstLeavingAt.try_emplace({ statement.endpoint, statement.instance }, *at);
+                    first->second = std::min(first->second, *at);
+                }
                 break;
             }
         }
         for (const auto &[endpoint, statements] : limits) {
             this->checkLimit(endpoint, statements);
         }
-        for (const auto &[key, statement] : firstLeaving) {
-            this->checkLeaving(*statement);
+        for (const auto &[key, at] : firstLeavingAt) {
+            this->checkLeaving(key.first, key.second, at);
         }
     }
 
@@ -294,14 +312,38 @@
         }
     }
 
-    void checkLeaving(const Statement &statement)
+    /// When the caller had the response with the statement; std::nullopt if the instance has not passed it on. A
+    /// response that arrives after that of a hedge, for example, ends with its connection and tells the instance
+    /// nothing.
+    std::optional<double> passedOnAt(const Statement &statement) const
     {
-        for (const Arrival *arrival : this->arrivalsByEndpoint[statement.endpoint]) {
-            const bool isOwn = instanceOf(arrival->attemptId) == statement.instance;
-            if (isOwn && arrival->at > statement.at + drainSeconds
-                && !this->wasDisturbed(statement.instance, statement.at, arrival->at)
-                && !this->wasRestarted(statement.endpoint, statement.at, arrival->at)) {
-                this->report("DRAIN", arrival->attemptId, " reached ", statement.endpoint, ", which leaves");
+        const auto entry = this->attemptsById.find(statement.attemptId);
+        if (entry == this->attemptsById.end()) {
+            return std::nullopt;
+        }
+        const CallerAttempt &attempt = *entry->second;
+        const std::string stamp = EndpointStandin::stampOf(attempt.attemptId, statement.endpoint);
+        const std::vector<std::string> stamps = stampsOf(attempt);
+        const bool isPassedOn = std::find(stamps.begin(), stamps.end(), stamp) != stamps.end();
+        return isPassedOn ? std::optional(attempt.endedAt) : std::nullopt;
+    }
+
+    /// @p instance has passed on a response at @p at in which @p endpoint said that it leaves.
+    void checkLeaving(const std::string &endpoint, int instance, double at)
+    {
+        for (const Arrival *arrival : this->arrivalsByEndpoint[endpoint]) {
+            const bool isOwn = instanceOf(arrival->attemptId) == instance;
+            if (isOwn && arrival->at > at + drainSeconds && !this->wasDisturbed(instance, at, arrival->at)
+                && !this->wasRestarted(endpoint, at, arrival->at)) {
+                this->report("DRAIN",
+                             arrival->attemptId,
+                             " reached ",
+                             endpoint,
+                             " at ",
+                             arrival->at,
+                             " s, although it had said that it leaves in a response passed on at ",
+                             at,
+                             " s");
                 return;
             }
         }
@@ -342,6 +384,7 @@
     const Observations &observations;
     CheckedConfiguration configuration;
     std::map<std::string, std::vector<const Arrival *>> arrivalsByAttempt;
+    std::map<std::string, const CallerAttempt *> attemptsById;
     std::map<std::string, std::vector<const Arrival *>> arrivalsByEndpoint;
     int lostReplies = 0;
     std::vector<std::string> violations;
--- a/Tests/soak/endpointstandin.cpp
+++ b/Tests/soak/endpointstandin.cpp
@@ -108,7 +108,8 @@
 {
     const auto say = [&](Statement::Kind kind, double value, const char *field, const std::string &text) {
         response.set(field, text);
-        this->observations.record(Statement { elapsedSeconds(), instanceOf(attemptId), this->endpointId, kind, value });
+        this->observations.record(
+            Statement { elapsedSeconds(), instanceOf(attemptId), this->endpointId, attemptId, kind, value });
     };
     if (const StatementSpan *limit = this->currentSpan(Statement::Kind::RateLimit)) {
         say(Statement::Kind::RateLimit, limit->value, "Server-Limit", std::to_string(limit->value));
--- a/Tests/soak/observations.h
+++ b/Tests/soak/observations.h
@@ -33,6 +33,8 @@
     double at = 0;
     int instance = 0;
     std::string endpoint;
+    /// Attempt of the caller to which the endpoint responded.
+    std::string attemptId;
     Kind kind = Kind::RateLimit;
     /// Requests per second, or seconds without requests.
     double value = 0;
