Feed: Let new processes wait for what a restored store has lost

Cause: an instance that started in the seconds after the store came back from an older copy accepted a key whose withdrawal the copy lacked, up to 3.24 s after the withdrawal (bound 3 s). It knew no earlier era, so it took the copy for the present state.

An instance that has itself entered a newer era now says in its gossip message for how long changes may be missing. A process whose first listing is at most rewriteTime old counts no confirmation until then, nor those since its start, and checks the store as soon as the time is over. The first listing of an era above 0 counts once another instance reports data confirmed no earlier than that listing and names no loss, or after 300 ms; the process is not ready before. With era 0, or without other seeds and messages, nothing changes.

Not taken: ending the wait with the first message of any kind (it may have been sent before its sender noticed the rise), and waiting by what others say without the bound by the own first listing (each instance that enters the era late would make the whole fleet wait again).

New processes refuse for up to two seconds after a rise.

--- a/Source/feed/feedfreshness.cpp
+++ b/Source/feed/feedfreshness.cpp
@@ -23,6 +23,18 @@
     this->completeFrom = rewrittenAt;
 }
 
+void FeedFreshness::copyListed(TimePoint rewrittenAt)
+{
+    this->latestComplete.reset();
+    this->completeFrom = rewrittenAt;
+}
+
+void FeedFreshness::copyIsComplete()
+{
+    this->completeFrom.reset();
+    this->latestComplete = this->latestConfirmed;
+}
+
 Duration FeedFreshness::age() const
 {
     return this->timeSince(this->latestComplete);
--- a/Source/feed/feedfreshness.h
+++ b/Source/feed/feedfreshness.h
@@ -24,6 +24,13 @@
     /// times before do not show that all acknowledged changes are known, such as the withdrawal of a key.
     void storeRestored(TimePoint rewrittenAt);
 
+    /// Like storeRestored(), but this instance may know nothing else than the copy, so its earlier confirmations do not
+    /// count either.
+    void copyListed(TimePoint rewrittenAt);
+
+    /// Takes copyListed() back: nothing is missing. Precondition: storeRestored() was not called since.
+    void copyIsComplete();
+
     /// Time since the latest moment up to which all acknowledged changes are known; Duration::max() before the first
     /// confirmation. Decides whether requests are accepted.
     Duration age() const;
--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -11,10 +11,6 @@
 namespace
 {
 
-/// Time between the end of FeedReaderSettings::rewriteTime and the check that confirms the data. Exceeds the
-/// differences between the clocks and links of two instances.
-constexpr Duration rewriteCheckDelay = Milliseconds(50);
-
 Log &logger()
 {
     static Log &log = Log::component("feed");
@@ -33,10 +29,22 @@
 FeedReader::FeedReader(const FeedReaderSettings &readerSettings, Context readerContext)
     : settings(readerSettings)
     , context(std::move(readerContext))
+    , storeRestoration(readerSettings.rewriteTime, this->restorationContext())
     , storeBackoff(readerSettings.initialStoreBackoff)
 {
 }
 
+StoreRestoration::Context FeedReader::restorationContext()
+{
+    return { this->context.clock,
+             this->context.timers,
+             this->context.freshness,
+             [this] { this->checkRevision(); },
+             [this] {
+                 this->context.updated();
+             } };
+}
+
 void FeedReader::start()
 {
     this->scheduleRead(Duration::zero());
@@ -49,6 +57,11 @@
     return this->usingStore && !this->failing;
 }
 
+StoreRestoration &FeedReader::restoration()
+{
+    return this->storeRestoration;
+}
+
 void FeedReader::scheduleRead(Duration delay)
 {
     this->timer = this->context.timers.after(delay, [this] { this->startRead(); });
@@ -146,7 +159,9 @@
     }
     this->needsListing = false;
     this->handleSuccess();
-    if (!this->context.replica.isEmpty() && this->context.replica.position().era < complete.position.era) {
+    if (this->context.replica.isEmpty()) {
+        this->storeRestoration.firstListed(complete.position.era, complete.confirmedUntil);
+    } else if (this->context.replica.position().era < complete.position.era) {
         this->handleRestoration(complete);
     }
     this->confirm(complete.confirmedUntil);
@@ -160,10 +175,7 @@
     logger().info("The copy is at revision " + std::to_string(complete.position.revision)
                   + "; what the store has lost is expected within "
                   + std::to_string(toMilliseconds(this->settings.rewriteTime)) + " ms.");
-    // Not from the age of the data: a peer may have confirmed them last before the store came back.
-    this->context.freshness.storeRestored(this->context.clock.now() + this->settings.rewriteTime);
-    this->rewriteTimer
-        = this->context.timers.after(this->settings.rewriteTime + rewriteCheckDelay, [this] { this->checkRevision(); });
+    this->storeRestoration.newEraListed();
     this->context.restored();
 }
 
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -7,6 +7,7 @@
 #include "feed/feedfreshness.h"
 #include "feed/feedreplica.h"
 #include "feed/feedsource.h"
+#include "feed/storerestoration.h"
 
 #include <memory>
 #include <optional>
@@ -109,6 +110,9 @@
     /// True while the store itself is the source in use and its last read has not failed.
     bool readsFromStore() const;
 
+    /// What this instance and others know about a store that has come back from an older copy.
+    StoreRestoration &restoration();
+
 private:
     struct Listing
     {
@@ -137,6 +141,7 @@
     void applyListing(const Listing &complete);
     /// Called before a listing of a newer era is applied.
     void handleRestoration(const Listing &complete);
+    StoreRestoration::Context restorationContext();
     /// Returns false if @p era is older than one that is known. A newer one requires a listing.
     bool acceptEra(StoreEra era);
     void checkRevision();
@@ -154,6 +159,7 @@
 
     FeedReaderSettings settings;
     Context context;
+    StoreRestoration storeRestoration;
     std::shared_ptr<FeedSource> peer;
     InstanceId peerInstance;
     bool usingStore = true;
@@ -174,7 +180,6 @@
     Subscription timer;
     Subscription checkTimer;
     Subscription overdueTimer;
-    Subscription rewriteTimer;
 };
 
 }
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -28,6 +28,9 @@
 /// In a large fleet: maximum number of unknown addresses of a message that are contacted.
 constexpr std::size_t maxUnknownContacted = 4;
 
+/// Older feed data say nothing about the present state of the store.
+constexpr std::int64_t maxHeardFeedAgeMs = 60'000;
+
 Log &logger()
 {
     static Log &log = Log::component("fleet");
@@ -145,6 +148,10 @@
     const Duration age = this->context.freshness.replicaAge();
     message.feedAgeMs = age == Duration::max() ? -1 : toMilliseconds(age);
     message.readsStore = this->context.readsStore();
+    const Duration rewriteRemaining = this->context.restoration.rewriteRemaining();
+    if (rewriteRemaining >= Milliseconds(1)) {
+        message.rewriteRemainingMs = toMilliseconds(rewriteRemaining);
+    }
     message.cpuUsage = this->context.cpuUsage();
     message.requestsPerSecond = this->context.requestsPerSecond();
     message.requestsAddresses = !this->hasJoined();
@@ -308,9 +315,22 @@
     if (update == MemberUpdate::Joined) {
         logger().info("Instance " + instance.value() + " at " + applied.peerAddress + " is live.");
     }
+    this->applyRestoration(applied, age);
     return update;
 }
 
+void Gossip::applyRestoration(const GossipMessage &message, Duration age)
+{
+    const Duration remaining = Milliseconds(message.rewriteRemainingMs.value_or(0)) - age;
+    if (remaining > Duration::zero()) {
+        this->context.restoration.restorationHeard(remaining);
+    } else if (message.feedAgeMs >= 0 && message.feedAgeMs <= maxHeardFeedAgeMs
+               && message.state != MemberState::Starting) {
+        // A starting instance knows no more than this one.
+        this->context.restoration.instanceHeard(age + Milliseconds(message.feedAgeMs));
+    }
+}
+
 void Gossip::contactUnknownAddresses(const std::vector<std::string> &addresses)
 {
     std::vector<std::string> unknown = this->nonLiveAddresses(addresses);
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "core/timerservice.h"
 #include "feed/feedfreshness.h"
+#include "feed/restorationexchange.h"
 #include "fleet/activeinstanceset.h"
 
 #include <functional>
@@ -58,6 +59,7 @@
         MemberTable &members;
         OrganisationQuota &quota;
         FeedFreshness &freshness;
+        RestorationExchange &restoration;
         EndpointSet &endpoints;
         ActiveInstanceSet &activeInstances;
         /// Called after each change of the number of live or known instances.
@@ -113,6 +115,8 @@
     MemberUpdate applyMessage(GossipMessage message, Duration age);
     /// Sends the state of this instance, with known addresses if @p withAddresses is true.
     void reply(const std::string &address, bool withAddresses);
+    /// Evaluates what a message says about a store that has come back from an older copy.
+    void applyRestoration(const GossipMessage &message, Duration age);
     void contactUnknownAddresses(const std::vector<std::string> &addresses);
 
     GossipSettings settings;
--- a/Source/fleet/gossipmessage.cpp
+++ b/Source/fleet/gossipmessage.cpp
@@ -76,6 +76,9 @@
     if (message.readsStore) {
         json["r"] = true;
     }
+    if (message.rewriteRemainingMs) {
+        json["e"] = *message.rewriteRemainingMs;
+    }
     if (message.requestsAddresses) {
         json["j"] = true;
     }
@@ -99,13 +102,17 @@
 
 /// Maximum age of a message that is passed on. Older ones are not applied by any receiver.
 constexpr std::int64_t maxAgeMs = 60'000;
+/// Far above the time in which operators write what a restored store has lost.
+constexpr std::int64_t maxRewriteRemainingMs = 60'000;
 
 /// True if the receiver can compute with the values. They come from the network, so any value is possible.
 bool isInRange(const GossipMessage &message)
 {
     const bool hasKnownState = message.state >= MemberState::Starting && message.state <= MemberState::ShuttingDown;
     const bool hasCores = message.cpuUsage.availableCores > 0 && message.cpuUsage.requestCores >= 0;
-    return hasKnownState && hasCores
+    const std::int64_t rewriteRemainingMs = message.rewriteRemainingMs.value_or(0);
+    const bool hasRewriteTime = rewriteRemainingMs >= 0 && rewriteRemainingMs <= maxRewriteRemainingMs;
+    return hasKnownState && hasCores && hasRewriteTime
         && std::all_of(message.piggybacked.begin(), message.piggybacked.end(), [](const PiggybackedMessage &item) {
                return item.ageMs >= 0 && item.ageMs <= maxAgeMs && isInRange(item.message);
            });
@@ -126,6 +133,9 @@
         message.requestsPerSecond = static_cast<double>(json.at("m").at(2).get<std::uint64_t>()) / rateUnitsPerRequest;
     }
     message.readsStore = json.value("r", false);
+    if (json.contains("e")) {
+        message.rewriteRemainingMs = json.at("e").get<std::int64_t>();
+    }
     message.requestsAddresses = json.value("j", false);
     message.requestsReply = json.value("q", false);
     for (const Json &item : json.value("u", Json::array())) {
--- a/Source/fleet/gossipmessage.h
+++ b/Source/fleet/gossipmessage.h
@@ -38,6 +38,9 @@
     /// Age of the instance's feed data; negative if it has none.
     std::int64_t feedAgeMs = -1;
     bool readsStore = false;
+    /// Time for which changes that the store has lost by going back to an older copy may still be missing, if the
+    /// instance has noticed this itself and the time is not over.
+    std::optional<std::int64_t> rewriteRemainingMs;
     CpuUsage cpuUsage;
     /// Requests per second of the instance's callers; std::nullopt if it does not report them.
     std::optional<double> requestsPerSecond;
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -150,6 +150,9 @@
     }
     this->front = std::move(frontServer.value());
     this->awaitSignal();
+    if (this->hasOtherSeed()) {
+        this->reader.restoration().expectInstances();
+    }
     this->gossip->start();
     this->updateFleetShare();
     this->subscriptions.push_back(this->timers.after(joinDelay, [this] { this->updateFleetShare(); }));
@@ -180,6 +183,7 @@
                                                               this->members,
                                                               this->quota,
                                                               this->freshness,
+                                                              this->reader.restoration(),
                                                               this->endpoints,
                                                               this->activeInstances,
                                                               [this] { this->updateFleetShare(); },
@@ -197,6 +201,13 @@
     this->forwarding.relay = this->relayClient.get();
 }
 
+bool Gateway::hasOtherSeed() const
+{
+    return std::any_of(this->settings.seeds.begin(), this->settings.seeds.end(), [this](const std::string &seed) {
+        return seed != this->settings.peerAddress;
+    });
+}
+
 Result<void> Gateway::startAuxiliaryServers()
 {
     const auto startServer = [this](const std::string &address, AuxiliaryServer::Handler handler) -> Result<void> {
@@ -302,7 +313,8 @@
 
 void Gateway::updateReadiness()
 {
-    if (this->gossip->state() == MemberState::Starting && this->forwarder.table()) {
+    const bool isStarting = this->gossip->state() == MemberState::Starting;
+    if (isStarting && this->forwarder.table() && !this->reader.restoration().isAwaitingInstance()) {
         logger().info("Ready to serve requests with " + std::to_string(this->endpoints.size()) + " endpoints.");
         this->setState(MemberState::Ready);
     }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -67,6 +67,8 @@
 
 private:
     void createFleetComponents();
+    /// True if the settings name a seed that is another instance.
+    bool hasOtherSeed() const;
     Result<void> startAuxiliaryServers();
     void dispatchDatagram(const std::string &bytes);
     void updateReadiness();
--- a/Tests/fleet/fakefleet.h
+++ b/Tests/fleet/fakefleet.h
@@ -8,6 +8,28 @@
 namespace Lycheewall
 {
 
+/// Says what the test sets, and keeps what other instances have said.
+class FakeRestorationExchange : public RestorationExchange
+{
+public:
+    Duration rewriteRemaining() const override
+    {
+        return this->remaining;
+    }
+    void instanceHeard(Duration feedAge) override
+    {
+        this->heardFeedAges.push_back(feedAge);
+    }
+    void restorationHeard(Duration heard) override
+    {
+        this->heardRemaining.push_back(heard);
+    }
+
+    Duration remaining {};
+    std::vector<Duration> heardFeedAges;
+    std::vector<Duration> heardRemaining;
+};
+
 /// Instances that exchange datagrams on a manual clock. A datagram arrives unless its sender or receiver is
 /// partitioned.
 class FakeFleet
@@ -55,6 +77,7 @@
         MemberTable members;
         OrganisationQuota quota;
         FeedFreshness freshness;
+        FakeRestorationExchange restoration;
         EndpointSet endpoints;
         InstanceInfo own;
         ActiveInstanceSet activeInstances;
@@ -118,6 +141,7 @@
                                                                   node->members,
                                                                   node->quota,
                                                                   node->freshness,
+                                                                  node->restoration,
                                                                   node->endpoints,
                                                                   node->activeInstances,
                                                                   [] {},
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -56,6 +56,62 @@
     BOOST_TEST((decodeGossipMessage("\xa1\x61v\x02").error() == GossipMessageError::FieldMissing));
 }
 
+// Guards against remaining times that no receiver can compute with, and against bytes in messages that have none.
+BOOST_AUTO_TEST_CASE(rewriteTimeIsEncodedAndBounded)
+{
+    GossipMessage message = makeMessage("a");
+    const std::string without = encodeGossipMessage(message);
+    BOOST_TEST(!decodeGossipMessage(without).value().rewriteRemainingMs);
+    message.rewriteRemainingMs = 1500;
+    BOOST_TEST(decodeGossipMessage(encodeGossipMessage(message)).value().rewriteRemainingMs.value() == 1500);
+    BOOST_TEST(encodeGossipMessage(message).size() > without.size());
+    for (const std::int64_t value :
+         { std::int64_t(-1), std::int64_t(60'001), std::numeric_limits<std::int64_t>::max() }) {
+        message.rewriteRemainingMs = value;
+        const auto decoded = decodeGossipMessage(encodeGossipMessage(message));
+        BOOST_TEST((decoded.error() == GossipMessageError::ValueOutOfRange));
+    }
+}
+
+// Guards against a new process that is not told of lost changes in time, against messages that are taken for news from
+// a running instance although their sender has just started, and against telling about it for too long.
+BOOST_AUTO_TEST_CASE(rewriteTimeReachesStartingInstances)
+{
+    FakeFleet fleet(3, 2);
+    FakeFleet::Node &restored = fleet.node(0);
+    FakeFleet::Node &starting = fleet.node(2);
+    fleet.advance(Milliseconds(50));
+    restored.freshness.confirm(fleet.clock.now());
+    fleet.node(1).freshness.confirm(fleet.clock.now());
+    restored.restoration.remaining = Milliseconds(1200);
+    restored.gossip->setState(MemberState::Ready);
+    fleet.advance(Milliseconds(150));
+    BOOST_REQUIRE(!starting.restoration.heardRemaining.empty());
+    BOOST_TEST((starting.restoration.heardRemaining.back() == Milliseconds(1200)));
+    BOOST_TEST(starting.restoration.heardFeedAges.empty());
+    restored.restoration.remaining = Duration::zero();
+    fleet.advance(Milliseconds(150));
+    BOOST_REQUIRE(!starting.restoration.heardFeedAges.empty());
+    BOOST_TEST((starting.restoration.heardFeedAges.front() >= Milliseconds(150)));
+}
+
+// Guards against a wait that is prolonged by the way of a message through other instances.
+BOOST_AUTO_TEST_CASE(ageOfPassedOnMessageIsSubtracted)
+{
+    FakeFleet fleet(2, 1);
+    GossipMessage carrier = makeMessage("3", MemberState::Starting);
+    GossipMessage passedOn = makeMessage("4");
+    passedOn.rewriteRemainingMs = 1000;
+    carrier.piggybacked = { { 300, passedOn } };
+    fleet.node(0).gossip->handleDatagram(encodeGossipMessage(carrier));
+    BOOST_TEST((fleet.node(0).restoration.heardRemaining == std::vector<Duration> { Milliseconds(700) }));
+    passedOn.instance = InstanceId("5");
+    carrier.piggybacked = { { 1000, passedOn } };
+    fleet.node(0).gossip->handleDatagram(encodeGossipMessage(carrier));
+    BOOST_TEST(fleet.node(0).restoration.heardRemaining.size() == 1U);
+    BOOST_TEST((fleet.node(0).restoration.heardFeedAges == std::vector<Duration> { Milliseconds(1100) }));
+}
+
 // Guards against instances that never discover each other: each of them is configured with a few seeds only.
 BOOST_AUTO_TEST_CASE(instancesDiscoverEachOtherThroughSeeds)
 {
