Fleet: Conclude nothing from a restoration notice that is over on arrival

A new process awaits a message of an instance that has noticed no loss. A piggybacked message whose time for lost changes was over by its age counted as one, although its sender had noticed the loss and its data were confirmed within that time. The process then counted its listing of the copy. Shown by ageOfPassedOnMessageIsSubtracted, whose last check had stated the old behaviour: it now expects the opposite, and states separately that the age is added for a message without the field.

--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -321,12 +321,16 @@
 
 void Gossip::applyRestoration(const GossipMessage &message, Duration age)
 {
-    const Duration remaining = Milliseconds(message.rewriteRemainingMs.value_or(0)) - age;
-    if (remaining > Duration::zero()) {
-        this->context.restoration.restorationHeard(remaining);
-    } else if (message.feedAgeMs >= 0 && message.feedAgeMs <= maxHeardFeedAgeMs
-               && message.state != MemberState::Starting) {
-        // A starting instance knows no more than this one.
+    if (message.rewriteRemainingMs) {
+        const Duration remaining = Milliseconds(*message.rewriteRemainingMs) - age;
+        if (remaining > Duration::zero()) {
+            this->context.restoration.restorationHeard(remaining);
+        }
+        return;
+    }
+    const bool hasRecentData = message.feedAgeMs >= 0 && message.feedAgeMs <= maxHeardFeedAgeMs;
+    // A starting instance knows no more than this one.
+    if (hasRecentData && message.state != MemberState::Starting) {
         this->context.restoration.instanceHeard(age + Milliseconds(message.feedAgeMs));
     }
 }
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -95,7 +95,8 @@
     BOOST_TEST((starting.restoration.heardFeedAges.front() >= Milliseconds(150)));
 }
 
-// Guards against a wait that is prolonged by the way of a message through other instances.
+// Guards against a wait that is prolonged by the way of a message through other instances, and against taking a message
+// whose time is over on arrival for one of an instance that has noticed no loss: its data are of that time.
 BOOST_AUTO_TEST_CASE(ageOfPassedOnMessageIsSubtracted)
 {
     FakeFleet fleet(2, 1);
@@ -109,6 +110,11 @@
     carrier.piggybacked = { { 1000, passedOn } };
     fleet.node(0).gossip->handleDatagram(encodeGossipMessage(carrier));
     BOOST_TEST(fleet.node(0).restoration.heardRemaining.size() == 1U);
+    BOOST_TEST(fleet.node(0).restoration.heardFeedAges.empty());
+    passedOn.instance = InstanceId("6");
+    passedOn.rewriteRemainingMs.reset();
+    carrier.piggybacked = { { 1000, passedOn } };
+    fleet.node(0).gossip->handleDatagram(encodeGossipMessage(carrier));
     BOOST_TEST((fleet.node(0).restoration.heardFeedAges == std::vector<Duration> { Milliseconds(1100) }));
 }
 
