Feed: Keep the data of an earlier era when others report a newer one

A process that had started up to two seconds before a rise dropped its confirmations of the earlier era at the first notice of another instance, also after it had noticed the rise itself. It refused all keys until two seconds after its own listing of the new era, while instances that had run for longer served within the age limit.

Cause: the notice did not say which era it concerned. It now names the era that the copy began, and takes effect if that is the era of the receiver's first listing. A newer one counts only while the receiver awaits its first message: a second rise may hide what others knew about the first.

Not taken: keeping the confirmations whenever the process has noticed a rise itself, since they may be those of an earlier copy.

Tests: restorationHeard() takes a notice with an era; ownRiseDecides hears of both eras. dataOfTheEarlierEraStayValid failed before.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -175,7 +175,7 @@
     logger().info("The copy is at revision " + std::to_string(complete.position.revision)
                   + "; what the store has lost is expected within "
                   + std::to_string(toMilliseconds(this->settings.rewriteTime)) + " ms.");
-    this->storeRestoration.newEraListed();
+    this->storeRestoration.newEraListed(complete.position.era);
     this->context.restored();
 }
 
--- a/Source/feed/storerestoration.cpp
+++ b/Source/feed/storerestoration.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Lycheewall
@@ -44,21 +45,25 @@
         return;
     }
     this->firstListedAt = this->context.clock.now();
-    if (!this->applyHeardRestoration() && this->expectsInstance) {
-        this->awaitsInstance = true;
+    this->firstListedEra = era;
+    this->awaitsInstance = this->expectsInstance;
+    if (this->heardBeforeListing && this->applyHeardRestoration(*this->heardBeforeListing)) {
+        return;
+    }
+    if (this->awaitsInstance) {
         this->firstConfirmedUntil = confirmedUntil;
         this->context.freshness.copyListed(*this->firstListedAt + this->rewriteTime);
         this->awaitTimer = this->context.timers.after(maxInstanceWait, [this] { this->stopAwaiting(); });
     }
 }
 
-void StoreRestoration::newEraListed()
+void StoreRestoration::newEraListed(StoreEra era)
 {
     this->awaitsInstance = false;
     // Not from the age of the data: a peer may have confirmed them last before the store came back.
-    this->noticedRewrittenAt = this->context.clock.now() + this->rewriteTime;
-    this->context.freshness.storeRestored(*this->noticedRewrittenAt);
-    this->checkStoreAt(*this->noticedRewrittenAt);
+    this->noticed = Restoration { era, this->context.clock.now() + this->rewriteTime };
+    this->context.freshness.storeRestored(this->noticed->rewrittenAt);
+    this->checkStoreAt(this->noticed->rewrittenAt);
 }
 
 bool StoreRestoration::isAwaitingInstance() const
@@ -66,12 +71,13 @@
     return this->awaitsInstance;
 }
 
-Duration StoreRestoration::rewriteRemaining() const
+std::optional<RestorationNotice> StoreRestoration::noticedRestoration() const
 {
-    if (!this->noticedRewrittenAt) {
-        return Duration::zero();
+    const TimePoint now = this->context.clock.now();
+    if (!this->noticed || this->noticed->rewrittenAt <= now) {
+        return std::nullopt;
     }
-    return std::max(Duration::zero(), *this->noticedRewrittenAt - this->context.clock.now());
+    return RestorationNotice { this->noticed->era, this->noticed->rewrittenAt - now };
 }
 
 void StoreRestoration::instanceHeard(Duration feedAge)
@@ -83,24 +89,38 @@
     }
 }
 
-void StoreRestoration::restorationHeard(Duration remaining)
+void StoreRestoration::restorationHeard(const RestorationNotice &notice)
 {
-    const TimePoint rewrittenAt = this->context.clock.now() + std::min(remaining, this->rewriteTime);
-    this->heardRewrittenAt = std::max(this->heardRewrittenAt.value_or(rewrittenAt), rewrittenAt);
-    if (this->applyHeardRestoration() && std::exchange(this->awaitsInstance, false)) {
+    this->expectsInstance = true;
+    const Restoration heard { notice.era,
+                              this->context.clock.now() + std::min(notice.rewriteRemaining, this->rewriteTime) };
+    if (!this->firstListedAt) {
+        const auto rank = [](const Restoration &item) {
+            return std::tie(item.era, item.rewrittenAt);
+        };
+        if (!this->heardBeforeListing || rank(*this->heardBeforeListing) < rank(heard)) {
+            this->heardBeforeListing = heard;
+        }
+        return;
+    }
+    const bool wasAwaiting = this->awaitsInstance;
+    if (this->applyHeardRestoration(heard) && wasAwaiting) {
         this->context.awaitEnded();
     }
 }
 
-bool StoreRestoration::applyHeardRestoration()
+bool StoreRestoration::applyHeardRestoration(const Restoration &heard)
 {
-    const TimePoint now = this->context.clock.now();
-    if (!this->firstListedAt || !this->heardRewrittenAt) {
+    // Data of an earlier era than the copy remain valid. But while it is unknown whether the first listing is itself
+    // that of a copy, a later restoration may hide from this process what others knew about an earlier one.
+    const bool isHidden = this->awaitsInstance && this->firstListedEra < heard.era;
+    if (heard.era != this->firstListedEra && !isHidden) {
         return false;
     }
+    const TimePoint now = this->context.clock.now();
     // The store had come back before the first listing, or this instance will notice the rise itself. Without this
     // bound, each instance that enters the era late would make all others wait once more.
-    TimePoint rewrittenAt = std::min(*this->heardRewrittenAt, *this->firstListedAt + this->rewriteTime);
+    TimePoint rewrittenAt = std::min(heard.rewrittenAt, *this->firstListedAt + this->rewriteTime);
     if (rewrittenAt <= now) {
         return false;
     }
@@ -109,8 +129,12 @@
                       "within "
                       + std::to_string(toMilliseconds(rewrittenAt - now)) + " ms.");
     }
-    // A rise that this instance has noticed itself is a later one.
-    rewrittenAt = std::max(rewrittenAt, this->noticedRewrittenAt.value_or(rewrittenAt));
+    rewrittenAt = std::max(rewrittenAt, this->waitsUntil.value_or(rewrittenAt));
+    if (this->noticed) {
+        // A rise that this instance has noticed itself is a later one.
+        rewrittenAt = std::max(rewrittenAt, this->noticed->rewrittenAt);
+    }
+    this->awaitsInstance = false;
     this->waitsUntil = rewrittenAt;
     this->context.freshness.copyListed(rewrittenAt);
     this->checkStoreAt(rewrittenAt);
--- a/Source/feed/storerestoration.h
+++ b/Source/feed/storerestoration.h
@@ -27,7 +27,7 @@
         FeedFreshness &freshness;
         /// Checks the store's position, which confirms the data.
         std::function<void()> checkStore;
-        /// Called when isAwaitingInstance() has become false.
+        /// Called when isAwaitingInstance() has become false without a new listing.
         std::function<void()> awaitEnded;
     };
 
@@ -41,19 +41,28 @@
     /// the listing is confirmed.
     void firstListed(StoreEra era, TimePoint confirmedUntil);
 
-    /// This instance has listed the entries of a newer era than before. Must be called before the listing is confirmed.
-    void newEraListed();
+    /// This instance has listed the entries of @p era, which is newer than that of its data. Must be called before the
+    /// listing is confirmed.
+    void newEraListed(StoreEra era);
 
     /// True while no confirmation counts because no other instance has said yet what it knows.
     bool isAwaitingInstance() const;
 
-    Duration rewriteRemaining() const override;
+    std::optional<RestorationNotice> noticedRestoration() const override;
     void instanceHeard(Duration feedAge) override;
-    void restorationHeard(Duration remaining) override;
+    void restorationHeard(const RestorationNotice &notice) override;
 
 private:
-    /// Returns true if changes are missing according to another instance, which has taken effect.
-    bool applyHeardRestoration();
+    /// A restoration with the time at which the lost changes are written again.
+    struct Restoration
+    {
+        StoreEra era;
+        TimePoint rewrittenAt;
+    };
+
+    /// Withholds confirmations if @p heard says that the first listing may lack changes. Returns true if so.
+    /// Precondition: there is a first listing of an era above 0.
+    bool applyHeardRestoration(const Restoration &heard);
     void stopAwaiting();
     void checkStoreAt(TimePoint rewrittenAt);
 
@@ -65,10 +74,11 @@
     TimePoint firstConfirmedUntil;
     /// When the first listing arrived; std::nullopt before, and for a store without eras.
     std::optional<TimePoint> firstListedAt;
-    /// When the lost changes are written again, as this instance has noticed itself.
-    std::optional<TimePoint> noticedRewrittenAt;
-    /// The latest such time that another instance has named.
-    std::optional<TimePoint> heardRewrittenAt;
+    StoreEra firstListedEra;
+    /// The latest restoration that this instance has noticed itself.
+    std::optional<Restoration> noticed;
+    /// The latest restoration of the newest era that other instances have named before the first listing.
+    std::optional<Restoration> heardBeforeListing;
     /// Until when no confirmation counts because of what another instance has said.
     std::optional<TimePoint> waitsUntil;
     Subscription awaitTimer;
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -148,9 +148,9 @@
     const Duration age = this->context.freshness.replicaAge();
     message.feedAgeMs = age == Duration::max() ? -1 : toMilliseconds(age);
     message.readsStore = this->context.readsStore();
-    const Duration rewriteRemaining = this->context.restoration.rewriteRemaining();
-    if (rewriteRemaining >= Milliseconds(1)) {
-        message.rewriteRemainingMs = toMilliseconds(rewriteRemaining);
+    const auto restoration = this->context.restoration.noticedRestoration();
+    if (restoration && restoration->rewriteRemaining >= Milliseconds(1)) {
+        message.restoration = { restoration->era, toMilliseconds(restoration->rewriteRemaining) };
     }
     message.cpuUsage = this->context.cpuUsage();
     message.requestsPerSecond = this->context.requestsPerSecond();
@@ -321,10 +321,10 @@
 
 void Gossip::applyRestoration(const GossipMessage &message, Duration age)
 {
-    if (message.rewriteRemainingMs) {
-        const Duration remaining = Milliseconds(*message.rewriteRemainingMs) - age;
+    if (message.restoration) {
+        const Duration remaining = Milliseconds(message.restoration->rewriteRemainingMs) - age;
         if (remaining > Duration::zero()) {
-            this->context.restoration.restorationHeard(remaining);
+            this->context.restoration.restorationHeard({ message.restoration->era, remaining });
         }
         return;
     }
--- a/Source/fleet/gossipmessage.cpp
+++ b/Source/fleet/gossipmessage.cpp
@@ -76,8 +76,8 @@
     if (message.readsStore) {
         json["r"] = true;
     }
-    if (message.rewriteRemainingMs) {
-        json["e"] = *message.rewriteRemainingMs;
+    if (message.restoration) {
+        json["e"] = Json::array({ message.restoration->era.value(), message.restoration->rewriteRemainingMs });
     }
     if (message.requestsAddresses) {
         json["j"] = true;
@@ -110,7 +110,7 @@
 {
     const bool hasKnownState = message.state >= MemberState::Starting && message.state <= MemberState::ShuttingDown;
     const bool hasCores = message.cpuUsage.availableCores > 0 && message.cpuUsage.requestCores >= 0;
-    const std::int64_t rewriteRemainingMs = message.rewriteRemainingMs.value_or(0);
+    const std::int64_t rewriteRemainingMs = message.restoration ? message.restoration->rewriteRemainingMs : 0;
     const bool hasRewriteTime = rewriteRemainingMs >= 0 && rewriteRemainingMs <= maxRewriteRemainingMs;
     return hasKnownState && hasCores && hasRewriteTime
         && std::all_of(message.piggybacked.begin(), message.piggybacked.end(), [](const PiggybackedMessage &item) {
@@ -134,7 +134,8 @@
     }
     message.readsStore = json.value("r", false);
     if (json.contains("e")) {
-        message.rewriteRemainingMs = json.at("e").get<std::int64_t>();
+        message.restoration
+            = { StoreEra(json.at("e").at(0).get<std::uint64_t>()), json.at("e").at(1).get<std::int64_t>() };
     }
     message.requestsAddresses = json.value("j", false);
     message.requestsReply = json.value("q", false);
--- a/Source/fleet/gossipmessage.h
+++ b/Source/fleet/gossipmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "feed/feedposition.h"
 #include "forwarding/endpointset.h"
 #include "forwarding/organisationquota.h"
 
@@ -23,6 +24,15 @@
     double requestCores = 0;
 };
 
+/// An instance has noticed that the store has come back from an older copy.
+struct ReportedRestoration
+{
+    /// The era that the copy began.
+    StoreEra era;
+    /// Time for which changes that the store has lost may still be missing.
+    std::int64_t rewriteRemainingMs = 0;
+};
+
 /// State that an instance reports about itself, and from time to time also about other instances.
 struct GossipMessage
 {
@@ -38,9 +48,8 @@
     /// Age of the instance's feed data; negative if it has none.
     std::int64_t feedAgeMs = -1;
     bool readsStore = false;
-    /// Time for which changes that the store has lost by going back to an older copy may still be missing, if the
-    /// instance has noticed this itself and the time is not over.
-    std::optional<std::int64_t> rewriteRemainingMs;
+    /// The latest restoration of the store that the instance has noticed itself, while its time is not over.
+    std::optional<ReportedRestoration> restoration;
     CpuUsage cpuUsage;
     /// Requests per second of the instance's callers; std::nullopt if it does not report them.
     std::optional<double> requestsPerSecond;
--- a/Tests/feed/storerestorationtest.cpp
+++ b/Tests/feed/storerestorationtest.cpp
@@ -40,7 +40,7 @@
 BOOST_FIXTURE_TEST_CASE(newProcessWaitsAsOthersDo, Fixture)
 {
     this->startFor(Milliseconds(20));
-    this->restoration.restorationHeard(Milliseconds(1500));
+    this->restoration.restorationHeard({ StoreEra(1), Milliseconds(1500) });
     BOOST_TEST(!this->restoration.isAwaitingInstance());
     this->clock.advance(Milliseconds(1490));
     BOOST_TEST(!this->isAnyConfirmed());
@@ -53,12 +53,12 @@
 // confirmed before the others had noticed.
 BOOST_FIXTURE_TEST_CASE(restorationIsHeardBeforeOrAfterTheListing, Fixture)
 {
-    this->restoration.restorationHeard(Milliseconds(800));
+    this->restoration.restorationHeard({ StoreEra(1), Milliseconds(800) });
     this->startFor(Milliseconds(700));
     BOOST_TEST(!this->isAnyConfirmed());
     this->clock.advance(Milliseconds(200));
     BOOST_TEST(this->isAnyConfirmed());
-    this->restoration.restorationHeard(Milliseconds(500));
+    this->restoration.restorationHeard({ StoreEra(1), Milliseconds(500) });
     BOOST_TEST(!this->isAnyConfirmed());
     this->clock.advance(Milliseconds(600));
     BOOST_TEST(this->isAnyConfirmed());
@@ -96,7 +96,7 @@
 {
     Fixture withoutEra;
     withoutEra.store.era = StoreEra();
-    withoutEra.restoration.restorationHeard(std::chrono::seconds(2));
+    withoutEra.restoration.restorationHeard({ StoreEra(1), std::chrono::seconds(2) });
     withoutEra.startFor(Milliseconds(10));
     BOOST_TEST(withoutEra.isAnyConfirmed());
     BOOST_TEST(!withoutEra.restoration.isAwaitingInstance());
@@ -113,8 +113,8 @@
 {
     this->startFor(Milliseconds(20));
     for (int step = 0; step < 300; ++step) {
-        this->restoration.restorationHeard(std::chrono::seconds(50));
-        BOOST_TEST((this->restoration.rewriteRemaining() == Duration::zero()));
+        this->restoration.restorationHeard({ StoreEra(1), std::chrono::seconds(50) });
+        BOOST_TEST(!this->restoration.noticedRestoration());
         this->clock.advance(Milliseconds(10));
     }
     BOOST_TEST((this->freshness.age() <= std::chrono::seconds(1)));
@@ -125,19 +125,22 @@
 BOOST_FIXTURE_TEST_CASE(ownRiseDecides, Fixture)
 {
     this->startFor(std::chrono::seconds(3));
-    this->restoration.restorationHeard(Milliseconds(1900));
+    this->restoration.restorationHeard({ StoreEra(1), Milliseconds(1900) });
+    this->restoration.restorationHeard({ StoreEra(2), Milliseconds(1900) });
     BOOST_TEST(this->isAnyConfirmed());
     this->store.restore({ { "a", "1", 3, false } }, 4);
     while (this->restorations == 0) {
         this->clock.advance(Milliseconds(10));
     }
-    BOOST_TEST((this->restoration.rewriteRemaining() > Milliseconds(1900)));
-    this->restoration.restorationHeard(Milliseconds(300));
+    const RestorationNotice notice = this->restoration.noticedRestoration().value();
+    BOOST_TEST(notice.era == StoreEra(2));
+    BOOST_TEST((notice.rewriteRemaining > Milliseconds(1900)));
+    this->restoration.restorationHeard({ StoreEra(1), Milliseconds(300) });
     this->clock.advance(Milliseconds(1900));
     BOOST_TEST((this->freshness.age() >= Milliseconds(1900)));
     this->clock.advance(Milliseconds(200));
     BOOST_TEST((this->freshness.age() <= Milliseconds(200)));
-    BOOST_TEST((this->restoration.rewriteRemaining() == Duration::zero()));
+    BOOST_TEST(!this->restoration.noticedRestoration());
 }
 
 // Guards against a second rise soon after the start whose wait ends with that of the first one, or with the wait for
@@ -151,13 +154,42 @@
         this->clock.advance(Milliseconds(10));
     }
     const TimePoint noticedAt = this->clock.now();
-    this->restoration.restorationHeard(Milliseconds(300));
+    this->restoration.restorationHeard({ StoreEra(1), Milliseconds(300) });
     this->clock.advance(Milliseconds(1900) - (this->clock.now() - noticedAt));
     BOOST_TEST(!this->isAnyConfirmed());
     this->clock.advance(Milliseconds(200));
     BOOST_TEST(this->isAnyConfirmed());
 }
 
+// Guards against a process that started shortly before a rise and gives up its data of the earlier era, before or after
+// it has noticed the rise itself.
+BOOST_FIXTURE_TEST_CASE(dataOfTheEarlierEraStayValid, Fixture)
+{
+    this->startFor(Milliseconds(500));
+    this->store.restore({ { "a", "1", 3, false } }, 4);
+    this->restoration.restorationHeard({ StoreEra(2), Milliseconds(2000) });
+    BOOST_TEST(this->isAnyConfirmed());
+    while (this->restorations == 0) {
+        this->clock.advance(Milliseconds(10));
+    }
+    this->restoration.restorationHeard({ StoreEra(2), Milliseconds(1500) });
+    BOOST_TEST(this->isAnyConfirmed());
+}
+
+// Guards against a process that has listed a copy and is told only of a second restoration that it has not noticed yet.
+BOOST_FIXTURE_TEST_CASE(laterRestorationHidesTheEarlierOne, Fixture)
+{
+    this->startFor(Milliseconds(20));
+    this->restoration.restorationHeard({ StoreEra(2), Milliseconds(1500) });
+    this->clock.advance(Milliseconds(1000));
+    BOOST_TEST(!this->isAnyConfirmed());
+    Fixture earlier;
+    earlier.restoration.restorationHeard({ StoreEra(2), Milliseconds(1500) });
+    earlier.restoration.restorationHeard({ StoreEra(1), Milliseconds(1900) });
+    earlier.startFor(Milliseconds(1000));
+    BOOST_TEST(!earlier.isAnyConfirmed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/fleet/fakefleet.h
+++ b/Tests/fleet/fakefleet.h
@@ -12,20 +12,22 @@
 class FakeRestorationExchange : public RestorationExchange
 {
 public:
-    Duration rewriteRemaining() const override
+    std::optional<RestorationNotice> noticedRestoration() const override
     {
-        return this->remaining;
+        return this->noticed;
     }
     void instanceHeard(Duration feedAge) override
     {
         this->heardFeedAges.push_back(feedAge);
     }
-    void restorationHeard(Duration heard) override
+    void restorationHeard(const RestorationNotice &notice) override
     {
-        this->heardRemaining.push_back(heard);
+        this->heardEra = notice.era;
+        this->heardRemaining.push_back(notice.rewriteRemaining);
     }
 
-    Duration remaining {};
+    std::optional<RestorationNotice> noticed;
+    StoreEra heardEra;
     std::vector<Duration> heardFeedAges;
     std::vector<Duration> heardRemaining;
 };
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -61,13 +61,15 @@
 {
     GossipMessage message = makeMessage("a");
     const std::string without = encodeGossipMessage(message);
-    BOOST_TEST(!decodeGossipMessage(without).value().rewriteRemainingMs);
-    message.rewriteRemainingMs = 1500;
-    BOOST_TEST(decodeGossipMessage(encodeGossipMessage(message)).value().rewriteRemainingMs.value() == 1500);
+    BOOST_TEST(!decodeGossipMessage(without).value().restoration);
+    message.restoration = { StoreEra(7), 1500 };
+    const auto received = decodeGossipMessage(encodeGossipMessage(message)).value().restoration.value();
+    BOOST_TEST(received.era == StoreEra(7));
+    BOOST_TEST(received.rewriteRemainingMs == 1500);
     BOOST_TEST(encodeGossipMessage(message).size() > without.size());
     for (const std::int64_t value :
          { std::int64_t(-1), std::int64_t(60'001), std::numeric_limits<std::int64_t>::max() }) {
-        message.rewriteRemainingMs = value;
+        message.restoration = { StoreEra(7), value };
         const auto decoded = decodeGossipMessage(encodeGossipMessage(message));
         BOOST_TEST((decoded.error() == GossipMessageError::ValueOutOfRange));
     }
@@ -83,13 +85,14 @@
     fleet.advance(Milliseconds(50));
     restored.freshness.confirm(fleet.clock.now());
     fleet.node(1).freshness.confirm(fleet.clock.now());
-    restored.restoration.remaining = Milliseconds(1200);
+    restored.restoration.noticed = { StoreEra(7), Milliseconds(1200) };
     restored.gossip->setState(MemberState::Ready);
     fleet.advance(Milliseconds(150));
     BOOST_REQUIRE(!starting.restoration.heardRemaining.empty());
     BOOST_TEST((starting.restoration.heardRemaining.back() == Milliseconds(1200)));
+    BOOST_TEST(starting.restoration.heardEra == StoreEra(7));
     BOOST_TEST(starting.restoration.heardFeedAges.empty());
-    restored.restoration.remaining = Duration::zero();
+    restored.restoration.noticed.reset();
     fleet.advance(Milliseconds(150));
     BOOST_REQUIRE(!starting.restoration.heardFeedAges.empty());
     BOOST_TEST((starting.restoration.heardFeedAges.front() >= Milliseconds(150)));
@@ -102,7 +105,7 @@
     FakeFleet fleet(2, 1);
     GossipMessage carrier = makeMessage("3", MemberState::Starting);
     GossipMessage passedOn = makeMessage("4");
-    passedOn.rewriteRemainingMs = 1000;
+    passedOn.restoration = { StoreEra(7), 1000 };
     carrier.piggybacked = { { 300, passedOn } };
     fleet.node(0).gossip->handleDatagram(encodeGossipMessage(carrier));
     BOOST_TEST((fleet.node(0).restoration.heardRemaining == std::vector<Duration> { Milliseconds(700) }));
@@ -112,7 +115,7 @@
     BOOST_TEST(fleet.node(0).restoration.heardRemaining.size() == 1U);
     BOOST_TEST(fleet.node(0).restoration.heardFeedAges.empty());
     passedOn.instance = InstanceId("6");
-    passedOn.rewriteRemainingMs.reset();
+    passedOn.restoration.reset();
     carrier.piggybacked = { { 1000, passedOn } };
     fleet.node(0).gossip->handleDatagram(encodeGossipMessage(carrier));
     BOOST_TEST((fleet.node(0).restoration.heardFeedAges == std::vector<Duration> { Milliseconds(1100) }));
