Feed: Notice an era that rises during the first listing

A process whose first listing was interrupted by a rise of the era knew that the store had just come back, but treated the listing of the copy like any first one: without other instances it counted at once, otherwise after 300 ms at the latest, and the others were not told. It now counts as a rise that the process has noticed itself. Era 0 is left out, since instances of older programs name none. Shown by riseDuringFirstListingIsNoticed.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -161,6 +161,9 @@
     this->handleSuccess();
     if (this->context.replica.isEmpty()) {
         this->storeRestoration.firstListed(complete.position.era, complete.confirmedUntil);
+        if (this->hasEraRisenBeforeListing) {
+            this->storeRestoration.newEraListed(complete.position.era);
+        }
     } else if (this->context.replica.position().era < complete.position.era) {
         this->handleRestoration(complete);
     }
@@ -185,6 +188,8 @@
         return false;
     }
     if (this->knownEra < era) {
+        // An instance of an older program names no era, which is no sign of a rise.
+        this->hasEraRisenBeforeListing = this->context.replica.isEmpty() && this->knownEra != StoreEra();
         this->knownEra = era;
         this->checkedPosition.reset();
         this->needsListing = true;
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -173,6 +173,8 @@
     std::optional<CheckedPosition> checkedPosition;
     /// The newest era that a response has named. The replica may not have reached it yet.
     StoreEra knownEra;
+    /// The era has risen between responses that this process has received before its first listing was complete.
+    bool hasEraRisenBeforeListing = false;
     /// When the request in flight to the store was sent; std::nullopt if there is none.
     std::optional<TimePoint> storeRequestSentAt;
     /// This instance has cancelled the request in flight to the store, which itself works.
--- a/Source/feed/storerestoration.h
+++ b/Source/feed/storerestoration.h
@@ -41,8 +41,8 @@
     /// the listing is confirmed.
     void firstListed(StoreEra era, TimePoint confirmedUntil);
 
-    /// This instance has listed the entries of @p era, which is newer than that of its data. Must be called before the
-    /// listing is confirmed.
+    /// This instance has listed the entries of @p era, and earlier responses were of an older one. Must be called
+    /// before the listing is confirmed.
     void newEraListed(StoreEra era);
 
     /// True while no confirmation counts because no other instance has said yet what it knows.
--- a/Tests/feed/storerestorationtest.cpp
+++ b/Tests/feed/storerestorationtest.cpp
@@ -190,6 +190,30 @@
     BOOST_TEST(!earlier.isAnyConfirmed());
 }
 
+// Guards against counting a listing of the copy although the process has seen the era rise before its first listing was
+// complete, and against doing so for a store that has only begun to name its era.
+BOOST_FIXTURE_TEST_CASE(riseDuringFirstListingIsNoticed, FeedReaderFixture)
+{
+    this->store.era = StoreEra(1);
+    this->store.pageSize = 1;
+    this->reader.start();
+    this->clock.advance(Milliseconds(2));
+    this->store.restore(this->store.items, 4);
+    this->clock.advance(Milliseconds(1900));
+    BOOST_TEST(!this->replica.isEmpty());
+    BOOST_TEST((this->freshness.age() == Duration::max()));
+    BOOST_TEST(this->reader.restoration().noticedRestoration().has_value());
+    this->clock.advance(Milliseconds(300));
+    BOOST_TEST((this->freshness.age() <= Milliseconds(300)));
+    FeedReaderFixture unnamed;
+    unnamed.store.pageSize = 1;
+    unnamed.reader.start();
+    unnamed.clock.advance(Milliseconds(2));
+    unnamed.store.restore(unnamed.store.items, 4);
+    unnamed.clock.advance(Milliseconds(100));
+    BOOST_TEST((unnamed.freshness.age() <= Milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
