--- a/Tests/fleet/fakefleet.h
+++ b/Tests/fleet/fakefleet.h
@@ -8,6 +8,30 @@
 namespace Lycheewall
 {
 
+/// Says what the test sets, and keeps what other instances have said.
+class FakeRestorationExchange : public RestorationExchange
+{
+public:
+    std::optional<RestorationNotice> noticedRestoration() const override
+    {
+        return this->noticed;
+    }
+    void instanceHeard(Duration feedAge) override
+    {
+        this->heardFeedAges.push_back(feedAge);
+    }
+    void restorationHeard(const RestorationNotice &notice) override
+    {
+        this->heardEra = notice.era;
+        this->heardRemaining.push_back(notice.rewriteRemaining);
+    }
+
+    std::optional<RestorationNotice> noticed;
+    StoreEra heardEra;
+    std::vector<Duration> heardFeedAges;
+    std::vector<Duration> heardRemaining;
+};
+
 /// Instances that exchange datagrams on a manual clock. A datagram arrives unless its sender or receiver is
 /// partitioned.
 class FakeFleet
@@ -55,6 +79,7 @@
         MemberTable members;
         OrganisationQuota quota;
         FeedFreshness freshness;
+        FakeRestorationExchange restoration;
         EndpointSet endpoints;
         InstanceInfo own;
         ActiveInstanceSet activeInstances;
@@ -118,6 +143,7 @@
                                                                   node->members,
                                                                   node->quota,
                                                                   node->freshness,
+                                                                  node->restoration,
                                                                   node->endpoints,
                                                                   node->activeInstances,
                                                                   [] {},
