Forwarding: Record nothing for overload control without work factors

OverloadControl decides only about endpoints that report a work factor, but the results of each shard were recorded for all others too: the request was looked up in a map for each shard, the queues of all endpoints were counted, and for each request all endpoints of the service were searched for a report that none had sent.

ServiceLoadModel (MeanLatencyRatio until now), which the endpoints of one service share, says whether any of them has reported a factor, and whether one has responded without. areReported() visits no endpoint unless a factor was reported, and then stops at the first available endpoint that reports one. Results are recorded unless endpoints are known not to report. What is not known yet counts as reported, so the results of the first queries of an instance are recorded as before.

--- a/Source/forwarding/endpointload.cpp
+++ b/Source/forwarding/endpointload.cpp
@@ -49,15 +49,15 @@
 
 EndpointLoad::EndpointLoad()
     : model(std::make_shared<EndpointLoadModel>())
-    , serviceRatio(std::make_shared<MeanLatencyRatio>())
+    , serviceModel(std::make_shared<ServiceLoadModel>())
 {
 }
 
 void EndpointLoad::setModel(std::shared_ptr<EndpointLoadModel> sharedModel,
-                            std::shared_ptr<MeanLatencyRatio> sharedRatio)
+                            std::shared_ptr<ServiceLoadModel> sharedServiceModel)
 {
     this->model = std::move(sharedModel);
-    this->serviceRatio = std::move(sharedRatio);
+    this->serviceModel = std::move(sharedServiceModel);
 }
 
 void EndpointLoad::update(const LoadReport &report, int ownInFlight, TimePoint now)
@@ -74,6 +74,7 @@
 
 void EndpointLoad::storeFactor(double newLogFactor, TimePoint now)
 {
+    this->serviceModel->recordWorkFactor();
     this->model->countReport();
     this->model->recordFactor(newLogFactor);
     if (this->logFactor) {
@@ -159,6 +160,7 @@
 void EndpointLoad::recordResponse(const Prediction &prediction, TimePoint now)
 {
     if (!this->logFactor) {
+        this->serviceModel->recordResponseWithoutWorkFactor();
         return;
     }
     const double latencySeconds = fractionalSeconds(std::max(Duration(1), now - prediction.start));
@@ -179,14 +181,14 @@
 
 void EndpointLoad::recordSpeed(double logSample, TimePoint now)
 {
-    if (std::abs(logSample - this->serviceRatio->logMean()) > maxLogSpeedSample) {
+    if (std::abs(logSample - this->serviceModel->meanLogLatencyRatio()) > maxLogSpeedSample) {
         return;
     }
-    this->serviceRatio->record(logSample);
+    this->serviceModel->recordLatencyRatio(logSample);
     this->speedSamples = halved(this->speedSamples, now - this->speedLearnedAt, speedHalfLifeSeconds) + 1;
     const double gain = std::max(minSpeedGain, 1 / (this->speedSamples + speedPriorSamples));
     const double current = this->logSpeedAt(now);
-    const double deviation = logSample - this->serviceRatio->logMean();
+    const double deviation = logSample - this->serviceModel->meanLogLatencyRatio();
     this->logSpeed = std::clamp(current + gain * (deviation - current), -maxLogSpeed, maxLogSpeed);
     this->speedLearnedAt = now;
 }
--- a/Source/forwarding/endpointload.h
+++ b/Source/forwarding/endpointload.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "forwarding/endpointloadmodel.h"
-#include "forwarding/meanlatencyratio.h"
+#include "forwarding/serviceloadmodel.h"
 
 #include <memory>
 #include <optional>
@@ -44,9 +44,9 @@
 
     EndpointLoad();
 
-    /// Shares @p model with all other endpoints, and @p serviceRatio with those of the same service. Preconditions: not
+    /// Shares @p model with all other endpoints, and @p serviceModel with those of the same service. Preconditions: not
     /// null; no report was received yet.
-    void setModel(std::shared_ptr<EndpointLoadModel> model, std::shared_ptr<MeanLatencyRatio> serviceRatio);
+    void setModel(std::shared_ptr<EndpointLoadModel> model, std::shared_ptr<ServiceLoadModel> serviceModel);
 
     /// Stores a report. @p ownInFlight is the number of requests of this instance that it counts.
     void update(const LoadReport &report, int ownInFlight, TimePoint now);
@@ -83,7 +83,7 @@
     void recordSpeed(double logSample, TimePoint now);
 
     std::shared_ptr<EndpointLoadModel> model;
-    std::shared_ptr<MeanLatencyRatio> serviceRatio;
+    std::shared_ptr<ServiceLoadModel> serviceModel;
     int remoteAtReport = 0;
     TimePoint reportReceivedAt;
     /// Logarithms of the latest reported factor and of the mean of the recent ones.
--- a/Source/forwarding/endpointqueues.cpp
+++ b/Source/forwarding/endpointqueues.cpp
@@ -29,6 +29,9 @@
 
 bool EndpointQueues::areReported(const EndpointSet &endpoints, const ServiceId &service)
 {
+    if (endpoints.workFactorsOf(service) != ServiceLoadModel::WorkFactors::Reported) {
+        return false;
+    }
     const std::vector<EndpointPtr> &candidates = endpoints.endpointsOf(service);
     return std::any_of(candidates.begin(), candidates.end(), [](const EndpointPtr &endpoint) {
         return endpoint->isAvailable() && endpoint->stats.reportsWorkFactor();
--- a/Source/forwarding/endpointqueues.h
+++ b/Source/forwarding/endpointqueues.h
@@ -15,7 +15,7 @@
 {
 
 /// True if an endpoint of the service reports how long work takes there. Without it, the time that requests wait in a
-/// queue cannot be estimated.
+/// queue cannot be estimated. Visits no endpoints if none of the service has reported it.
 bool areReported(const EndpointSet &endpoints, const ServiceId &service);
 
 /// The longest queue at the endpoints of the service. Load reports age within a moment, and estimates from older ones
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -21,6 +21,11 @@
         && left.processStartMs == right.processStartMs;
 }
 
+bool reportsWorkFactor(const EndpointPtr &endpoint)
+{
+    return endpoint->stats.reportsWorkFactor();
+}
+
 }
 
 bool ServiceEndpoint::isAvailable() const
@@ -72,11 +77,11 @@
     endpoint->record = record;
     this->updateEvacuation(*endpoint);
     endpoint->coldUntil = now + record.remainingWarmup;
-    auto &serviceRatio = this->latencyRatios[record.service];
-    if (!serviceRatio) {
-        serviceRatio = std::make_shared<MeanLatencyRatio>();
+    auto &serviceModel = this->serviceModels[record.service];
+    if (!serviceModel) {
+        serviceModel = std::make_shared<ServiceLoadModel>();
     }
-    endpoint->stats.setLoadModel(this->sharedLoadModel, serviceRatio);
+    endpoint->stats.setLoadModel(this->sharedLoadModel, serviceModel);
     endpoint->stats.setLateListener([late = this->lateEndpoints, id = record.id] { late->insert(id); });
     this->byId[record.id] = endpoint;
     this->byService[record.service].push_back(endpoint);
@@ -92,6 +97,9 @@
     endpoint->registered = false;
     auto &siblings = this->byService[endpoint->record.service];
     siblings.erase(std::remove(siblings.begin(), siblings.end(), endpoint), siblings.end());
+    if (std::none_of(siblings.begin(), siblings.end(), reportsWorkFactor)) {
+        this->serviceModels[endpoint->record.service]->forgetWorkFactors();
+    }
     this->byId.erase(entry);
 }
 
@@ -115,6 +123,12 @@
     return entry == this->byService.end() ? none : entry->second;
 }
 
+ServiceLoadModel::WorkFactors EndpointSet::workFactorsOf(const ServiceId &service) const
+{
+    const auto entry = this->serviceModels.find(service);
+    return entry == this->serviceModels.end() ? ServiceLoadModel::WorkFactors::Unknown : entry->second->workFactors();
+}
+
 EndpointPtr EndpointSet::find(const EndpointId &id) const
 {
     const auto entry = this->byId.find(id);
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -94,6 +94,9 @@
     /// Endpoints of the service in any state; empty if there are none.
     const std::vector<EndpointPtr> &endpointsOf(const ServiceId &service) const;
 
+    /// Whether the endpoints of the service, in any state, report work factors.
+    ServiceLoadModel::WorkFactors workFactorsOf(const ServiceId &service) const;
+
     /// Returns nullptr if no endpoint is registered under @p id.
     EndpointPtr find(const EndpointId &id) const;
 
@@ -132,7 +135,7 @@
     /// Endpoints that were late often enough to be reported. Shared with them, as requests in flight may keep an
     /// endpoint alive for longer than the set.
     std::shared_ptr<EndpointIds> lateEndpoints = std::make_shared<EndpointIds>();
-    std::unordered_map<ServiceId, std::shared_ptr<MeanLatencyRatio>> latencyRatios;
+    std::unordered_map<ServiceId, std::shared_ptr<ServiceLoadModel>> serviceModels;
     std::shared_ptr<EndpointLoadModel> sharedLoadModel = std::make_shared<EndpointLoadModel>();
     std::set<ZoneId> evacuatedZones;
     double ownFleetShare = 1;
--- a/Source/forwarding/endpointstats.cpp
+++ b/Source/forwarding/endpointstats.cpp
@@ -45,9 +45,9 @@
 }
 
 void EndpointStats::setLoadModel(std::shared_ptr<EndpointLoadModel> model,
-                                 std::shared_ptr<MeanLatencyRatio> serviceRatio)
+                                 std::shared_ptr<ServiceLoadModel> serviceModel)
 {
-    this->load.setModel(std::move(model), std::move(serviceRatio));
+    this->load.setModel(std::move(model), std::move(serviceModel));
 }
 
 EndpointStats::Token EndpointStats::requestStarted(TimePoint now, Duration expected)
--- a/Source/forwarding/endpointstats.h
+++ b/Source/forwarding/endpointstats.h
@@ -31,7 +31,7 @@
 
     /// Shares what is learned from load reports with other endpoints, see EndpointLoad::setModel(). Preconditions: not
     /// null; no report was received yet.
-    void setLoadModel(std::shared_ptr<EndpointLoadModel> model, std::shared_ptr<MeanLatencyRatio> serviceRatio);
+    void setLoadModel(std::shared_ptr<EndpointLoadModel> model, std::shared_ptr<ServiceLoadModel> serviceModel);
 
     /// Records the start of a request. @p expected is its expected latency under the known load of the endpoint.
     /// Precondition: expected > 0.
--- a/Source/forwarding/exchange.cpp
+++ b/Source/forwarding/exchange.cpp
@@ -30,10 +30,13 @@
                                  + " retry-after-ms=" + std::to_string(toMilliseconds(rejection.retryAfter)));
 }
 
-/// Records the latency of a single request when it gets a response.
+/// Records the latency of a single request when it gets a response, if overload control needs it.
 Exchange::ReplyCallback
 withLatencyRecord(ForwardingContext &context, const AdmittedRequest &request, Exchange::ReplyCallback done)
 {
+    if (!context.overloadControl.needsResults(request)) {
+        return done;
+    }
     return [&context, request, done = std::move(done)](const ForwardReply &reply) {
         if (reply.response) {
             const TimePoint now = context.clock.now();
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -38,6 +38,7 @@
     , shardResponses(this->request.route->shards.size())
     , shardStates(this->request.route->shards.size(), ShardState::Pending)
     , measuredShard(this->context.random.uniformInteger(this->request.route->shards.size()))
+    , recordsResults(this->context.overloadControl.needsResults(this->request))
 {
     for (const ServiceId &service : this->request.route->shards) {
         this->targets.emplace_back(service);
@@ -304,6 +305,9 @@
 
 void FanoutExchange::recordShardResult(std::size_t shard, const ServiceResult &result)
 {
+    if (!this->recordsResults) {
+        return;
+    }
     // Without room or rate left, the shard was not asked, or its endpoints take requests again soon.
     if (result.reason == Refusal::QueueFull || result.reason == Refusal::EndpointThrottled) {
         return;
@@ -319,6 +323,9 @@
 
 void FanoutExchange::recordSilentShards()
 {
+    if (!this->recordsResults) {
+        return;
+    }
     const TimePoint now = this->context.clock.now();
     // A caller that waits for less than the latency objective does not tell that the shards are silent.
     if (now - this->request.request->arrivedAt < this->request.route->latencyObjective) {
@@ -411,7 +418,9 @@
     if (merged.missingShards > 0) {
         this->context.counters.counter("lycheewall_forwarding_missing_parts_total").add(merged.missingShards);
     }
-    this->context.overloadControl.recordCoverage(this->request, this->succeededCount, this->context.clock.now());
+    if (this->recordsResults) {
+        this->context.overloadControl.recordCoverage(this->request, this->succeededCount, this->context.clock.now());
+    }
     ForwardReply reply;
     reply.merged = std::move(merged);
     this->reply(reply);
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -79,6 +79,8 @@
     std::vector<ShardState> shardStates;
     /// The shard whose latency is recorded.
     std::size_t measuredShard;
+    /// True if overload control needs the results of the shards.
+    bool recordsResults;
     std::size_t succeededCount = 0;
     std::size_t failedCount = 0;
     /// True if some endpoint may have run the request.
--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -71,6 +71,11 @@
     return isSent ? std::nullopt : std::optional(this->reject(request, Refusal::QueueFull, wait, now));
 }
 
+bool OverloadControl::needsResults(const AdmittedRequest &request) const
+{
+    return this->endpoints.workFactorsOf(endpointsKeyOf(request)) != ServiceLoadModel::WorkFactors::NotReported;
+}
+
 void OverloadControl::recordLatency(const AdmittedRequest &request,
                                     const ServiceId &service,
                                     Duration latency,
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -45,6 +45,10 @@
     /// Decides on a request that has arrived; std::nullopt if it may be sent.
     std::optional<OverloadRejection> decide(const AdmittedRequest &request, TimePoint now);
 
+    /// False if what becomes of a request that starts now need not be recorded, as the endpoints that it goes to do not
+    /// report their work factors.
+    bool needsResults(const AdmittedRequest &request) const;
+
     /// Records the latency of a response to a request from an endpoint of @p service.
     void recordLatency(const AdmittedRequest &request, const ServiceId &service, Duration latency, TimePoint now);
 
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -303,6 +303,25 @@
     BOOST_TEST(!this->decide("patient").has_value());
 }
 
+// Guards against work for each request to endpoints that report no work factors, and against results that are missing
+// once endpoints report them.
+BOOST_AUTO_TEST_CASE(needsResultsUnlessEndpointsRespondWithoutWorkFactors)
+{
+    for (const char *id : { "s1a", "s1b" }) {
+        const EndpointRecord record = this->endpoints.find(EndpointId(id))->record;
+        this->endpoints.remove(record.id);
+        this->endpoints.addOrUpdate(record, this->clock.now());
+    }
+    BOOST_TEST(this->overloadControl.needsResults(this->admitted("patient")));
+    EndpointStats &stats = this->endpoints.find(EndpointId("s1a"))->stats;
+    const auto token = stats.requestStarted(this->clock.now(), Milliseconds(10));
+    stats.updateLoad({ 4, 0, 4, std::nullopt }, this->clock.now());
+    stats.requestSucceeded(token, this->clock.now());
+    BOOST_TEST(!this->overloadControl.needsResults(this->admitted("patient")));
+    this->reportWaiting(0);
+    BOOST_TEST(this->overloadControl.needsResults(this->admitted("patient")));
+}
+
 // Guards against callers that are rejected for seconds because of queues that endpoints reported before they recovered:
 // without requests, there are no new reports.
 BOOST_AUTO_TEST_CASE(sendsProbesWhileNothingElseIsSent)
