Forwarding: Forget what was learned about services and routes that are gone

EndpointSet kept a latency ratio, and an empty list of endpoints, for each service that ever had an endpoint, and OverloadControl an estimate of the work for each route name that ever was: an instance that runs for months holds all names that were ever used.

The endpoints of a service and its load model share one entry now, which is dropped 5 min after a cleanup has found it empty, so a restart of all endpoints loses nothing. The estimates of routes that the table does not have any more are dropped with the other unused state, every 10 s. Both tests fail with the cleanup switched off.

LatencyModel, which also has an entry for each route name, is as before.

--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/endpointset.h"
 
+#include "core/erasevaluesif.h"
+
 #include <algorithm>
 
 namespace Lycheewall
@@ -14,6 +16,9 @@
 /// time of up to remoteProbeJitter. The first instance that probes it reports the result to the others.
 constexpr Duration remoteProbeDelay = Milliseconds(1500);
 constexpr Duration remoteProbeJitter = Milliseconds(2000);
+/// What was learned about a service is kept for this time without endpoints, as all of them may be restarting.
+constexpr Duration unusedServiceLifetime = std::chrono::minutes(5);
+constexpr Duration cleanupInterval = std::chrono::seconds(10);
 
 bool sameProcess(const EndpointRecord &left, const EndpointRecord &right)
 {
@@ -77,14 +82,13 @@
     endpoint->record = record;
     this->updateEvacuation(*endpoint);
     endpoint->coldUntil = now + record.remainingWarmup;
-    auto &serviceModel = this->serviceModels[record.service];
-    if (!serviceModel) {
-        serviceModel = std::make_shared<ServiceLoadModel>();
-    }
-    endpoint->stats.setLoadModel(this->sharedLoadModel, serviceModel);
+    this->forgetUnusedServices(now);
+    Service &service = this->services[record.service];
+    service.emptySeenAt.reset();
+    service.endpoints.push_back(endpoint);
+    endpoint->stats.setLoadModel(this->sharedLoadModel, service.loadModel);
     endpoint->stats.setLateListener([late = this->lateEndpoints, id = record.id] { late->insert(id); });
     this->byId[record.id] = endpoint;
-    this->byService[record.service].push_back(endpoint);
 }
 
 void EndpointSet::remove(const EndpointId &id)
@@ -95,14 +99,31 @@
     }
     const EndpointPtr endpoint = entry->second;
     endpoint->registered = false;
-    auto &siblings = this->byService[endpoint->record.service];
+    Service &service = this->services[endpoint->record.service];
+    std::vector<EndpointPtr> &siblings = service.endpoints;
     siblings.erase(std::remove(siblings.begin(), siblings.end(), endpoint), siblings.end());
     if (std::none_of(siblings.begin(), siblings.end(), reportsWorkFactor)) {
-        this->serviceModels[endpoint->record.service]->forgetWorkFactors();
+        service.loadModel->forgetWorkFactors();
     }
     this->byId.erase(entry);
 }
 
+void EndpointSet::forgetUnusedServices(TimePoint now)
+{
+    if (now < this->nextCleanupAt) {
+        return;
+    }
+    this->nextCleanupAt = now + cleanupInterval;
+    for (auto &[id, service] : this->services) {
+        if (service.endpoints.empty() && !service.emptySeenAt) {
+            service.emptySeenAt = now;
+        }
+    }
+    eraseValuesIf(this->services, [now](const Service &service) {
+        return service.emptySeenAt && now - *service.emptySeenAt > unusedServiceLifetime;
+    });
+}
+
 void EndpointSet::setEvacuatedZones(std::set<ZoneId> zones)
 {
     this->evacuatedZones = std::move(zones);
@@ -119,14 +140,15 @@
 const std::vector<EndpointPtr> &EndpointSet::endpointsOf(const ServiceId &service) const
 {
     static const std::vector<EndpointPtr> none;
-    const auto entry = this->byService.find(service);
-    return entry == this->byService.end() ? none : entry->second;
+    const auto entry = this->services.find(service);
+    return entry == this->services.end() ? none : entry->second.endpoints;
 }
 
 ServiceLoadModel::WorkFactors EndpointSet::workFactorsOf(const ServiceId &service) const
 {
-    const auto entry = this->serviceModels.find(service);
-    return entry == this->serviceModels.end() ? ServiceLoadModel::WorkFactors::Unknown : entry->second->workFactors();
+    const auto entry = this->services.find(service);
+    return entry == this->services.end() ? ServiceLoadModel::WorkFactors::Unknown
+                                         : entry->second.loadModel->workFactors();
 }
 
 EndpointPtr EndpointSet::find(const EndpointId &id) const
@@ -151,6 +173,11 @@
     return this->byId.size();
 }
 
+std::size_t EndpointSet::serviceCount() const
+{
+    return this->services.size();
+}
+
 EndpointLoadModel &EndpointSet::loadModel() const
 {
     return *this->sharedLoadModel;
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -105,6 +105,9 @@
 
     std::size_t size() const;
 
+    /// Number of services with endpoints, and of those that have lost their last endpoint recently.
+    std::size_t serviceCount() const;
+
     /// What was learned from the load reports of all endpoints.
     EndpointLoadModel &loadModel() const;
 
@@ -127,19 +130,28 @@
 
 private:
     using EndpointIds = std::set<EndpointId>;
+    struct Service
+    {
+        /// In any state.
+        std::vector<EndpointPtr> endpoints;
+        std::shared_ptr<ServiceLoadModel> loadModel = std::make_shared<ServiceLoadModel>();
+        /// When a cleanup first found it without endpoints; std::nullopt while it has some.
+        std::optional<TimePoint> emptySeenAt;
+    };
 
     void updateEvacuation(ServiceEndpoint &endpoint) const;
+    void forgetUnusedServices(TimePoint now);
 
     std::unordered_map<EndpointId, EndpointPtr> byId;
-    std::unordered_map<ServiceId, std::vector<EndpointPtr>> byService;
+    std::unordered_map<ServiceId, Service> services;
     /// Endpoints that were late often enough to be reported. Shared with them, as requests in flight may keep an
     /// endpoint alive for longer than the set.
     std::shared_ptr<EndpointIds> lateEndpoints = std::make_shared<EndpointIds>();
-    std::unordered_map<ServiceId, std::shared_ptr<ServiceLoadModel>> serviceModels;
     std::shared_ptr<EndpointLoadModel> sharedLoadModel = std::make_shared<EndpointLoadModel>();
     std::set<ZoneId> evacuatedZones;
     double ownFleetShare = 1;
     double ownRateLimitShare = 1;
+    TimePoint nextCleanupAt;
 };
 
 }
--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -104,7 +104,7 @@
 OverloadControl::CompetingRequests &OverloadControl::competingWith(const AdmittedRequest &request, TimePoint now)
 {
     if (now >= this->nextCleanupAt) {
-        this->forgetIdle(now);
+        this->forgetUnused(*request.table, now);
         this->nextCleanupAt = now + cleanupInterval;
     }
     CompetingRequests &competing = this->competingRequests[endpointsKeyOf(request)];
@@ -177,10 +177,18 @@
     return { reason, std::max(minRetryAfter, fromSeconds(remaining * fraction)), wait };
 }
 
-void OverloadControl::forgetIdle(TimePoint now)
+void OverloadControl::forgetUnused(const RouteTable &table, TimePoint now)
 {
     eraseValuesIf(this->competingRequests,
                   [now](const CompetingRequests &competing) { return now - competing.lastRequestAt > idleTime; });
+    std::map<std::string, WorkEstimate> workOfRoutes;
+    for (const Route &route : table.routes()) {
+        const auto estimate = this->work.find(route.name);
+        if (estimate != this->work.end()) {
+            workOfRoutes.insert(*estimate);
+        }
+    }
+    this->work = std::move(workOfRoutes);
 }
 
 }
--- a/Tests/forwarding/loadestimatetest.cpp
+++ b/Tests/forwarding/loadestimatetest.cpp
@@ -241,6 +241,22 @@
     BOOST_TEST(chosen == "2012001000000111033444433443333333333444");
 }
 
+// Guards against state of services that are gone, which would fill the memory as services come and go, and against one
+// that is lost while all endpoints of a service restart.
+BOOST_AUTO_TEST_CASE(forgetsServicesWithoutEndpoints)
+{
+    EndpointSet endpoints;
+    EndpointRecord record;
+    record.id = EndpointId("a");
+    for (int number = 0; number < 100; ++number) {
+        record.service = ServiceId("service-" + std::to_string(number));
+        endpoints.addOrUpdate(record, at(number * 60'000));
+        BOOST_TEST(endpoints.serviceCount() >= std::min(2U, number + 1U));
+        BOOST_TEST(endpoints.serviceCount() <= 10U);
+        endpoints.remove(record.id);
+    }
+}
+
 // Guards against durations that overflow because an endpoint reports an absurd number of requests.
 BOOST_AUTO_TEST_CASE(boundsReportedNumberOfRequests)
 {
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -303,6 +303,21 @@
     BOOST_TEST(!this->decide("patient").has_value());
 }
 
+// Guards against estimates of routes that are gone, which would fill the memory as routes come and go.
+BOOST_AUTO_TEST_CASE(forgetsWorkOfRemovedRoute)
+{
+    this->recordWork("patient", std::chrono::seconds(2));
+    BOOST_TEST(!this->decide("patient").has_value());
+    BOOST_TEST(this->decide("patient").has_value());
+    const std::vector<Route> routes = this->tableContent.routes;
+    this->tableContent.routes.pop_back();
+    this->clock.advance(std::chrono::seconds(11));
+    BOOST_TEST(!this->decide("urgent").has_value());
+    this->tableContent.routes = routes;
+    BOOST_TEST(!this->decide("patient").has_value());
+    BOOST_TEST(!this->decide("patient").has_value());
+}
+
 // Guards against work for each request to endpoints that report no work factors, and against results that are missing
 // once endpoints report them.
 BOOST_AUTO_TEST_CASE(needsResultsUnlessEndpointsRespondWithoutWorkFactors)
