Forwarding: Hold back hedges of less urgent requests in a shortage

While endpoints had queues, overload control rejected less urgent requests in favour of urgent ones, but those that were sent were hedged as ever: the second copy of a request that might have been rejected took the room of an urgent first one, and spent the retry budget.

While requests wait at the endpoints, ServiceCall starts no hedge for a request that is rejected before others: a more urgent kind competes that can be on time, an equally urgent one that needs less work does, or its organisation is above its fair share. Nothing changes where endpoints report no work factors.

--- a/Source/forwarding/competingkinds.cpp
+++ b/Source/forwarding/competingkinds.cpp
@@ -88,6 +88,22 @@
     return entry != own.sentByOrganisation.end() && entry->second.value < minRelativeShare * own.sent.value;
 }
 
+bool CompetingKinds::yieldsToOthers(const KindOfRequest &kind,
+                                    const OrganisationSpec *organisation,
+                                    TimePoint now) const
+{
+    const Key ownKey(kind.priority, kind.route);
+    for (const auto &[key, other] : this->kinds) {
+        const bool isMoreUrgent = key.first < kind.priority && other.slack > Duration::zero();
+        const bool needsLessWork = key.first == kind.priority && key != ownKey && other.work < kind.work;
+        if (isMoreUrgent || needsLessWork) {
+            return true;
+        }
+    }
+    const auto own = this->kinds.find(ownKey);
+    return own != this->kinds.end() && own->second.shares.isExceeded(organisation, now);
+}
+
 void CompetingKinds::recordDecision(const KindOfRequest &kind,
                                     const OrganisationSpec *organisation,
                                     bool wasSent,
--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -71,6 +71,17 @@
     return isSent ? std::nullopt : std::optional(this->reject(request, Refusal::QueueFull, wait, now));
 }
 
+bool OverloadControl::holdsBackHedge(const AdmittedRequest &request, TimePoint now)
+{
+    const ServiceId &key = endpointsKeyOf(request);
+    const auto competing = this->competingRequests.find(key);
+    if (competing == this->competingRequests.end() || !EndpointQueues::areReported(this->endpoints, key)) {
+        return false;
+    }
+    return this->estimatedWait(request, competing->second, now) > Duration::zero()
+        && competing->second.kinds.yieldsToOthers(this->kindOf(request), request.organisationSpec(), now);
+}
+
 bool OverloadControl::needsResults(const AdmittedRequest &request) const
 {
     return this->endpoints.workFactorsOf(endpointsKeyOf(request)) != ServiceLoadModel::WorkFactors::NotReported;
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -461,7 +461,10 @@
 
 void ServiceCall::tryHedge()
 {
-    if (!this->hedgeSent && this->startAttempt(AttemptKind::Hedge) == StartResult::Started) {
+    if (this->hedgeSent || this->context.overloadControl.holdsBackHedge(this->request, this->context.clock.now())) {
+        return;
+    }
+    if (this->startAttempt(AttemptKind::Hedge) == StartResult::Started) {
         this->hedgeSent = true;
         this->context.counters.counter("lycheewall_forwarding_hedges_total").add();
     }
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -99,6 +99,19 @@
         }
     }
 
+    /// Starts a query, lets the time pass after which it is hedged, and returns the number of requests to endpoints.
+    std::size_t countSendsWithHedges(const std::string &routeName)
+    {
+        const std::size_t sentBefore = this->endpointSender.calls.size();
+        const auto query = startExchange(this->context, this->admitted(routeName), [](const ForwardReply &) {});
+        for (int step = 0; step < 40; ++step) {
+            this->reportWaiting(this->waiting);
+            this->clock.advance(Milliseconds(10));
+        }
+        query->cancel();
+        return this->endpointSender.calls.size() - sentBefore;
+    }
+
     int waiting = 0;
 };
 
@@ -303,6 +316,20 @@
     BOOST_TEST(!this->decide("patient").has_value());
 }
 
+// Guards against second copies of less urgent requests that take the room of urgent ones, and against requests that get
+// no hedge although there is room for it.
+BOOST_AUTO_TEST_CASE(holdsBackHedgesOfLessUrgentKindInShortage)
+{
+    this->fillBudget();
+    this->recordWork("urgent", Milliseconds(10));
+    this->recordWork("patient", Milliseconds(30));
+    this->reportWaiting(1);
+    BOOST_TEST(this->countSendsWithHedges("urgent") == 4U);
+    BOOST_TEST(this->countSendsWithHedges("patient") == 2U);
+    this->reportWaiting(0);
+    BOOST_TEST(this->countSendsWithHedges("patient") == 4U);
+}
+
 // Guards against estimates of routes that are gone, which would fill the memory as routes come and go.
 BOOST_AUTO_TEST_CASE(forgetsWorkOfRemovedRoute)
 {
--- a/Tests/forwarding/overloadloadtest.cpp
+++ b/Tests/forwarding/overloadloadtest.cpp
@@ -177,6 +177,28 @@
     checkOrderOfKinds(result);
 }
 
+// Guards against second copies of cheap requests that take the room of urgent dear ones. Pattern: a burst of 2.4 of the
+// cheapest kind while the dear one uses a third of the slots of the same service; both need 1.1 times the slots then.
+BOOST_AUTO_TEST_CASE(cheapKindBurstsOnSingleService)
+{
+    SimulationPlan plan = sharedShardsPlan(200, 767);
+    plan.shards = 1;
+    plan.endpointsPerShard = 6;
+    plan.slots = 4;
+    plan.queueLimit = 24;
+    plan.gossipInterval = Milliseconds(200);
+    plan.kinds[urgent].serviceTimeMs = 40;
+    plan.kinds[urgent].objective = Milliseconds(120);
+    plan.kinds[patient].serviceTimeMs = 10;
+    plan.kinds[patient].objective = Milliseconds(150);
+    plan.kinds[patient].timeout = Milliseconds(1500);
+    plan.kinds[patient].rateFactor = burst(2.4);
+    const SimulationResult result = simulate("burst of 2.4 of a cheap kind on one service", plan);
+    BOOST_TEST(result.kinds[urgent].onTimeFraction() >= minUrgentOnTime);
+    BOOST_TEST(result.kinds[patient].failed <= maxFailedFraction * static_cast<double>(result.kinds[patient].requests));
+    checkOrderOfKinds(result);
+}
+
 // Guards against urgent queries that displace each other or are late behind patient ones. Pattern: a burst of 1.7 of
 // the urgent kind on loaded shards.
 BOOST_AUTO_TEST_CASE(urgentKindBursts)
