Forwarding: Decide on requests to throttled services in one place

SingleExchange and selectShards() both asked ThrottledAdmission for the reserve, compared it with the tokens that are left, and recorded the request as sent. ThrottledAdmission::decide() does that for both: a single service is a query over one shard of which none may be left out.

--- a/Source/forwarding/shardselection.cpp
+++ b/Source/forwarding/shardselection.cpp
@@ -16,12 +16,9 @@
 /// A shard is left out of some queries when the rate left for it is below this fraction of a full bucket.
 constexpr double scarceFillLevel = 0.75;
 
-/// Shards whose endpoints have all asked for fewer requests.
-using ThrottledShards = std::map<std::size_t, ServiceThrottling>;
-
-ThrottledShards findThrottledShards(const EndpointChooser &chooser, const Route &route, TimePoint now)
+ThrottledServices findThrottledShards(const EndpointChooser &chooser, const Route &route, TimePoint now)
 {
-    ThrottledShards result;
+    ThrottledServices result;
     for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
         const ServiceThrottling throttling = chooser.throttling(route.shards[shard], now);
         if (throttling.isThrottled) {
@@ -31,21 +28,8 @@
     return result;
 }
 
-/// Shards that take no request now which has to leave @p reserve to others, by the time until they do.
-std::multimap<Duration, std::size_t> findExhausted(const ThrottledShards &throttled, double reserve)
-{
-    std::multimap<Duration, std::size_t> exhausted;
-    for (const auto &[shard, throttling] : throttled) {
-        const Duration wait = throttling.waitTimeFor(reserve);
-        if (wait > Duration::zero()) {
-            exhausted.emplace(wait, shard);
-        }
-    }
-    return exhausted;
-}
-
 /// Shards that will soon take no request, by their fill level.
-std::multimap<double, std::size_t> findScarce(const ThrottledShards &throttled)
+std::multimap<double, std::size_t> findScarce(const ThrottledServices &throttled)
 {
     std::multimap<double, std::size_t> scarce;
     for (const auto &[shard, throttling] : throttled) {
@@ -91,19 +75,14 @@
     const TimePoint now = context.clock.now();
     const std::size_t omittable = route.shards.size() - std::min(route.requiredShards(), route.shards.size());
     ShardSelection selection;
-    const ThrottledShards throttled = findThrottledShards(context.chooser, route, now);
+    const ThrottledServices throttled = findThrottledShards(context.chooser, route, now);
     if (!throttled.empty()) {
-        const OrganisationSpec *organisation = request.organisationSpec();
-        const double reserve = context.throttledAdmission.reserveForOthers(request.priority(), organisation, now);
-        const auto exhausted = findExhausted(throttled, reserve);
-        if (exhausted.size() > omittable) {
-            const auto lastNeeded
-                = std::next(exhausted.begin(), static_cast<std::ptrdiff_t>(exhausted.size() - omittable - 1));
-            selection.retryAfter = spreadRetryAfter(lastNeeded->first, context.random);
+        const ThrottledDecision decision = context.throttledAdmission.decide(request, throttled, omittable, now);
+        if (decision.waitTime) {
+            selection.retryAfter = spreadRetryAfter(*decision.waitTime, context.random);
             return selection;
         }
-        context.throttledAdmission.recordSent(request.priority(), organisation, now);
-        skipUpTo(omittable, exhausted, Refusal::EndpointThrottled, selection.skipped);
+        skipUpTo(omittable, decision.exhausted, Refusal::EndpointThrottled, selection.skipped);
         skipUpTo(omittable, findScarce(throttled), Refusal::EndpointThrottled, selection.skipped);
     }
     skipUpTo(omittable, findLateShards(context, request), Refusal::QueueFull, selection.skipped);
--- a/Source/forwarding/singleexchange.cpp
+++ b/Source/forwarding/singleexchange.cpp
@@ -44,17 +44,14 @@
     if (!throttling.isThrottled) {
         return false;
     }
-    const OrganisationSpec *organisation = this->request.organisationSpec();
-    ThrottledAdmission &admission = this->context.throttledAdmission;
-    const Duration wait
-        = throttling.waitTimeFor(admission.reserveForOthers(this->request.priority(), organisation, now));
-    if (wait == Duration::zero()) {
-        admission.recordSent(this->request.priority(), organisation, now);
+    const ThrottledDecision decision
+        = this->context.throttledAdmission.decide(this->request, { { 0, throttling } }, 0, now);
+    if (!decision.waitTime) {
         return false;
     }
     ServiceResult result;
     result.reason = Refusal::EndpointThrottled;
-    result.retryAfter = spreadRetryAfter(wait, this->context.random);
+    result.retryAfter = spreadRetryAfter(*decision.waitTime, this->context.random);
     this->reply(makeRefusalReply(result));
     return true;
 }
--- a/Source/forwarding/throttledadmission.cpp
+++ b/Source/forwarding/throttledadmission.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/throttledadmission.h"
 
+#include "forwarding/forwardingcontext.h"
+
 #include <algorithm>
 
 namespace Lycheewall
@@ -16,6 +18,30 @@
 
 }
 
+ThrottledDecision ThrottledAdmission::decide(const AdmittedRequest &request,
+                                             const ThrottledServices &services,
+                                             std::size_t omittable,
+                                             TimePoint now)
+{
+    const OrganisationSpec *organisation = request.organisationSpec();
+    const double reserve = this->reserveForOthers(request.priority(), organisation, now);
+    ThrottledDecision decision;
+    for (const auto &[index, throttling] : services) {
+        const Duration wait = throttling.waitTimeFor(reserve);
+        if (wait > Duration::zero()) {
+            decision.exhausted.emplace(wait, index);
+        }
+    }
+    if (decision.exhausted.size() > omittable) {
+        const auto lastNeeded = std::next(decision.exhausted.begin(),
+                                          static_cast<std::ptrdiff_t>(decision.exhausted.size() - omittable - 1));
+        decision.waitTime = lastNeeded->first;
+    } else {
+        this->recordSent(request.priority(), organisation, now);
+    }
+    return decision;
+}
+
 double ThrottledAdmission::reserveForOthers(int priority, const OrganisationSpec *organisation, TimePoint now)
 {
     PriorityClass &priorityClass = this->classes[priority];
