--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -45,6 +45,14 @@
     /// Decides on a request that has arrived; std::nullopt if it may be sent.
     std::optional<OverloadRejection> decide(const AdmittedRequest &request, TimePoint now);
 
+    /// True while requests wait at the endpoints and @p request is one of those that are rejected first: a second copy
+    /// of it would take room from the others.
+    bool holdsBackHedge(const AdmittedRequest &request, TimePoint now);
+
+    /// False if what becomes of a request that starts now need not be recorded, as the endpoints that it goes to do not
+    /// report their work factors.
+    bool needsResults(const AdmittedRequest &request) const;
+
     /// Records the latency of a response to a request from an endpoint of @p service.
     void recordLatency(const AdmittedRequest &request, const ServiceId &service, Duration latency, TimePoint now);
 
@@ -81,7 +89,8 @@
     /// Estimated waiting time at the endpoints of the service, or of most of the shards.
     Duration estimatedWait(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const;
     OverloadRejection reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now);
-    void forgetIdle(TimePoint now);
+    /// Drops state about endpoints to which no request goes, and about routes that @p table does not have.
+    void forgetUnused(const RouteTable &table, TimePoint now);
 
     const EndpointSet &endpoints;
     Random &random;
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -99,6 +99,19 @@
         }
     }
 
+    /// Starts a query, lets the time pass after which it is hedged, and returns the number of requests to endpoints.
+    std::size_t countSendsWithHedges(const std::string &routeName)
+    {
+        const std::size_t sentBefore = this->endpointSender.calls.size();
+        const auto query = startExchange(this->context, this->admitted(routeName), [](const ForwardReply &) {});
+        for (int step = 0; step < 40; ++step) {
+            this->reportWaiting(this->waiting);
+            this->clock.advance(Milliseconds(10));
+        }
+        query->cancel();
+        return this->endpointSender.calls.size() - sentBefore;
+    }
+
     int waiting = 0;
 };
 
@@ -303,6 +316,54 @@
     BOOST_TEST(!this->decide("patient").has_value());
 }
 
+// Guards against second copies of less urgent requests that take the room of urgent ones, and against requests that get
+// no hedge although there is room for it.
+BOOST_AUTO_TEST_CASE(holdsBackHedgesOfLessUrgentKindInShortage)
+{
+    this->fillBudget();
+    this->recordWork("urgent", Milliseconds(10));
+    this->recordWork("patient", Milliseconds(30));
+    this->reportWaiting(1);
+    BOOST_TEST(this->countSendsWithHedges("urgent") == 4U);
+    BOOST_TEST(this->countSendsWithHedges("patient") == 2U);
+    this->reportWaiting(0);
+    BOOST_TEST(this->countSendsWithHedges("patient") == 4U);
+}
+
+// Guards against estimates of routes that are gone, which would fill the memory as routes come and go.
+BOOST_AUTO_TEST_CASE(forgetsWorkOfRemovedRoute)
+{
+    this->recordWork("patient", std::chrono::seconds(2));
+    BOOST_TEST(!this->decide("patient").has_value());
+    BOOST_TEST(this->decide("patient").has_value());
+    const std::vector<Route> routes = this->tableContent.routes;
+    this->tableContent.routes.pop_back();
+    this->clock.advance(std::chrono::seconds(11));
+    BOOST_TEST(!this->decide("urgent").has_value());
+    this->tableContent.routes = routes;
+    BOOST_TEST(!this->decide("patient").has_value());
+    BOOST_TEST(!this->decide("patient").has_value());
+}
+
+// Guards against work for each request to endpoints that report no work factors, and against results that are missing
+// once endpoints report them.
+BOOST_AUTO_TEST_CASE(needsResultsUnlessEndpointsRespondWithoutWorkFactors)
+{
+    for (const char *id : { "s1a", "s1b" }) {
+        const EndpointRecord record = this->endpoints.find(EndpointId(id))->record;
+        this->endpoints.remove(record.id);
+        this->endpoints.addOrUpdate(record, this->clock.now());
+    }
+    BOOST_TEST(this->overloadControl.needsResults(this->admitted("patient")));
+    EndpointStats &stats = this->endpoints.find(EndpointId("s1a"))->stats;
+    const auto token = stats.requestStarted(this->clock.now(), Milliseconds(10));
+    stats.updateLoad({ 4, 0, 4, std::nullopt }, this->clock.now());
+    stats.requestSucceeded(token, this->clock.now());
+    BOOST_TEST(!this->overloadControl.needsResults(this->admitted("patient")));
+    this->reportWaiting(0);
+    BOOST_TEST(this->overloadControl.needsResults(this->admitted("patient")));
+}
+
 // Guards against callers that are rejected for seconds because of queues that endpoints reported before they recovered:
 // without requests, there are no new reports.
 BOOST_AUTO_TEST_CASE(sendsProbesWhileNothingElseIsSent)
