Gateway: Tell in one place whether the budget closed a connection

Cause: each step of an auxiliary connection reported its phase to the budget and then compared the phase with Closed, because the budget may end any connection meanwhile. A new step could leave the comparison out.

updateBudget() returns whether the connection is still open. The behaviour stays the same: parse() compared with Receiving, which is the only other phase at that point.

--- a/Source/gateway/auxiliaryserver.cpp
+++ b/Source/gateway/auxiliaryserver.cpp
@@ -69,8 +69,7 @@
         this->parser->header_limit(headerLimit);
         this->parser->eager(true);
         this->stream.expires_after(idleTimeout);
-        this->updateBudget(Phase::Idle);
-        if (this->phase == Phase::Closed) {
+        if (!this->updateBudget(Phase::Idle)) {
             return;
         }
         if (this->buffer.size() > 0) {
@@ -109,8 +108,7 @@
         if (this->phase == Phase::Idle) {
             this->stream.expires_after(requestTimeout);
         }
-        this->updateBudget(Phase::Receiving);
-        if (this->phase == Phase::Receiving) {
+        if (this->updateBudget(Phase::Receiving)) {
             this->read();
         }
     }
@@ -119,8 +117,7 @@
     {
         this->stream.expires_never();
         // Idle, not serving: the connection may be ended while the handler works, as the request can be repeated.
-        this->updateBudget(Phase::Idle);
-        if (this->phase == Phase::Closed) {
+        if (!this->updateBudget(Phase::Idle)) {
             return;
         }
         const auto &message = this->parser->get();
@@ -147,8 +144,7 @@
         this->response.body() = handlerResponse.body;
         this->response.keep_alive(this->keepAlive);
         preparePayload(this->response, this->parser->get().method());
-        this->updateBudget(Phase::Sending);
-        if (this->phase == Phase::Closed) {
+        if (!this->updateBudget(Phase::Sending)) {
             return;
         }
         this->stream.expires_after(writeTimeout);
@@ -162,12 +158,14 @@
                           });
     }
 
-    void updateBudget(Phase newPhase)
+    /// Reports to the budget what the connection does and holds. Returns false if the budget has closed it.
+    bool updateBudget(Phase newPhase)
     {
         this->phase = newPhase;
         const std::size_t bytes = sizeof(Connection) + socketMemoryBytes + this->buffer.capacity()
             + (this->parser ? memoryOf(this->parser->get()) : 0) + this->response.body().capacity();
         this->budget->update(*this, newPhase, bytes);
+        return this->phase != Phase::Closed;
     }
 
     void endForShortage(ConnectionBudget::Resource /*resource*/) override
