Forwarding: Bound the responses of shards that wait for further ones

Callers of a sharded route whose last shard is silent: the complete responses of the other shards stayed until the deadline, and nothing counted them. A crowd of such queries could end a process for lack of memory.

Shown first by soak/WaitingResponseTest: MemoryMb 64, 60 queries, 35 shards that respond with 50,000 bytes at once, and a silent one; the peak must not exceed 64 MB (65,536 KB). Ruled out: requests and incomplete responses of endpoints, which have bounds of their own and had them in these runs.

The change: - ResponseMemory, now in Source/forwarding, also counts what queries hold while they wait, on the instance that relays shards, too. Incomplete and waiting responses together get the whole share of the memory (3/8 of what exceeds 32 MB), incomplete ones at most 32 MB of it, as before. Beyond it the holder with the greatest product of bytes and time is given up. - A query that is given up replies with its shards if they reach the required coverage, else with outcome-unknown: it holds something only if shards have run, so it is never "not run". A relayed query sends what it has. - A query keeps only records that its reply can contain, once it holds more than 64 KiB and twice a reply.

Changed tests: ResponseMemoryTest moved with its class, and its memory gets a clock; nothing is checked less. Not run: platform_soak, planned_stop, integration and the sanitizers.

--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -3,7 +3,7 @@
 #include "fleet/datagramkind.h"
 #include "forwarding/forwardingtimes.h"
 #include "forwarding/servicecall.h"
-#include "forwarding/topmerge.h"
+#include "forwarding/shardrecords.h"
 
 #include <algorithm>
 
@@ -42,20 +42,33 @@
 }
 
 /// The shard calls and responses of one relay request. Kept alive by the callbacks of its calls and timers.
-class RelayServer::RelayedQuery : public std::enable_shared_from_this<RelayedQuery>
+class RelayServer::RelayedQuery : public std::enable_shared_from_this<RelayedQuery>, private ResponseMemory::Holder
 {
 public:
-    RelayedQuery(ForwardingContext &forwardingContext, DatagramSender &datagrams, const RelayRequest &receivedRequest)
-        : context(forwardingContext)
+    RelayedQuery(ForwardingContext &forwardingContext,
+                 DatagramSender &datagrams,
+                 const RelayRequest &receivedRequest,
+                 const AdmittedRequest &request)
+        : ResponseMemory::Holder(ResponseMemory::Content::CompleteResponses)
+        , context(forwardingContext)
         , sender(datagrams)
         , relayRequest(receivedRequest)
+        , admitted(request)
+        , records(request.route->maxRecords)
+        , memory(forwardingContext.responseMemory)
     {
     }
+    ~RelayedQuery() override
+    {
+        this->memory->update(*this, 0);
+    }
+    RelayedQuery(const RelayedQuery &) = delete;
+    RelayedQuery &operator=(const RelayedQuery &) = delete;
 
-    void start(const AdmittedRequest &request)
+    void start()
     {
         const auto self = this->shared_from_this();
-        this->admitted = request;
+        const AdmittedRequest &request = this->admitted;
         this->outstanding = this->relayRequest.services.size();
         for (const ServiceId &service : this->relayRequest.services) {
             this->calls.push_back(ServiceCall::start(
@@ -83,6 +96,7 @@
         for (const auto &call : this->calls) {
             call->cancel();
         }
+        this->releaseRecords();
         this->finish();
     }
 
@@ -91,24 +105,38 @@
     {
         --this->outstanding;
         if (result.success) {
+            this->records.set(this->shards.size(), result.response->body);
             this->shards.push_back({ service, result.response->signature });
-            this->bodies.push_back(result.response->body);
         }
         if (this->outstanding == 0) {
             this->sendResponse(true);
             this->finish();
+            return;
         }
+        this->records.mergeIfLarge();
+        this->memory->update(*this, this->records.bytes());
+    }
+
+    void releaseRecords()
+    {
+        this->records.clear();
+        this->memory->update(*this, 0);
+    }
+
+    /// Sends the shard responses early, because memory is short. Calls for missing shards continue.
+    void giveUpResponse() override
+    {
+        this->sendResponse(false);
     }
 
     void sendResponse(bool isFinal)
     {
         RelayResponse response;
         response.shards = std::move(this->shards);
-        const std::vector<std::string_view> views(this->bodies.begin(), this->bodies.end());
-        response.records = mergeTopRecords(views, this->admitted.route->maxRecords);
+        response.records = this->records.merged();
         response.isFinal = isFinal;
         this->shards.clear();
-        this->bodies.clear();
+        this->releaseRecords();
         this->sender.send(this->relayRequest.replyAddress,
                           DatagramKind::relayResponse + encodeRelayResponse(this->relayRequest.id, response));
     }
@@ -135,8 +163,10 @@
     AdmittedRequest admitted;
     std::vector<std::shared_ptr<ServiceCall>> calls;
     std::size_t outstanding = 0;
+    /// The shards that have responded since the last response was sent, and their records.
     std::vector<RelayResponse::Shard> shards;
-    std::vector<std::string> bodies;
+    ShardRecords records;
+    std::shared_ptr<ResponseMemory> memory;
     Subscription firstResponseTimer;
     Subscription objectiveTimer;
     Subscription deadlineTimer;
@@ -233,9 +263,9 @@
     admitted.deadline = admitted.request->deadline;
     // The requesting instance makes the last attempt if a shard response does not arrive on time.
     admitted.attemptLimit = std::max(1, route->maxAttempts - 1);
-    const auto query = std::make_shared<RelayedQuery>(this->context, this->sender, relayRequest);
+    const auto query = std::make_shared<RelayedQuery>(this->context, this->sender, relayRequest, admitted);
     this->receivedRequests[key].query = query;
-    query->start(admitted);
+    query->start();
 }
 
 void RelayServer::forgetOldRequests()
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -2,7 +2,6 @@
 
 #include "forwarding/forwardingtimes.h"
 #include "forwarding/refusalreply.h"
-#include "forwarding/topmerge.h"
 
 #include <algorithm>
 
@@ -31,12 +30,15 @@
 }
 
 FanoutExchange::FanoutExchange(ForwardingContext &exchangeContext, AdmittedRequest admitted, ReplyCallback callback)
-    : context(exchangeContext)
+    : ResponseMemory::Holder(ResponseMemory::Content::CompleteResponses)
+    , context(exchangeContext)
     , request(std::move(admitted))
     , done(std::move(callback))
     , calls(this->request.route->shards.size())
-    , shardResponses(this->request.route->shards.size())
-    , shardStates(this->request.route->shards.size(), ShardState::Pending)
+    , signatures(this->request.route->shards.size())
+    , records(this->request.route->maxRecords)
+    , memory(exchangeContext.responseMemory)
+    , shards(this->request.route->shards.size(), this->request.route->requiredShards())
     , measuredShard(this->context.random.uniformInteger(this->request.route->shards.size()))
 {
     for (const ServiceId &service : this->request.route->shards) {
@@ -44,6 +46,11 @@
     }
 }
 
+FanoutExchange::~FanoutExchange()
+{
+    this->memory->update(*this, 0);
+}
+
 void FanoutExchange::startShardRequests()
 {
     const ShardSelection selection = selectShards(this->context, this->request);
@@ -52,7 +59,7 @@
         return;
     }
     this->startRelay(selection.skipped);
-    for (std::size_t shard = 0; shard < this->shardStates.size() && !this->finished; ++shard) {
+    for (std::size_t shard = 0; shard < this->shards.count() && !this->finished; ++shard) {
         const auto skipped = selection.skipped.find(shard);
         if (skipped != selection.skipped.end()) {
             this->context.counters.counter("lycheewall_forwarding_parts_not_asked_total", refusalCode(skipped->second))
@@ -157,13 +164,10 @@
         if (this->relayedShards.count(shard) == 0) {
             continue;
         }
-        this->shardResponses[shard] = EndpointResponse();
-        this->shardResponses[shard].signature = relayedShard.signature;
-        if (isFirst) {
-            this->shardResponses[shard].body = response.records;
-            isFirst = false;
-        }
-        this->setShardState(shard, ShardState::Succeeded);
+        this->signatures[shard] = relayedShard.signature;
+        this->records.set(shard, isFirst ? response.records : std::string());
+        isFirst = false;
+        this->shards.set(shard, ShardState::Succeeded);
     }
     if (response.isRefused) {
         this->logRelayRefusal();
@@ -196,7 +200,7 @@
     const std::set<std::size_t> pendingShards = std::move(this->relayedShards);
     this->relayedShards.clear();
     for (const std::size_t shard : pendingShards) {
-        if (this->finished || this->shardStates[shard] != ShardState::Pending) {
+        if (this->finished || !this->shards.isPending(shard)) {
             continue;
         }
         if (this->isCallInFlight(shard)) {
@@ -215,7 +219,7 @@
 bool FanoutExchange::canHedgeShard(std::size_t shard) const
 {
     const bool wasSent = this->targets[shard].attempts->sent > 0;
-    return this->shardStates[shard] == ShardState::Pending && !this->isCallInFlight(shard) && !wasSent;
+    return this->shards.isPending(shard) && !this->isCallInFlight(shard) && !wasSent;
 }
 
 void FanoutExchange::handleRelayTimeout()
@@ -244,9 +248,9 @@
             return;
         }
         if (this->isRelayFinished && !this->isCallInFlight(shard)) {
-            this->setShardState(shard, ShardState::Failed);
+            this->shards.set(shard, ShardState::Failed);
         }
-        isAnyPending = isAnyPending || this->shardStates[shard] == ShardState::Pending;
+        isAnyPending = isAnyPending || this->shards.isPending(shard);
     }
     if (isAnyPending && !this->isRelayFinished) {
         // Without retry budget the shards stay pending: budget may become available, or the relaying instance may
@@ -254,7 +258,7 @@
         this->relayTimer = this->context.timers.after(
             relayHedgeInterval, [self = this->shared_from_this()] { self->hedgeRelayedShards(); });
     }
-    this->replyIfComplete();
+    this->replyOrWait();
 }
 
 void FanoutExchange::startTimers()
@@ -270,36 +274,50 @@
         = this->context.timers.after(std::max(deadline - now, Duration::zero()), [self] { self->handleDeadline(); });
 }
 
-void FanoutExchange::setShardState(std::size_t shard, ShardState state)
-{
-    if (this->shardStates[shard] == ShardState::Succeeded || this->shardStates[shard] == state) {
-        return;
-    }
-    if (this->shardStates[shard] == ShardState::Failed) {
-        --this->failedCount;
-    }
-    this->shardStates[shard] = state;
-    ++(state == ShardState::Succeeded ? this->succeededCount : this->failedCount);
-}
-
 void FanoutExchange::handleShardResult(std::size_t shard, const ServiceResult &result)
 {
-    if (this->finished || this->shardStates[shard] == ShardState::Succeeded) {
+    if (this->finished || this->shards.hasSucceeded(shard)) {
         return;
     }
     this->mayHaveRun = this->mayHaveRun || result.mayHaveRun;
     this->recordShardResult(shard, result);
     if (result.success) {
-        this->shardResponses[shard] = *result.response;
-        this->setShardState(shard, ShardState::Succeeded);
+        this->signatures[shard] = result.response->signature;
+        this->records.set(shard, result.response->body);
+        this->shards.set(shard, ShardState::Succeeded);
     } else if (this->relayedShards.count(shard) > 0 && !this->isRelayFinished) {
         // The relaying instance may still deliver the shard.
         return;
     } else {
-        this->setShardState(shard, ShardState::Failed);
+        this->shards.set(shard, ShardState::Failed);
         this->refusalReason = result.reason;
     }
+    this->replyOrWait();
+}
+
+void FanoutExchange::replyOrWait()
+{
     this->replyIfComplete();
+    if (this->finished) {
+        return;
+    }
+    // Records of relayed shards may still be replaced by those of the relaying instance.
+    if (this->relayedShards.empty()) {
+        this->records.mergeIfLarge();
+    }
+    this->memory->update(*this, this->records.bytes());
+}
+
+void FanoutExchange::giveUpResponse()
+{
+    const auto self = this->shared_from_this();
+    this->context.counters.counter("lycheewall_forwarding_queries_given_up_total").add();
+    if (this->shards.hasRequiredCoverage()) {
+        this->replyMerged();
+        return;
+    }
+    this->recordSilentShards();
+    this->replyRefusal(std::string(refusalCode(Refusal::MemoryExceeded)));
 }
 
 void FanoutExchange::recordShardResult(std::size_t shard, const ServiceResult &result)
@@ -324,8 +342,8 @@
     if (now - this->request.request->arrivedAt < this->request.route->latencyObjective) {
         return;
     }
-    for (std::size_t shard = 0; shard < this->shardStates.size(); ++shard) {
-        if (this->shardStates[shard] == ShardState::Pending && this->isCallInFlight(shard)) {
+    for (std::size_t shard = 0; shard < this->shards.count(); ++shard) {
+        if (this->shards.isPending(shard) && this->isCallInFlight(shard)) {
             this->context.overloadControl.recordShard(this->request, shard, false, now);
         }
     }
@@ -333,33 +351,22 @@
 
 void FanoutExchange::replyIfComplete()
 {
-    if (!this->canReachRequiredCoverage()) {
-        this->replyRefusal();
+    if (!this->shards.canReachRequiredCoverage()) {
+        this->replyRefusal("failed");
         return;
     }
-    const bool areAllFinished = this->succeededCount + this->failedCount == this->shardResponses.size();
-    if (this->hasRequiredCoverage() && (areAllFinished || this->isObjectivePassed)) {
+    if (this->shards.hasRequiredCoverage() && (this->shards.areAllFinished() || this->isObjectivePassed)) {
         this->replyMerged();
     }
 }
 
-bool FanoutExchange::hasRequiredCoverage() const
-{
-    return this->succeededCount >= this->request.route->requiredShards();
-}
-
-bool FanoutExchange::canReachRequiredCoverage() const
-{
-    return this->shardResponses.size() - this->failedCount >= this->request.route->requiredShards();
-}
-
 void FanoutExchange::handleObjective()
 {
     if (this->finished) {
         return;
     }
     this->isObjectivePassed = true;
-    if (this->hasRequiredCoverage()) {
+    if (this->shards.hasRequiredCoverage()) {
         this->replyMerged();
     }
 }
@@ -369,7 +376,7 @@
     if (this->finished) {
         return;
     }
-    if (this->hasRequiredCoverage()) {
+    if (this->shards.hasRequiredCoverage()) {
         this->replyMerged();
         return;
     }
@@ -395,15 +402,13 @@
 void FanoutExchange::replyMerged()
 {
     MergedResponse merged;
-    std::vector<std::string_view> bodies;
-    for (std::size_t shard = 0; shard < this->shardResponses.size(); ++shard) {
-        if (this->shardStates[shard] == ShardState::Succeeded) {
-            merged.signatures.push_back(this->shardResponses[shard].signature);
-            bodies.push_back(this->shardResponses[shard].body);
+    for (std::size_t shard = 0; shard < this->shards.count(); ++shard) {
+        if (this->shards.hasSucceeded(shard)) {
+            merged.signatures.push_back(this->signatures[shard]);
         }
     }
-    merged.missingShards = this->shardResponses.size() - merged.signatures.size();
-    merged.body = mergeTopRecords(bodies, this->request.route->maxRecords);
+    merged.missingShards = this->shards.count() - merged.signatures.size();
+    merged.body = this->records.merged();
     if (merged.missingShards > 0 || this->isObjectivePassed) {
         this->context.requestLog.write(
             *this->request.request, merged.missingShards > 0 ? "partial" : "late", this->describeMissing());
@@ -411,28 +416,29 @@
     if (merged.missingShards > 0) {
         this->context.counters.counter("lycheewall_forwarding_missing_parts_total").add(merged.missingShards);
     }
-    this->context.overloadControl.recordCoverage(this->request, this->succeededCount, this->context.clock.now());
+    this->context.overloadControl.recordCoverage(
+        this->request, this->shards.succeededCount(), this->context.clock.now());
     ForwardReply reply;
     reply.merged = std::move(merged);
     this->reply(reply);
 }
 
-void FanoutExchange::replyRefusal()
+void FanoutExchange::replyRefusal(const std::string &outcome)
 {
     ServiceResult result;
     result.mayHaveRun = this->mayHaveBeenRun();
     result.reason = this->refusalReason;
-    this->context.requestLog.write(*this->request.request, "failed", this->describeMissing());
+    this->context.requestLog.write(*this->request.request, outcome, this->describeMissing());
     this->reply(makeRefusalReply(result));
 }
 
 std::string FanoutExchange::describeMissing() const
 {
     std::string text = "route=" + this->request.route->name + " version="
-        + std::to_string(this->request.table->version()) + " parts=" + std::to_string(this->succeededCount) + '/'
-        + std::to_string(this->shardResponses.size()) + " missing=";
+        + std::to_string(this->request.table->version()) + " parts=" + std::to_string(this->shards.succeededCount())
+        + '/' + std::to_string(this->shards.count()) + " missing=";
     for (std::size_t shard = 0; shard < this->calls.size(); ++shard) {
-        if (this->shardStates[shard] == ShardState::Succeeded) {
+        if (this->shards.hasSucceeded(shard)) {
             continue;
         }
         const ServiceId &service = this->request.route->shards[shard];
@@ -462,6 +468,8 @@
 {
     this->finished = true;
     this->done = nullptr;
+    this->records.clear();
+    this->memory->update(*this, 0);
     this->pendingRelay.reset();
     this->relayTimer.reset();
     this->objectiveTimer.reset();
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -2,7 +2,9 @@
 
 #include "forwarding/exchange.h"
 #include "forwarding/servicecall.h"
+#include "forwarding/shardrecords.h"
 #include "forwarding/shardselection.h"
+#include "forwarding/shardstates.h"
 
 #include <set>
 
@@ -17,21 +19,25 @@
  * refused at once because too many shards take no more requests.
  * Thread safety: none; used on the thread of the request loop.
  */
-class FanoutExchange : public Exchange, public std::enable_shared_from_this<FanoutExchange>
+class FanoutExchange : public Exchange,
+                       public std::enable_shared_from_this<FanoutExchange>,
+                       private ResponseMemory::Holder
 {
 public:
     /// @p done is called once, possibly from within start(), unless the exchange is cancelled first.
     static std::shared_ptr<Exchange>
     start(ForwardingContext &context, const AdmittedRequest &request, ReplyCallback done);
 
+    ~FanoutExchange() override;
+    FanoutExchange(const FanoutExchange &) = delete;
+    FanoutExchange &operator=(const FanoutExchange &) = delete;
+
     void finishEarly() override;
     void cancel() override;
 
 private:
     FanoutExchange(ForwardingContext &context, AdmittedRequest request, ReplyCallback done);
 
-    enum class ShardState { Pending, Succeeded, Failed };
-
     void startShardRequests();
     void startShardCall(std::size_t shard, bool isHedge);
     void startRelay(const SkippedShards &skipped);
@@ -53,16 +59,17 @@
     void recordShardResult(std::size_t shard, const ServiceResult &result);
     /// Records the shards that have not responded by the deadline.
     void recordSilentShards();
-    void setShardState(std::size_t shard, ShardState state);
+    /// Replies, if that is possible. Otherwise reports what the query holds while it waits, which may give it up.
+    void replyOrWait();
+    /// Replies without the missing shards because memory is short.
+    void giveUpResponse() override;
     void replyIfComplete();
     void handleObjective();
     void handleDeadline();
     /// True unless it is certain that no endpoint has run or will run the request.
     bool mayHaveBeenRun() const;
-    bool hasRequiredCoverage() const;
-    bool canReachRequiredCoverage() const;
     void replyMerged();
-    void replyRefusal();
+    void replyRefusal(const std::string &outcome);
     std::string describeMissing() const;
     void reply(const ForwardReply &reply);
 
@@ -73,14 +80,14 @@
     std::vector<std::shared_ptr<ServiceCall>> calls;
     /// By shard: the service and the attempts of this instance, by one or several calls.
     std::vector<CallTarget> targets;
-    /// By shard: signature and records of its response. Of the shards that one relay response covers, the first one
-    /// holds the merged records of all.
-    std::vector<EndpointResponse> shardResponses;
-    std::vector<ShardState> shardStates;
+    /// By shard: signature of its response.
+    std::vector<std::string> signatures;
+    /// Of the shards that one relay response covers, the first one has the merged records of all.
+    ShardRecords records;
+    std::shared_ptr<ResponseMemory> memory;
+    ShardStates shards;
     /// The shard whose latency is recorded.
     std::size_t measuredShard;
-    std::size_t succeededCount = 0;
-    std::size_t failedCount = 0;
     /// True if some endpoint may have run the request.
     bool mayHaveRun = false;
     Refusal refusalReason = Refusal::None;
--- a/Source/forwarding/forwardingcontext.h
+++ b/Source/forwarding/forwardingcontext.h
@@ -9,6 +9,7 @@
 #include "forwarding/organisationquota.h"
 #include "forwarding/overloadcontrol.h"
 #include "forwarding/requestlog.h"
+#include "forwarding/responsememory.h"
 #include "forwarding/shardrelay.h"
 #include "forwarding/throttledadmission.h"
 #include "forwarding/weightedroundrobin.h"
@@ -33,6 +34,8 @@
     Random &random;
     ThrottledAdmission &throttledAdmission;
     OverloadControl &overloadControl;
+    /// Bounds what queries hold while they wait for shards. Not null; requests may outlive the context.
+    std::shared_ptr<ResponseMemory> responseMemory;
     /// nullptr if shard requests cannot be relayed through other instances.
     ShardRelay *relay = nullptr;
 };
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -239,9 +239,12 @@
     switch (outcome.result) {
     case CallResult::Answered: {
         ServiceResult result;
-        result.response = outcome.response;
         result.success = isSuccess(outcome.response);
         result.mayHaveRun = true;
+        // The failure response of a shard is not passed on, and would be kept until the end of its query.
+        if (result.success || this->request.route->shards.empty()) {
+            result.response = outcome.response;
+        }
         if (result.success || nonIdempotent || !isServerError(outcome.response)) {
             this->finish(result);
             return true;
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -11,7 +11,8 @@
 /// The result of a request to one service.
 struct ServiceResult
 {
-    /// The response of an endpoint, whether a success or a failure; std::nullopt if no endpoint responded.
+    /// The response of an endpoint, whether a success or a failure; std::nullopt if no endpoint responded, and for the
+    /// failure of a shard.
     std::optional<EndpointResponse> response;
     /// True if the response has a success status and the endpoint's signature.
     bool success = false;
--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -1,6 +1,6 @@
 #include "gateway/connectionbudget.h"
 
-#include "gateway/responsememory.h"
+#include "forwarding/responsememory.h"
 
 #include <algorithm>
 #include <tuple>
@@ -14,7 +14,7 @@
 constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
 /// Memory of an instance without connections: the program, the route table and the state of the fleet.
 constexpr std::size_t baseBytes = 32 * mebibyte;
-/// Accepted connections and incomplete responses of endpoints get this share of the remaining memory each. The rest is
+/// Accepted connections and responses of endpoints get this share of the remaining memory each. The rest is
 /// for what is not counted, such as fragmentation of the heap.
 constexpr std::size_t shareNumerator = 3;
 constexpr std::size_t shareDenominator = 8;
@@ -65,6 +65,7 @@
     ConnectionLimits limits;
     limits.memoryBytes = share;
     limits.responseBytes = std::min(ResponseMemory::maxTotalBytes, share);
+    limits.allResponseBytes = share;
     limits.sockets = std::max(minSockets, saturatingSubtract(maxDescriptors, fileDescriptors + ownDescriptors));
     return limits;
 }
--- a/Source/gateway/endpointconnection.cpp
+++ b/Source/gateway/endpointconnection.cpp
@@ -61,7 +61,8 @@
                                        const EndpointCodec &endpointCodec,
                                        std::shared_ptr<ResponseMemory> responseMemory,
                                        Owner &connectionOwner)
-    : socket(io)
+    : ResponseMemory::Holder(ResponseMemory::Content::IncompleteResponse)
+    , socket(io)
     , clock(connectionClock)
     , codec(endpointCodec)
     , memory(std::move(responseMemory))
--- a/Source/gateway/endpointconnection.h
+++ b/Source/gateway/endpointconnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "forwarding/responsememory.h"
 #include "gateway/codecs.h"
-#include "gateway/responsememory.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -72,6 +72,7 @@
     , counters(poolCounters)
     , statementHandler(endpointStatementHandler)
     , codec(endpointCodec)
+    , memory(std::make_shared<ResponseMemory>(poolClock))
 {
 }
 
@@ -130,7 +131,7 @@
     }
     Owner &owner = *this;
     const auto connection
-        = std::make_shared<EndpointConnection>(this->io, this->clock, this->codec, this->responseMemory, owner);
+        = std::make_shared<EndpointConnection>(this->io, this->clock, this->codec, this->memory, owner);
     connections.connecting[connection.get()] = connection;
     this->endpointByConnection[connection.get()] = call.endpoint->record.id;
     this->counters.counter("lycheewall_endpoint_connects_total").add();
@@ -318,9 +319,9 @@
     }
 }
 
-void EndpointConnectionPool::setResponseMemoryLimit(std::size_t bytes)
+const std::shared_ptr<ResponseMemory> &EndpointConnectionPool::responseMemory() const
 {
-    this->responseMemory->setTotalLimit(bytes);
+    return this->memory;
 }
 
 std::size_t EndpointConnectionPool::connectionCount() const
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -34,8 +34,8 @@
     /// expire. Ends the calls that wait for a connection to such an endpoint, as not sent.
     void closeUnusableConnections();
 
-    /// Sets the greatest size of all incomplete responses together.
-    void setResponseMemoryLimit(std::size_t bytes);
+    /// The memory of the responses that connections receive. It outlives the pool.
+    const std::shared_ptr<ResponseMemory> &responseMemory() const;
 
     /// Number of connections to all endpoints, including those that are being established.
     std::size_t connectionCount() const;
@@ -90,7 +90,7 @@
     EndpointStatementHandler &statementHandler;
     const EndpointCodec &codec;
     /// Connections may outlive the pool in handlers of the event loop.
-    std::shared_ptr<ResponseMemory> responseMemory = std::make_shared<ResponseMemory>();
+    std::shared_ptr<ResponseMemory> memory;
     std::unordered_map<EndpointId, EndpointConnections> connectionsByEndpoint;
     std::unordered_map<EndpointConnection *, EndpointId> endpointByConnection;
 };
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -79,7 +79,8 @@
     , overloadControl(endpoints, random)
     , forwarding { clock,      timers,      counters,           endpoints,       chooser,
                    pool,       retryBudget, latencies,          serviceBalancer, quota,
-                   requestLog, random,      throttledAdmission, overloadControl, nullptr }
+                   requestLog, random,      throttledAdmission, overloadControl, pool.responseMemory(),
+                   nullptr }
     , freshness(clock)
     , forwarder(settings.forwarding, forwarding, freshness)
     , feedApplier({ clock, timers, counters, codecs.feed, endpoints, forwarder, quota })
@@ -126,7 +127,7 @@
     const ConnectionLimits limits
         = ConnectionLimits::ofMachine(this->settings.memoryLimitBytes, this->settings.maxDescriptors);
     this->connectionBudget->setLimits(limits);
-    this->pool.setResponseMemoryLimit(limits.responseBytes);
+    this->pool.responseMemory()->setLimits({ limits.responseBytes, limits.allResponseBytes });
 }
 
 Result<void> Gateway::start()
--- a/Tests/fleet/relaytest.cpp
+++ b/Tests/fleet/relaytest.cpp
@@ -101,6 +101,27 @@
     BOOST_TEST(this->responses[0].records == "zzzzzzzzzzzzzzzzaaaaaaaaaaaaaaaa");
 }
 
+// Guards against shard responses that use up memory while they wait for further shards, and against losing them.
+BOOST_AUTO_TEST_CASE(sendsShardResponsesEarlyWhenMemoryIsShort)
+{
+    this->responseMemory->setLimits({ 100, 100 });
+    const auto pending = this->sendRequest();
+    this->server.handleRequest(this->sender.lastPayload());
+    BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
+    this->call(0).finish(CallResult::Answered, 200, std::string(160, 'a'));
+    this->client.handleResponse(this->sender.lastPayload());
+    BOOST_REQUIRE(this->responses.size() == 1U);
+    BOOST_TEST(!this->responses[0].isFinal);
+    BOOST_TEST(this->responses[0].shards.size() == 1U);
+    BOOST_TEST(this->responses[0].records == std::string(48, 'a'));
+    BOOST_TEST(this->responseMemory->totalBytes() == 0U);
+    this->call(1).finish(CallResult::Answered, 200, "zzzzzzzzzzzzzzzz");
+    this->client.handleResponse(this->sender.lastPayload());
+    BOOST_REQUIRE(this->responses.size() == 2U);
+    BOOST_TEST(this->responses[1].isFinal);
+    BOOST_TEST(this->responses[1].records == "zzzzzzzzzzzzzzzz");
+}
+
 // Guards against a reply that merges shard responses of two versions of the route table.
 BOOST_AUTO_TEST_CASE(refusesRequestForOtherRouteTableVersion)
 {
--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -168,9 +168,11 @@
     RequestLog requestLog { clock };
     ThrottledAdmission throttledAdmission;
     OverloadControl overloadControl { endpoints, random };
+    std::shared_ptr<ResponseMemory> responseMemory = std::make_shared<ResponseMemory>(clock);
     ForwardingContext context { clock,          clock,       counters,           endpoints,       chooser,
                                 endpointSender, retryBudget, latencies,          serviceBalancer, quota,
-                                requestLog,     random,      throttledAdmission, overloadControl, nullptr };
+                                requestLog,     random,      throttledAdmission, overloadControl, responseMemory,
+                                nullptr };
     RouteTableContent tableContent;
     Route route;
     std::shared_ptr<Exchange> exchange;
--- a/Tests/gateway/responsememorytest.cpp
+++ b/Tests/forwarding/responsememorytest.cpp
@@ -1,4 +1,6 @@
-#include "gateway/responsememory.h"
+#include "forwarding/responsememory.h"
+
+#include "core/manualclock.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
@@ -17,8 +19,10 @@
 class TestHolder : public ResponseMemory::Holder
 {
 public:
-    explicit TestHolder(ResponseMemory &responseMemory)
-        : memory(responseMemory)
+    explicit TestHolder(ResponseMemory &responseMemory,
+                        ResponseMemory::Content content = ResponseMemory::Content::IncompleteResponse)
+        : ResponseMemory::Holder(content)
+        , memory(responseMemory)
     {
     }
 
@@ -47,7 +51,8 @@
 // small responses that fail meanwhile.
 BOOST_AUTO_TEST_CASE(boundsAllResponsesTogether)
 {
-    ResponseMemory memory;
+    const ManualClock clock;
+    ResponseMemory memory(clock);
     std::deque<TestHolder> holders;
     int accepted = 0;
     while (accepted < 100 && holders.emplace_back(memory).update(3 * mebibyte)) {
@@ -63,7 +68,8 @@
 // small, and against sound responses that fail because of them.
 BOOST_AUTO_TEST_CASE(boundsManySmallResponses)
 {
-    ResponseMemory memory;
+    const ManualClock clock;
+    ResponseMemory memory(clock);
     std::deque<TestHolder> endless;
     for (int count = 0; count < 2000; ++count) {
         endless.emplace_back(memory);
@@ -85,7 +91,8 @@
 // Guards against memory that is not available again after responses have ended.
 BOOST_AUTO_TEST_CASE(endedResponsesReleaseMemory)
 {
-    ResponseMemory memory;
+    const ManualClock clock;
+    ResponseMemory memory(clock);
     TestHolder holder(memory);
     for (int count = 0; count < 100; ++count) {
         BOOST_TEST(holder.update(mebibyte));
@@ -98,12 +105,46 @@
 // Guards against a single response that takes all memory.
 BOOST_AUTO_TEST_CASE(boundsEachResponse)
 {
-    ResponseMemory memory;
+    const ManualClock clock;
+    ResponseMemory memory(clock);
     TestHolder holder(memory);
     BOOST_TEST(holder.update(ResponseMemory::maxResponseBytes));
     BOOST_TEST(!holder.update(ResponseMemory::maxResponseBytes + 1));
 }
 
+// Guards against complete responses that are not bounded while their queries wait, and against giving up a query that
+// has just begun, or a small response, for an older large one.
+BOOST_AUTO_TEST_CASE(givesUpOldestLargeQuery)
+{
+    ManualClock clock;
+    ResponseMemory memory(clock);
+    memory.setLimits({ 4 * mebibyte, 10 * mebibyte });
+    TestHolder small(memory);
+    TestHolder oldest(memory, ResponseMemory::Content::CompleteResponses);
+    BOOST_TEST(small.update(kibibyte));
+    BOOST_TEST(oldest.update(4 * mebibyte));
+    clock.advance(Milliseconds(100));
+    TestHolder newest(memory, ResponseMemory::Content::CompleteResponses);
+    BOOST_TEST(newest.update(5 * mebibyte));
+    clock.advance(Milliseconds(10));
+    BOOST_TEST(newest.update(6 * mebibyte));
+    BOOST_TEST(oldest.isGivenUp);
+    BOOST_TEST(!small.isGivenUp);
+    BOOST_TEST(memory.totalBytes() == 6 * mebibyte + kibibyte);
+}
+
+// Guards against a query that is given up because its responses together are larger than one response may be.
+BOOST_AUTO_TEST_CASE(singleQueryMayHoldAllMemory)
+{
+    const ManualClock clock;
+    ResponseMemory memory(clock);
+    memory.setLimits({ 4 * mebibyte, 10 * mebibyte });
+    TestHolder query(memory, ResponseMemory::Content::CompleteResponses);
+    BOOST_TEST(query.update(10 * mebibyte));
+    BOOST_TEST(!query.update(10 * mebibyte + 1));
+    BOOST_TEST(memory.totalBytes() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -89,9 +89,22 @@
         , retryBudget(fleet.plan.retryLimits, fleet.clock, random)
         , quota(fleet.clock)
         , requestLog(fleet.clock)
-        , context { fleet.clock, fleet.clock, counters,           endpoints,       chooser,
-                    sender,      retryBudget, latencies,          serviceBalancer, quota,
-                    requestLog,  random,      throttledAdmission, overloadControl, nullptr }
+        , context { fleet.clock,
+                    fleet.clock,
+                    counters,
+                    endpoints,
+                    chooser,
+                    sender,
+                    retryBudget,
+                    latencies,
+                    serviceBalancer,
+                    quota,
+                    requestLog,
+                    random,
+                    throttledAdmission,
+                    overloadControl,
+                    std::make_shared<ResponseMemory>(fleet.clock),
+                    nullptr }
     {
         const double share = 1.0 / static_cast<double>(fleet.plan.instances);
         this->endpoints.setFleetShare(share);
--- a/Tests/gateway/connectionbudgettest.cpp
+++ b/Tests/gateway/connectionbudgettest.cpp
@@ -267,10 +267,12 @@
     const ConnectionLimits small = ConnectionLimits::ofMachine(112 * mebibyte, 2870);
     BOOST_TEST(small.memoryBytes == 30 * mebibyte);
     BOOST_TEST(small.responseBytes == 30 * mebibyte);
+    BOOST_TEST(small.allResponseBytes == 30 * mebibyte);
     BOOST_TEST(small.sockets == 2638U);
     const ConnectionLimits large = ConnectionLimits::ofMachine(512 * mebibyte, 8192);
     BOOST_TEST(large.memoryBytes == 180 * mebibyte);
     BOOST_TEST(large.responseBytes == 32 * mebibyte);
+    BOOST_TEST(large.allResponseBytes == 180 * mebibyte);
     const ConnectionLimits tiny = ConnectionLimits::ofMachine(0, 0);
     BOOST_TEST(tiny.memoryBytes > 0U);
     BOOST_TEST(tiny.sockets > 0U);
