Feed: Report a rise during the first listing like any other

It is logged and counted too, so that an operator sees why a new process refuses keys. Names the condition under which a notice of another instance takes effect, and wraps the lines of the design note.

--- a/Source/feed/feedreader.cpp
+++ b/Source/feed/feedreader.cpp
@@ -162,10 +162,11 @@
     if (this->context.replica.isEmpty()) {
         this->storeRestoration.firstListed(complete.position.era, complete.confirmedUntil);
         if (this->hasEraRisenBeforeListing) {
-            this->storeRestoration.newEraListed(complete.position.era);
+            this->noticeRestoration(complete);
         }
     } else if (this->context.replica.position().era < complete.position.era) {
-        this->handleRestoration(complete);
+        this->noticeRestoration(complete);
+        this->context.restored();
     }
     this->confirm(complete.confirmedUntil);
     this->context.replica.replace(complete.items, complete.position);
@@ -173,13 +174,12 @@
     this->scheduleRead(Duration::zero());
 }
 
-void FeedReader::handleRestoration(const Listing &complete)
+void FeedReader::noticeRestoration(const Listing &complete)
 {
     logger().info("The copy is at revision " + std::to_string(complete.position.revision)
                   + "; what the store has lost is expected within "
                   + std::to_string(toMilliseconds(this->settings.rewriteTime)) + " ms.");
     this->storeRestoration.newEraListed(complete.position.era);
-    this->context.restored();
 }
 
 bool FeedReader::acceptEra(StoreEra era)
@@ -193,7 +193,7 @@
         this->knownEra = era;
         this->checkedPosition.reset();
         this->needsListing = true;
-        if (!this->context.replica.isEmpty()) {
+        if (!this->context.replica.isEmpty() || this->hasEraRisenBeforeListing) {
             this->context.counters.counter("lycheewall_feed_era_changes_total").add();
             logger().warn("The store has come back from an older copy of its data, as era "
                           + std::to_string(era.value()) + "; listing all entries.");
--- a/Source/feed/feedreader.h
+++ b/Source/feed/feedreader.h
@@ -140,7 +140,7 @@
     /// Applies a listing whose pages have all arrived.
     void applyListing(const Listing &complete);
     /// Called before a listing of a newer era is applied.
-    void handleRestoration(const Listing &complete);
+    void noticeRestoration(const Listing &complete);
     StoreRestoration::Context restorationContext();
     /// Returns false if @p era is older than one that is known. A newer one requires a listing.
     bool acceptEra(StoreEra era);
--- a/Source/feed/storerestoration.cpp
+++ b/Source/feed/storerestoration.cpp
@@ -111,10 +111,11 @@
 
 bool StoreRestoration::applyHeardRestoration(const Restoration &heard)
 {
-    // Data of an earlier era than the copy remain valid. But while it is unknown whether the first listing is itself
-    // that of a copy, a later restoration may hide from this process what others knew about an earlier one.
-    const bool isHidden = this->awaitsInstance && this->firstListedEra < heard.era;
-    if (heard.era != this->firstListedEra && !isHidden) {
+    // Data of an earlier era remain valid. But the others name only the latest restoration, so while this process
+    // awaits what they say about the era of its first listing, a later one may stand for both.
+    const bool mayConcernFirstListing
+        = heard.era == this->firstListedEra || (this->awaitsInstance && this->firstListedEra < heard.era);
+    if (!mayConcernFirstListing) {
         return false;
     }
     const TimePoint now = this->context.clock.now();
--- a/Tests/feed/storerestorationtest.cpp
+++ b/Tests/feed/storerestorationtest.cpp
@@ -203,6 +203,7 @@
     BOOST_TEST(!this->replica.isEmpty());
     BOOST_TEST((this->freshness.age() == Duration::max()));
     BOOST_TEST(this->reader.restoration().noticedRestoration().has_value());
+    BOOST_TEST(this->counters.counter("lycheewall_feed_era_changes_total").value() == 1U);
     this->clock.advance(Milliseconds(300));
     BOOST_TEST((this->freshness.age() <= Milliseconds(300)));
     FeedReaderFixture unnamed;
