Fleet: Ask others while a new process awaits what they know

A process asks the others for their state in the two seconds after its start only. If its first listing came later, because the store was away, it awaited another instance for 300 ms without asking, while the others send every 500 ms.

It now sends a round every 100 ms and requests replies while it awaits. Shown by awaitingInstanceAsksOthers, which failed before.

--- a/Source/feed/restorationexchange.h
+++ b/Source/feed/restorationexchange.h
@@ -30,6 +30,9 @@
     /// over. What other instances have said does not count, so that no two instances can prolong each other's wait.
     virtual std::optional<RestorationNotice> noticedRestoration() const = 0;
 
+    /// True while no confirmation counts because no other instance has said yet what it knows.
+    virtual bool isAwaitingInstance() const = 0;
+
     /// Another instance that serves requests has sent its state and has noticed no restoration. Its feed data had the
     /// age @p feedAge.
     virtual void instanceHeard(Duration feedAge) = 0;
--- a/Source/feed/storerestoration.cpp
+++ b/Source/feed/storerestoration.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// Time after the first listing in which a new process awaits another instance. New processes ask for the state of the
-/// others every 100 ms, so one or two of the datagrams may be lost. The process serves no requests meanwhile.
+/// Time after the first listing in which a new process awaits another instance. It asks the others for their state
+/// every 100 ms, so one or two of the datagrams may be lost. The process serves no requests meanwhile.
 constexpr Duration maxInstanceWait = Milliseconds(300);
 
 /// Time between the end of the rewrite time and the check that confirms the data. Exceeds the differences between the
--- a/Source/feed/storerestoration.h
+++ b/Source/feed/storerestoration.h
@@ -45,9 +45,7 @@
     /// before the listing is confirmed.
     void newEraListed(StoreEra era);
 
-    /// True while no confirmation counts because no other instance has said yet what it knows.
-    bool isAwaitingInstance() const;
-
+    bool isAwaitingInstance() const override;
     std::optional<RestorationNotice> noticedRestoration() const override;
     void instanceHeard(Duration feedAge) override;
     void restorationHeard(const RestorationNotice &notice) override;
--- a/Source/fleet/gossip.cpp
+++ b/Source/fleet/gossip.cpp
@@ -111,7 +111,7 @@
 
 bool Gossip::isUrgent() const
 {
-    return this->context.quota.isAnyNearLimit() || !this->hasJoined();
+    return this->context.quota.isAnyNearLimit() || !this->hasJoined() || this->context.restoration.isAwaitingInstance();
 }
 
 Duration Gossip::currentPeriod() const
@@ -243,6 +243,7 @@
 void Gossip::sendRound()
 {
     GossipMessage message = this->buildMessage();
+    message.requestsReply = this->context.restoration.isAwaitingInstance();
     std::vector<std::string> compactTargets = this->sampleActivePeers();
     if (this->rounds % probeIntervalRounds == 0 || !this->hasJoined()) {
         const std::vector<std::string> probeTargets = this->addressesToProbe();
--- a/Source/fleet/gossip.h
+++ b/Source/fleet/gossip.h
@@ -32,7 +32,8 @@
     std::vector<std::string> seeds;
     /// Time between two gossip rounds while no update is urgent.
     Duration period = Milliseconds(500);
-    /// Time between two gossip rounds while an organisation is close to its limit, and during the join period.
+    /// Time between two gossip rounds while an organisation is close to its limit, during the join period, and while
+    /// this instance awaits what others know about a restored store.
     Duration urgentPeriod = Milliseconds(100);
     Duration urgentPeriodInLargeFleet = Milliseconds(100);
 };
--- a/Tests/fleet/fakefleet.h
+++ b/Tests/fleet/fakefleet.h
@@ -16,6 +16,10 @@
     {
         return this->noticed;
     }
+    bool isAwaitingInstance() const override
+    {
+        return this->isAwaiting;
+    }
     void instanceHeard(Duration feedAge) override
     {
         this->heardFeedAges.push_back(feedAge);
@@ -27,6 +31,7 @@
     }
 
     std::optional<RestorationNotice> noticed;
+    bool isAwaiting = false;
     StoreEra heardEra;
     std::vector<Duration> heardFeedAges;
     std::vector<Duration> heardRemaining;
--- a/Tests/fleet/fleettest.cpp
+++ b/Tests/fleet/fleettest.cpp
@@ -98,6 +98,27 @@
     BOOST_TEST((starting.restoration.heardFeedAges.front() >= Milliseconds(150)));
 }
 
+// Guards against a process whose first listing comes long after its start, because the store was away: it would ask no
+// other instance before it stops awaiting one.
+BOOST_AUTO_TEST_CASE(awaitingInstanceAsksOthers)
+{
+    FakeFleet fleet(2, 1);
+    FakeFleet::Node &starting = fleet.node(0);
+    fleet.node(1).freshness.confirm(fleet.clock.now());
+    fleet.node(1).gossip->setState(MemberState::Ready);
+    fleet.advance(std::chrono::seconds(3));
+    starting.restoration.heardFeedAges.clear();
+    starting.restoration.isAwaiting = true;
+    fleet.advance(Milliseconds(300));
+    BOOST_TEST(starting.restoration.heardFeedAges.size() >= 2U);
+    starting.restoration.isAwaiting = false;
+    // The last replies arrive.
+    fleet.advance(Milliseconds(50));
+    starting.restoration.heardFeedAges.clear();
+    fleet.advance(Milliseconds(300));
+    BOOST_TEST(starting.restoration.heardFeedAges.size() <= 1U);
+}
+
 // Guards against a wait that is prolonged by the way of a message through other instances, and against taking a message
 // whose time is over on arrival for one of an instance that has noticed no loss: its data are of that time.
 BOOST_AUTO_TEST_CASE(ageOfPassedOnMessageIsSubtracted)
