--- a/Source/forwarding/routetable.cpp
+++ b/Source/forwarding/routetable.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/routetable.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cmath>
 
 namespace Lycheewall
@@ -57,6 +58,15 @@
 
 }
 
+std::string normalizedHost(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
+    return name;
+}
+
 std::size_t Route::requiredShards() const
 {
     const double required = this->minShardRatio * static_cast<double>(this->shards.size());
--- a/Source/forwarding/routetable.h
+++ b/Source/forwarding/routetable.h
@@ -29,6 +29,9 @@
     double weight = 1;
 };
 
+/// The host of a request as in Route::host: in lower case, without the port.
+std::string normalizedHost(std::string_view host);
+
 /// Destination of the requests with one host and path prefix. Either services or shards is not empty.
 struct Route
 {
