Forwarding: Separate decisions from what they record

Asking where a request would go now must change nothing, but several decisions took tokens, drew random numbers or recorded arrivals while they decided. Each one is split, so that a question and a request use the same code:

- Forwarder: route, time and organisation are checked by const functions.
- OverloadControl, ThrottledAdmission and WeightedRoundRobin run the same decision on a copy of their state for a question.
- EndpointChooser: exclusion and cost of an endpoint, without the random part; the cost is kept by what it is due to.
- selectShards(): the selection apart from its records, and the shards that are relayed apart from sending them.
- ShardRelay: the zone apart from the instance, which is drawn at random.
- OrganisationQuota and FleetRetryBudget: their state without a refill that stays.

Decisions are as before, with one difference in the random numbers: a relay draws an instance once instead of once for each better zone. An endpoint without a load report has no age of it any more instead of a very long one. The fake relay of the tests implements the new function. test_forwarding, test_fleet, test_feed, test_gateway and test_platform pass.

--- a/Source/fleet/relayclient.cpp
+++ b/Source/fleet/relayclient.cpp
@@ -53,7 +53,7 @@
 {
 }
 
-std::optional<RelayTarget> RelayClient::selectTarget(const std::vector<ServiceId> &services)
+std::optional<RelayZone> RelayClient::findZone(const std::vector<ServiceId> &services) const
 {
     std::map<ZoneId, std::vector<ServiceId>> byZone;
     for (const ServiceId &service : services) {
@@ -62,31 +62,45 @@
         }
     }
     byZone.erase(this->zone);
-    std::optional<RelayTarget> best;
+    std::optional<RelayZone> best;
     for (const auto &[endpointZone, covered] : byZone) {
         const bool coversMore
             = covered.size() >= minServicesPerRelay && (!best || covered.size() > best->services.size());
-        const auto instance = coversMore ? this->pickInstance(endpointZone) : std::nullopt;
-        if (instance) {
-            best = RelayTarget { instance->instance, instance->peerAddress, endpointZone, covered };
+        const auto instances = coversMore ? this->usableInstances(endpointZone) : std::vector<InstanceInfo>();
+        if (instances.empty()) {
+            continue;
+        }
+        best = RelayZone { endpointZone, {}, covered };
+        for (const InstanceInfo &instance : instances) {
+            best->instances.push_back(instance.instance);
         }
     }
     return best;
 }
 
-std::optional<InstanceInfo> RelayClient::pickInstance(const ZoneId &wanted) const
+std::optional<RelayTarget> RelayClient::selectTarget(const std::vector<ServiceId> &services)
+{
+    const auto relayZone = this->findZone(services);
+    if (!relayZone) {
+        return std::nullopt;
+    }
+    const std::vector<InstanceInfo> instances = this->usableInstances(relayZone->zone);
+    const InstanceInfo &selected = instances[this->context.random.uniformInteger(instances.size())];
+    return RelayTarget { selected.instance, selected.peerAddress, relayZone->zone, relayZone->services };
+}
+
+std::vector<InstanceInfo> RelayClient::usableInstances(const ZoneId &wanted) const
 {
     const TimePoint now = this->context.clock.now();
-    std::vector<InstanceInfo> candidates = this->context.activeInstances.inZone(wanted);
-    candidates.erase(std::remove_if(candidates.begin(),
-                                    candidates.end(),
-                                    [this, now](const InstanceInfo &instance) {
-                                        const auto backoff = this->backoffUntil.find(instance.instance);
-                                        return backoff != this->backoffUntil.end() && now < backoff->second;
-                                    }),
-                     candidates.end());
-    return candidates.empty() ? std::nullopt
-                              : std::optional(candidates[this->context.random.uniformInteger(candidates.size())]);
+    std::vector<InstanceInfo> instances = this->context.activeInstances.inZone(wanted);
+    instances.erase(std::remove_if(instances.begin(),
+                                   instances.end(),
+                                   [this, now](const InstanceInfo &instance) {
+                                       const auto backoff = this->backoffUntil.find(instance.instance);
+                                       return backoff != this->backoffUntil.end() && now < backoff->second;
+                                   }),
+                    instances.end());
+    return instances;
 }
 
 std::unique_ptr<PendingRelay>
--- a/Source/fleet/relayclient.h
+++ b/Source/fleet/relayclient.h
@@ -34,6 +34,7 @@
     /// @p replyAddress is this instance's peer address.
     RelayClient(const Context &context, std::string replyAddress, ZoneId ownZone);
 
+    std::optional<RelayZone> findZone(const std::vector<ServiceId> &services) const override;
     std::optional<RelayTarget> selectTarget(const std::vector<ServiceId> &services) override;
     std::unique_ptr<PendingRelay>
     send(const RelayTarget &target, const AdmittedRequest &request, ResponseCallback onResponse) override;
@@ -45,7 +46,8 @@
 private:
     class PendingRequest;
 
-    std::optional<InstanceInfo> pickInstance(const ZoneId &zone) const;
+    /// Instances of the zone that have not failed to respond recently.
+    std::vector<InstanceInfo> usableInstances(const ZoneId &zone) const;
 
     Context context;
     std::string replyAddress;
--- a/Source/forwarding/endpointchooser.cpp
+++ b/Source/forwarding/endpointchooser.cpp
@@ -23,8 +23,6 @@
 constexpr double ejectionCostMs = 10'000;
 /// Endpoints respond more slowly while they are cold, before their statistics show it.
 constexpr double coldLatencyFactor = 1.6;
-/// Breaks ties between equal endpoints.
-constexpr double tieBreakJitterMs = 0.5;
 
 /// Adds what a throttled endpoint takes to that of the other endpoints of its service.
 void addCapacity(const ServiceEndpoint &endpoint, double share, TimePoint now, ServiceThrottling &throttling)
@@ -80,15 +78,11 @@
     LowestCost best;
     LowestCost bestWithoutWorkFactors;
     for (const EndpointPtr &endpoint : this->endpoints.endpointsOf(criteria.service)) {
-        if (!endpoint->isAvailable() || contains(criteria.excluded, endpoint->record.id)) {
+        if (this->exclusion(*endpoint, criteria, now) != EndpointExclusion::None) {
             continue;
         }
-        const double share = this->endpoints.rateLimitShare();
-        if (!endpoint->acceptsRequest(share, now) || endpoint->fillLevel(share, now) < criteria.minFillLevel) {
-            continue;
-        }
-        const Cost cost = this->cost(*endpoint, criteria, now);
-        const double endpointCost = cost.total + tieBreakJitterMs * this->random.uniformReal();
+        const EndpointCost cost = this->cost(*endpoint, criteria, now);
+        const double endpointCost = cost.total() + tieBreakJitterMs * this->random.uniformReal();
         best.add(endpoint, endpointCost);
         bestWithoutWorkFactors.add(endpoint, endpointCost - cost.dueToWorkFactor);
     }
@@ -98,6 +92,30 @@
     return best.endpoint;
 }
 
+EndpointExclusion
+EndpointChooser::exclusion(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const
+{
+    const EndpointExclusion unavailability = endpoint.unavailability();
+    if (unavailability != EndpointExclusion::None) {
+        return unavailability;
+    }
+    if (contains(criteria.excluded, endpoint.record.id)) {
+        return EndpointExclusion::AlreadyTried;
+    }
+    const double share = this->endpoints.rateLimitShare();
+    const EndpointExclusion throttled = endpoint.throttleExclusion(share, now);
+    if (throttled != EndpointExclusion::None) {
+        return throttled;
+    }
+    return endpoint.fillLevel(share, now) < criteria.minFillLevel ? EndpointExclusion::LowFillLevel
+                                                                  : EndpointExclusion::None;
+}
+
+double EndpointCost::total() const
+{
+    return this->latency + this->load + this->stall + this->failures + this->ejection + this->otherZone;
+}
+
 std::optional<Duration>
 EndpointChooser::lowestEstimatedLatency(const ServiceId &service, Duration typicalLatency, TimePoint now) const
 {
@@ -176,31 +194,30 @@
     return std::chrono::duration_cast<Duration>(nominalLatency(endpoint, typicalLatency, now) * slowness);
 }
 
-EndpointChooser::Cost
+EndpointCost
 EndpointChooser::cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const
 {
     const EndpointStats &stats = endpoint.stats;
-    const double latencyMs = fractionalMilliseconds(estimatedLatency(endpoint, criteria.typicalLatency, now));
-    double dueToWorkFactor = 0;
+    EndpointCost cost;
+    cost.latency = fractionalMilliseconds(estimatedLatency(endpoint, criteria.typicalLatency, now));
     if (stats.reportsWorkFactor()) {
-        dueToWorkFactor = latencyMs * (1 - 1 / workFactorOfRun(endpoint, criteria.typicalLatency, now));
+        cost.dueToWorkFactor = cost.latency * (1 - 1 / workFactorOfRun(endpoint, criteria.typicalLatency, now));
     }
-    double total = latencyMs;
     const double load = stats.inFlight() + stats.estimatedRemoteInFlight(now);
-    total += loadCostFraction * fractionalMilliseconds(criteria.typicalLatency) * load
+    cost.load = loadCostFraction * fractionalMilliseconds(criteria.typicalLatency) * load
         / std::max(1, endpoint.record.slots);
     const double stalledMs = fractionalMilliseconds(stats.stalledFor(now));
     if (stalledMs > 0) {
-        total += std::min(stalledMs + stallBaseCostMs, maxStallCostMs);
+        cost.stall = std::min(stalledMs + stallBaseCostMs, maxStallCostMs);
     }
-    total += failureCostMs * stats.failureRatio(now);
+    cost.failures = failureCostMs * stats.failureRatio(now);
     if (stats.isEjected(now)) {
-        total += ejectionCostMs;
+        cost.ejection = ejectionCostMs;
     }
     if (endpoint.record.zone != this->zone) {
-        total += crossZoneCostMs;
+        cost.otherZone = crossZoneCostMs;
     }
-    return { total, dueToWorkFactor };
+    return cost;
 }
 
 }
--- a/Source/forwarding/endpointchooser.h
+++ b/Source/forwarding/endpointchooser.h
@@ -40,6 +40,23 @@
     Duration waitTimeFor(double reserve) const;
 };
 
+/// The estimated cost of sending a request to an endpoint, in milliseconds of latency, by what it is due to.
+struct EndpointCost
+{
+    /// The estimated latency.
+    double latency = 0;
+    double load = 0;
+    /// Requests in flight that are stalled.
+    double stall = 0;
+    double failures = 0;
+    double ejection = 0;
+    double otherZone = 0;
+    /// The part of the latency that is due to the work factor; negative for a fast endpoint.
+    double dueToWorkFactor = 0;
+
+    double total() const;
+};
+
 /**
  * Selects the endpoint with the lowest estimated cost. The cost adds up the estimated latency, the load (own requests
  * and reported load), stalled requests in flight, recent failures, and a penalty for endpoints in another availability
@@ -49,6 +66,9 @@
 class EndpointChooser
 {
 public:
+    /// Endpoints whose costs differ by less than this, in milliseconds, are selected at random.
+    static constexpr double tieBreakJitterMs = 0.5;
+
     /// @p zone is the availability zone of this instance.
     EndpointChooser(const EndpointSet &endpoints, ZoneId zone, Random &random);
 
@@ -56,6 +76,12 @@
     /// this instance now. Ejected endpoints are selected only if there is no other.
     EndpointPtr choose(const EndpointCriteria &criteria, TimePoint now) const;
 
+    /// Why choose() does not select the endpoint, whatever its cost; None if it may.
+    EndpointExclusion exclusion(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const;
+
+    /// The cost by which choose() compares the endpoint with others.
+    EndpointCost cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const;
+
     /// Lowest estimatedLatency() among the available endpoints of the service that are not ejected; std::nullopt if
     /// there is none.
     std::optional<Duration>
@@ -75,16 +101,6 @@
     static Duration estimatedLatency(const ServiceEndpoint &endpoint, Duration typicalLatency, TimePoint now);
 
 private:
-    /// In milliseconds of latency.
-    struct Cost
-    {
-        double total;
-        /// The part that is due to the work factor; negative for a fast endpoint.
-        double dueToWorkFactor;
-    };
-
-    Cost cost(const ServiceEndpoint &endpoint, const EndpointCriteria &criteria, TimePoint now) const;
-
     const EndpointSet &endpoints;
     ZoneId zone;
     Random &random;
--- a/Source/forwarding/endpointload.cpp
+++ b/Source/forwarding/endpointload.cpp
@@ -87,6 +87,11 @@
     this->factorReceivedAt = now;
 }
 
+std::optional<Duration> EndpointLoad::reportAge(TimePoint now) const
+{
+    return this->reportReceivedAt ? std::optional(now - *this->reportReceivedAt) : std::nullopt;
+}
+
 bool EndpointLoad::reportsWorkFactor() const
 {
     return this->logFactor.has_value();
@@ -99,7 +104,10 @@
 
 double EndpointLoad::remoteInFlight(TimePoint now, double slowness) const
 {
-    const Duration age = now - this->reportReceivedAt;
+    if (!this->reportReceivedAt) {
+        return 0;
+    }
+    const Duration age = now - *this->reportReceivedAt;
     if (this->logFactor && this->meanLatencySeconds > 0) {
         const double mean = halved(this->meanRemoteInFlight, age, meanHalfLifeSeconds);
         const double latency = this->meanLatencySeconds;
--- a/Source/forwarding/endpointload.h
+++ b/Source/forwarding/endpointload.h
@@ -51,6 +51,9 @@
     /// Stores a report. @p ownInFlight is the number of requests of this instance that it counts.
     void update(const LoadReport &report, int ownInFlight, TimePoint now);
 
+    /// Time since the last report; std::nullopt if there was none.
+    std::optional<Duration> reportAge(TimePoint now) const;
+
     /// True once the endpoint has reported a work factor.
     bool reportsWorkFactor() const;
 
@@ -85,7 +88,7 @@
     std::shared_ptr<EndpointLoadModel> model;
     std::shared_ptr<MeanLatencyRatio> serviceRatio;
     int remoteAtReport = 0;
-    TimePoint reportReceivedAt;
+    std::optional<TimePoint> reportReceivedAt;
     /// Logarithms of the latest reported factor and of the mean of the recent ones.
     std::optional<double> logFactor;
     double logMean = 0;
--- a/Source/forwarding/endpointset.cpp
+++ b/Source/forwarding/endpointset.cpp
@@ -23,9 +23,23 @@
 
 }
 
+EndpointExclusion ServiceEndpoint::unavailability() const
+{
+    if (!this->registered) {
+        return EndpointExclusion::Removed;
+    }
+    if (this->record.draining) {
+        return EndpointExclusion::Draining;
+    }
+    if (this->leaving) {
+        return EndpointExclusion::Leaving;
+    }
+    return this->zoneEvacuated ? EndpointExclusion::ZoneEvacuated : EndpointExclusion::None;
+}
+
 bool ServiceEndpoint::isAvailable() const
 {
-    return this->registered && !this->record.draining && !this->leaving && !this->zoneEvacuated;
+    return this->unavailability() == EndpointExclusion::None;
 }
 
 bool ServiceEndpoint::isThrottled() const
@@ -33,9 +47,17 @@
     return this->rateLimit.isLimited() || this->backoff.isActive();
 }
 
+EndpointExclusion ServiceEndpoint::throttleExclusion(double rateLimitShare, TimePoint now) const
+{
+    if (!this->backoff.canSend(this->stats.inFlight(), now)) {
+        return EndpointExclusion::Backoff;
+    }
+    return this->rateLimit.canSend(rateLimitShare, now) ? EndpointExclusion::None : EndpointExclusion::RateLimit;
+}
+
 bool ServiceEndpoint::acceptsRequest(double rateLimitShare, TimePoint now) const
 {
-    return this->rateLimit.canSend(rateLimitShare, now) && this->backoff.canSend(this->stats.inFlight(), now);
+    return this->throttleExclusion(rateLimitShare, now) == EndpointExclusion::None;
 }
 
 bool ServiceEndpoint::wantsNoRequests(TimePoint now) const
--- a/Source/forwarding/endpointset.h
+++ b/Source/forwarding/endpointset.h
@@ -30,6 +30,24 @@
     std::int64_t processStartMs = 0;
 };
 
+/// Why an endpoint gets no request now.
+enum class EndpointExclusion {
+    None,
+    Removed,
+    Draining,
+    /// It has said in a response that it shuts down.
+    Leaving,
+    ZoneEvacuated,
+    /// It has turned a request of this instance away and named a time.
+    Backoff,
+    /// This instance's share of the rate that the endpoint takes is used up.
+    RateLimit,
+    /// An earlier attempt of the request was sent to it.
+    AlreadyTried,
+    /// Its rate is reserved for first attempts.
+    LowFillLevel,
+};
+
 /// A registered endpoint and the statistics that this instance keeps about it.
 struct ServiceEndpoint
 {
@@ -47,6 +65,9 @@
     /// False once the entry was removed. Requests in flight may still hold the object.
     bool registered = true;
 
+    /// Why no new requests may go to the endpoint, whatever their rate; None if it is available.
+    EndpointExclusion unavailability() const;
+
     /// True if new requests may go to the endpoint: it is registered, not draining or leaving, and its zone is not
     /// evacuated.
     bool isAvailable() const;
@@ -54,6 +75,10 @@
     /// True if the endpoint has asked for fewer requests, by a rate limit or a backoff.
     bool isThrottled() const;
 
+    /// Why the endpoint takes no request now, a backoff or a rate limit; None if it takes one. @p rateLimitShare is
+    /// this instance's share of the rate limits.
+    EndpointExclusion throttleExclusion(double rateLimitShare, TimePoint now) const;
+
     /// True if the endpoint takes a request now. @p rateLimitShare is this instance's share of the rate limits.
     bool acceptsRequest(double rateLimitShare, TimePoint now) const;
 
--- a/Source/forwarding/endpointstats.cpp
+++ b/Source/forwarding/endpointstats.cpp
@@ -146,6 +146,11 @@
     return this->load.remoteInFlight(now, this->slowness());
 }
 
+std::optional<Duration> EndpointStats::loadReportAge(TimePoint now) const
+{
+    return this->load.reportAge(now);
+}
+
 double EndpointStats::workFactor(TimePoint now) const
 {
     return this->load.workFactor(now);
--- a/Source/forwarding/endpointstats.h
+++ b/Source/forwarding/endpointstats.h
@@ -69,6 +69,9 @@
     /// endpoint reports a work factor, otherwise 0.
     double estimatedRemoteInFlight(TimePoint now) const;
 
+    /// Time since the endpoint last reported its load; std::nullopt if it has not.
+    std::optional<Duration> loadReportAge(TimePoint now) const;
+
     /// Factor on the typical latency that is expected of work at the endpoint at @p now, from the factors that it has
     /// reported and its responses; 1 if unknown.
     double workFactor(TimePoint now) const;
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -96,21 +96,10 @@
 
 void FanoutExchange::startRelay(const SkippedShards &skipped)
 {
-    // The relaying instance and this one share the route's maximum number of attempts.
-    if (this->context.relay == nullptr || this->request.route->maxAttempts < 2) {
+    const std::vector<ServiceId> remoteShards = relayableShards(this->context, this->request, skipped);
+    if (remoteShards.empty()) {
         return;
     }
-    const std::vector<ServiceId> &shards = this->request.route->shards;
-    const TimePoint now = this->context.clock.now();
-    std::vector<ServiceId> remoteShards;
-    for (std::size_t shard = 0; shard < shards.size(); ++shard) {
-        const bool hasLocalEndpoint = this->context.chooser.hasHealthyLocalEndpoint(shards[shard], now);
-        // This instance has a share of its own of the rate that the endpoints take.
-        const bool isThrottled = this->context.chooser.throttling(shards[shard], now).isThrottled;
-        if (skipped.count(shard) == 0 && !hasLocalEndpoint && !isThrottled) {
-            remoteShards.push_back(shards[shard]);
-        }
-    }
     const auto target = this->context.relay->selectTarget(remoteShards);
     if (!target) {
         return;
--- a/Source/forwarding/fleetretrybudget.cpp
+++ b/Source/forwarding/fleetretrybudget.cpp
@@ -71,10 +71,32 @@
 }
 
 void FleetRetryBudget::refillUnusedBucket()
+{
+    this->refill(this->unusedBucket, this->unusedCapacity());
+}
+
+double FleetRetryBudget::unusedCapacity() const
 {
     // The minimum capacity of one extra attempt does not apply before the first use: added up over a large fleet, it
     // could exceed the limit.
-    this->refill(this->unusedBucket, usedCapacityFraction * this->limits.slack * this->fleetShare);
+    return usedCapacityFraction * this->limits.slack * this->fleetShare;
+}
+
+RetryBudgetState FleetRetryBudget::state(const ServiceId &service) const
+{
+    const auto used = this->buckets.find(service);
+    if (used == this->buckets.end()) {
+        Bucket bucket;
+        bucket.tokens = this->unusedBucket.tokens;
+        bucket.refilledAt = this->unusedBucket.refilledAt;
+        this->refill(bucket, this->unusedCapacity());
+        return { bucket.tokens, this->capacity(), 0 };
+    }
+    const long waitingRetries = used->second.waitingRetries();
+    // A copy shares the ticket, which would count as a waiting retry.
+    Bucket bucket = used->second;
+    this->refill(bucket, this->capacity());
+    return { bucket.tokens, this->capacity(), waitingRetries };
 }
 
 FleetRetryBudget::Bucket &FleetRetryBudget::refilledBucket(const ServiceId &service)
--- a/Source/forwarding/fleetretrybudget.h
+++ b/Source/forwarding/fleetretrybudget.h
@@ -28,6 +28,15 @@
     Hedge,
 };
 
+/// What is left of the budget of one service at this instance.
+struct RetryBudgetState
+{
+    /// Extra attempts that can be made now, and at most at the same time.
+    double extraAttempts = 0;
+    double capacity = 0;
+    long waitingRetries = 0;
+};
+
 /**
  * This instance's share of the fleet's budget of extra attempts (retries and hedges), for each service. Each request
  * adds the ratio to the budget of the instance that serves it, and the slack is divided among the instances. So the sum
@@ -69,6 +78,10 @@
     /// the budget; limited to about an hour. Requests to the service shorten it.
     Duration expectedWait(const ServiceId &service);
 
+    /// The state of the budget of @p service, without taking from it. A service that is not in use yet starts with up
+    /// to one extra attempt more.
+    RetryBudgetState state(const ServiceId &service) const;
+
     /// Counts a retry as waiting for the budget of @p service for as long as the ticket exists.
     WaitTicketPtr addWaitingRetry(const ServiceId &service);
 
@@ -94,6 +107,7 @@
     /// Refills all buckets by the present limits and share, before these change.
     void refillAll();
     void refillUnusedBucket();
+    double unusedCapacity() const;
     /// The token bucket of the service, refilled up to now.
     Bucket &refilledBucket(const ServiceId &service);
 
--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -100,29 +100,15 @@
     const auto failWith = [](const ForwardReply &reply, std::string detail = "") {
         return failure(RefusalWithDetail { reply, std::move(detail) });
     };
-    if (!this->routeTable) {
-        return failWith(this->makeRefusal(Refusal::NotReady, notReadyRetryAfter));
-    }
-    const Route *route = this->routeTable->match(request->host, request->target);
-    if (route == nullptr) {
-        if (this->freshness.age() > this->settings.maxFeedAgeForDenials) {
-            return failWith(this->makeRefusal(Refusal::StaleConfiguration, notReadyRetryAfter));
-        }
-        return failWith(this->makeRefusal(Refusal::UnknownRoute));
-    }
-    AdmittedRequest admitted;
-    admitted.request = request;
-    admitted.table = this->routeTable;
-    admitted.route = route;
-    admitted.deadline = std::min(request->deadline, request->arrivedAt + route->timeout);
-    if (admitted.deadline <= this->context.clock.now()) {
-        return failWith(this->makeRefusal(Refusal::DeadlineUnreachable));
+    const auto matched = this->matchRoute(request);
+    if (!matched) {
+        return failWith(matched.error());
     }
-    if (this->stopTime && !this->canEndBeforeStop(admitted)) {
-        // Another instance takes the request at once.
-        return failWith(this->makeRefusal(Refusal::ShuttingDown, Duration::zero()));
+    AdmittedRequest admitted = matched.value();
+    if (const auto refusal = this->checkTime(admitted)) {
+        return failWith(*refusal);
     }
-    const auto organisation = this->authenticate(*request, *route);
+    const auto organisation = this->authenticate(*request, *admitted.route);
     if (!organisation) {
         return failWith(organisation.error());
     }
@@ -135,6 +121,38 @@
     return success(admitted);
 }
 
+ResultOr<AdmittedRequest, ForwardReply> Forwarder::matchRoute(const CallerRequestPtr &request) const
+{
+    if (!this->routeTable) {
+        return failure(this->makeRefusal(Refusal::NotReady, notReadyRetryAfter));
+    }
+    const Route *route = this->routeTable->match(request->host, request->target);
+    if (route == nullptr) {
+        if (this->freshness.age() > this->settings.maxFeedAgeForDenials) {
+            return failure(this->makeRefusal(Refusal::StaleConfiguration, notReadyRetryAfter));
+        }
+        return failure(this->makeRefusal(Refusal::UnknownRoute));
+    }
+    AdmittedRequest matched;
+    matched.request = request;
+    matched.table = this->routeTable;
+    matched.route = route;
+    matched.deadline = std::min(request->deadline, request->arrivedAt + route->timeout);
+    return success(matched);
+}
+
+std::optional<ForwardReply> Forwarder::checkTime(const AdmittedRequest &request) const
+{
+    if (request.deadline <= this->context.clock.now()) {
+        return this->makeRefusal(Refusal::DeadlineUnreachable);
+    }
+    if (this->stopTime && !this->canEndBeforeStop(request)) {
+        // Another instance takes the request at once.
+        return this->makeRefusal(Refusal::ShuttingDown, Duration::zero());
+    }
+    return std::nullopt;
+}
+
 bool Forwarder::canEndBeforeStop(const AdmittedRequest &request) const
 {
     const TimePoint now = this->context.clock.now();
@@ -145,20 +163,42 @@
     return now + timeNeeded <= *this->stopTime;
 }
 
-ResultOr<OrganisationId, ForwardReply> Forwarder::authenticate(const CallerRequest &request, const Route &route)
+bool Forwarder::needsApiKey(const Route &route) const
 {
-    if (route.isPublic || !this->routeTable->requiresApiKeys()) {
+    return !route.isPublic && this->routeTable->requiresApiKeys();
+}
+
+ResultOr<OrganisationId, ForwardReply> Forwarder::authenticate(const CallerRequest &request, const Route &route) const
+{
+    if (!this->needsApiKey(route)) {
         return success(OrganisationId());
     }
     if (!request.apiKey) {
         return failure(this->makeRefusal(Refusal::KeyMissing));
     }
+    return this->acceptKey(this->routeTable->findOrganisationByKey(*request.apiKey));
+}
+
+ResultOr<OrganisationId, ForwardReply>
+Forwarder::checkOrganisation(const Route &route, const std::optional<OrganisationId> &organisation) const
+{
+    if (!this->needsApiKey(route)) {
+        return success(OrganisationId());
+    }
+    if (!organisation) {
+        return failure(this->makeRefusal(Refusal::KeyMissing));
+    }
+    const auto known = this->routeTable->organisations().find(*organisation);
+    return this->acceptKey(known == this->routeTable->organisations().end() ? nullptr : &known->second);
+}
+
+ResultOr<OrganisationId, ForwardReply> Forwarder::acceptKey(const OrganisationSpec *keyOwner) const
+{
     if (this->freshness.age() > this->settings.maxFeedAgeForKeys) {
         return failure(this->makeRefusal(Refusal::StaleConfiguration, notReadyRetryAfter));
     }
-    const OrganisationSpec *organisation = this->routeTable->findOrganisationByKey(*request.apiKey);
-    if (organisation != nullptr) {
-        return success(organisation->id);
+    if (keyOwner != nullptr) {
+        return success(keyOwner->id);
     }
     if (this->freshness.age() > this->settings.maxFeedAgeForDenials) {
         return failure(this->makeRefusal(Refusal::StaleConfiguration, notReadyRetryAfter));
--- a/Source/forwarding/forwarder.h
+++ b/Source/forwarding/forwarder.h
@@ -47,6 +47,18 @@
     /// cancelled first. Returns nullptr if the request was not admitted; @p done has been called then.
     std::shared_ptr<Exchange> forward(const CallerRequestPtr &request, Exchange::ReplyCallback done);
 
+    /// Finds the route of @p request and the deadline by it. Refused without a route table or a route.
+    ResultOr<AdmittedRequest, ForwardReply> matchRoute(const CallerRequestPtr &request) const;
+
+    /// The refusal of a request whose deadline has passed or which may not end before this instance stops;
+    /// std::nullopt if there is time for it.
+    std::optional<ForwardReply> checkTime(const AdmittedRequest &request) const;
+
+    /// Whether a request of @p organisation with a valid API key is accepted on @p route; std::nullopt stands for a
+    /// request without a key. Returns an empty id if the route needs no key. Precondition: there is a route table.
+    ResultOr<OrganisationId, ForwardReply> checkOrganisation(const Route &route,
+                                                             const std::optional<OrganisationId> &organisation) const;
+
     /// Rate of the requests that were admitted, including those that were refused later.
     const RequestRate &requestRate() const;
 
@@ -61,7 +73,10 @@
     ForwardReply makeRefusal(Refusal refusal, std::optional<Duration> retryAfter = std::nullopt) const;
     ResultOr<AdmittedRequest, RefusalWithDetail> admit(const CallerRequestPtr &request);
     bool canEndBeforeStop(const AdmittedRequest &request) const;
-    ResultOr<OrganisationId, ForwardReply> authenticate(const CallerRequest &request, const Route &route);
+    bool needsApiKey(const Route &route) const;
+    ResultOr<OrganisationId, ForwardReply> authenticate(const CallerRequest &request, const Route &route) const;
+    /// Accepts a request with an API key. @p keyOwner is nullptr if no organisation is known to own the key.
+    ResultOr<OrganisationId, ForwardReply> acceptKey(const OrganisationSpec *keyOwner) const;
 
     ForwarderSettings settings;
     ForwardingContext &context;
--- a/Source/forwarding/organisationquota.cpp
+++ b/Source/forwarding/organisationquota.cpp
@@ -79,13 +79,34 @@
         return std::nullopt;
     }
     this->refill(bucket);
-    if (bucket.tokens >= 1) {
-        bucket.tokens -= 1;
-        ++bucket.admitted;
+    const Duration wait = this->waitTime(bucket);
+    if (wait > Duration::zero()) {
+        return wait;
+    }
+    bucket.tokens -= 1;
+    ++bucket.admitted;
+    return std::nullopt;
+}
+
+Duration OrganisationQuota::waitTime(const Bucket &bucket) const
+{
+    if (bucket.rate <= 0 || bucket.tokens >= 1) {
+        return Duration::zero();
+    }
+    const Duration wait = fromSeconds((1 - bucket.tokens) / (bucket.rate * this->liveFraction()));
+    // A missing fraction of a token may be shorter than the resolution of the clock.
+    return std::max(wait, Duration(1));
+}
+
+std::optional<OrganisationQuotaState> OrganisationQuota::state(const OrganisationId &organisation) const
+{
+    const auto entry = this->buckets.find(organisation);
+    if (entry == this->buckets.end()) {
         return std::nullopt;
     }
-    const double wait = (1 - bucket.tokens) / (bucket.rate * this->liveFraction());
-    return fromSeconds(wait);
+    Bucket bucket = entry->second;
+    this->refill(bucket);
+    return OrganisationQuotaState { bucket.rate, bucket.burst, bucket.tokens, this->waitTime(bucket) };
 }
 
 void OrganisationQuota::refund(const OrganisationId &organisation)
--- a/Source/forwarding/organisationquota.h
+++ b/Source/forwarding/organisationquota.h
@@ -21,6 +21,18 @@
     std::uint64_t recentlyAdmitted = 0;
 };
 
+/// The limit of an organisation, and what is left of it at this instance.
+struct OrganisationQuotaState
+{
+    /// Requests per second over the whole fleet; 0 means no limit.
+    double ratePerSecond = 0;
+    double burst = 0;
+    /// Requests that this instance admits now; negative while a deficit has to be made up for first.
+    double tokens = 0;
+    /// Time until a request is admitted; zero if it is admitted now.
+    Duration waitTime {};
+};
+
 /**
  * Limits the rate and the burst of each organisation over the whole fleet. Each instance keeps a copy of the fleet's
  * token bucket, from which it deducts the requests that it admits itself and those that the other instances report.
@@ -45,6 +57,9 @@
     /// retry can be admitted. Requests of organisations without a limit are always admitted.
     std::optional<Duration> throttle(const OrganisationId &organisation);
 
+    /// The state of the organisation's quota, without taking a token; std::nullopt if the organisation is unknown.
+    std::optional<OrganisationQuotaState> state(const OrganisationId &organisation) const;
+
     /// Returns the token of a request that was admitted but not sent to any endpoint.
     void refund(const OrganisationId &organisation);
 
@@ -88,6 +103,8 @@
     /// Fraction of the known instances that are live.
     double liveFraction() const;
     void refill(Bucket &bucket) const;
+    /// Time until the bucket holds a token; zero if it does or there is no limit. Precondition: @p bucket is refilled.
+    Duration waitTime(const Bucket &bucket) const;
     /// Starts a new usage window if the current one has ended.
     void rotateUsageWindow();
 
--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -48,27 +48,67 @@
     if (!EndpointQueues::areReported(this->endpoints, endpointsKeyOf(request))) {
         return std::nullopt;
     }
-    CompetingRequests &competing = this->competingWith(request, now);
+    const Assessment assessment = this->assess(request, this->competingWith(request, now), now);
+    if (assessment.reason == Refusal::None) {
+        return std::nullopt;
+    }
+    const double fraction = minRetryFraction + (maxRetryFraction - minRetryFraction) * this->random.uniformReal();
+    return OverloadRejection { assessment.reason, retryAfter(request, fraction, now), assessment.wait };
+}
+
+OverloadForecast OverloadControl::peek(const AdmittedRequest &request, TimePoint now) const
+{
+    if (!EndpointQueues::areReported(this->endpoints, endpointsKeyOf(request))) {
+        return {};
+    }
+    const auto known = this->competingRequests.find(endpointsKeyOf(request));
+    const bool isForgotten
+        = known == this->competingRequests.end() || (now >= this->nextCleanupAt && isIdle(known->second, now));
+    CompetingRequests competing = isForgotten ? CompetingRequests() : known->second;
+    const Assessment assessment = this->assess(request, competing, now);
+    OverloadForecast forecast;
+    forecast.reason = assessment.reason;
+    forecast.wait = assessment.wait;
+    forecast.isProbe = assessment.isProbe;
+    if (forecast.reason != Refusal::None) {
+        forecast.minRetryAfter = retryAfter(request, minRetryFraction, now);
+        forecast.maxRetryAfter = retryAfter(request, maxRetryFraction, now);
+    }
+    return forecast;
+}
+
+OverloadControl::Assessment
+OverloadControl::assess(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const
+{
     const KindOfRequest kind = this->kindOf(request);
     competing.kinds.recordArrival(kind, now);
+    Assessment result;
     const Refusal obstacle = this->findObstacle(request, competing, now);
-    if (obstacle != Refusal::None && !startProbe(competing, obstacle, now)) {
-        return this->reject(request, obstacle, Duration::zero(), now);
+    if (obstacle != Refusal::None) {
+        result.isProbe = startProbe(competing, obstacle, now);
+        if (!result.isProbe) {
+            result.reason = obstacle;
+            return result;
+        }
     }
-    const Duration wait = this->estimatedWait(request, competing, now);
-    if (wait <= Duration::zero()) {
+    result.wait = this->estimatedWait(request, competing, now);
+    if (result.wait <= Duration::zero()) {
         delayProbe(competing, Refusal::QueueFull, now);
-        return std::nullopt;
+        return result;
     }
     competing.nextProbeAt.try_emplace(Refusal::QueueFull, now + probeInterval);
     const OrganisationSpec *organisation = request.organisationSpec();
-    const bool isSent = wait <= competing.kinds.longestWait(kind, organisation, now)
-        || competing.kinds.isBelowMinimum(kind, organisation) || startProbe(competing, Refusal::QueueFull, now);
+    const bool hasRoom = result.wait <= competing.kinds.longestWait(kind, organisation, now)
+        || competing.kinds.isBelowMinimum(kind, organisation);
+    const bool isQueueProbe = !hasRoom && startProbe(competing, Refusal::QueueFull, now);
+    const bool isSent = hasRoom || isQueueProbe;
     if (isSent) {
         delayProbe(competing, Refusal::QueueFull, now);
     }
     competing.kinds.recordDecision(kind, organisation, isSent, now);
-    return isSent ? std::nullopt : std::optional(this->reject(request, Refusal::QueueFull, wait, now));
+    result.isProbe = isSent && (result.isProbe || isQueueProbe);
+    result.reason = isSent ? Refusal::None : Refusal::QueueFull;
+    return result;
 }
 
 void OverloadControl::recordLatency(const AdmittedRequest &request,
@@ -165,17 +205,21 @@
         : fromSeconds(competing.queuePerSlot * fractionalSeconds(competing.kinds.meanWork(now)));
 }
 
-OverloadRejection OverloadControl::reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now)
+Duration OverloadControl::retryAfter(const AdmittedRequest &request, double fraction, TimePoint now)
 {
     const double remaining = std::max(0.0, fractionalSeconds(request.deadline - now));
-    const double fraction = minRetryFraction + (maxRetryFraction - minRetryFraction) * this->random.uniformReal();
-    return { reason, std::max(minRetryAfter, fromSeconds(remaining * fraction)), wait };
+    return std::max(minRetryAfter, fromSeconds(remaining * fraction));
+}
+
+bool OverloadControl::isIdle(const CompetingRequests &competing, TimePoint now)
+{
+    return now - competing.lastRequestAt > idleTime;
 }
 
 void OverloadControl::forgetIdle(TimePoint now)
 {
     eraseValuesIf(this->competingRequests,
-                  [now](const CompetingRequests &competing) { return now - competing.lastRequestAt > idleTime; });
+                  [now](const CompetingRequests &competing) { return isIdle(competing, now); });
 }
 
 }
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -28,6 +28,20 @@
     Duration wait {};
 };
 
+/// What OverloadControl would decide on a request now.
+struct OverloadForecast
+{
+    /// Refusal::None if the request would be sent.
+    Refusal reason = Refusal::None;
+    /// Estimated waiting time at the endpoints.
+    Duration wait {};
+    /// True if the request would be sent only to find out whether endpoints can serve such requests again.
+    bool isProbe = false;
+    /// If the request would be rejected: the bounds of the random time after which the caller may send it again.
+    Duration minRetryAfter {};
+    Duration maxRetryAfter {};
+};
+
 /**
  * Decides, before anything is sent, which requests are rejected because endpoints are short of room or cannot serve
  * them. Requests compete if they go to the same service, or to indexes with the same first shard. While no request
@@ -45,6 +59,9 @@
     /// Decides on a request that has arrived; std::nullopt if it may be sent.
     std::optional<OverloadRejection> decide(const AdmittedRequest &request, TimePoint now);
 
+    /// Returns what decide() would decide now, and records nothing.
+    OverloadForecast peek(const AdmittedRequest &request, TimePoint now) const;
+
     /// Records the latency of a response to a request from an endpoint of @p service.
     void recordLatency(const AdmittedRequest &request, const ServiceId &service, Duration latency, TimePoint now);
 
@@ -69,6 +86,16 @@
         TimePoint lastRequestAt;
     };
 
+    struct Assessment
+    {
+        /// Refusal::None if the request is sent.
+        Refusal reason = Refusal::None;
+        Duration wait {};
+        bool isProbe = false;
+    };
+
+    /// Decides on a request, and records the decision in @p competing only.
+    Assessment assess(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const;
     CompetingRequests &competingWith(const AdmittedRequest &request, TimePoint now);
     KindOfRequest kindOf(const AdmittedRequest &request) const;
     /// The reason for which the request cannot be served whatever the load; Refusal::None if there is none.
@@ -80,7 +107,9 @@
     bool canMeetDeadline(const AdmittedRequest &request, TimePoint now) const;
     /// Estimated waiting time at the endpoints of the service, or of most of the shards.
     Duration estimatedWait(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const;
-    OverloadRejection reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now);
+    /// Time after which a rejected request may be sent again, by a fraction of the time that is left to its deadline.
+    static Duration retryAfter(const AdmittedRequest &request, double fraction, TimePoint now);
+    static bool isIdle(const CompetingRequests &competing, TimePoint now);
     void forgetIdle(TimePoint now);
 
     const EndpointSet &endpoints;
--- a/Source/forwarding/refusalreply.cpp
+++ b/Source/forwarding/refusalreply.cpp
@@ -31,6 +31,11 @@
     return wait + fromSeconds(random.uniformReal() * fractionalSeconds(retrySpread));
 }
 
+Duration longestSpreadRetryAfter(Duration wait)
+{
+    return wait + retrySpread;
+}
+
 ForwardReply makeDeadlineReply(bool mayHaveRun)
 {
     ForwardReply reply;
--- a/Source/forwarding/refusalreply.h
+++ b/Source/forwarding/refusalreply.h
@@ -13,6 +13,9 @@
 /// the same moment.
 Duration spreadRetryAfter(Duration wait, Random &random);
 
+/// The longest time that spreadRetryAfter() returns.
+Duration longestSpreadRetryAfter(Duration wait);
+
 /// The refusal for a request whose deadline has passed. It states "not run" unless @p mayHaveRun is true.
 ForwardReply makeDeadlineReply(bool mayHaveRun);
 
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -182,8 +182,12 @@
     this->history->endpoints.push_back(endpoint->record.id);
     ++this->history->sent;
     const bool nonIdempotent = !this->isIdempotent();
-    const EndpointCall call { endpoint,      this->request.request,  this->request.organisation, this->request.deadline,
-                              nonIdempotent, this->connectionLimit() };
+    const EndpointCall call { endpoint,
+                              this->request.request,
+                              this->request.organisation,
+                              this->request.deadline,
+                              nonIdempotent,
+                              connectionLimit(this->context, *this->request.table, this->service) };
     attempt->call = this->context.endpointSender.send(
         call, [self = this->shared_from_this(), attempt](const CallOutcome &outcome) {
             self->handleOutcome(attempt, outcome);
@@ -199,12 +203,12 @@
         || now + EndpointChooser::estimatedLatency(endpoint, this->expectedLatency, now) < objective;
 }
 
-std::size_t ServiceCall::connectionLimit() const
+std::size_t
+ServiceCall::connectionLimit(const ForwardingContext &context, const RouteTable &table, const ServiceId &service)
 {
-    const ServiceSpec *spec = this->request.table->findService(this->service);
+    const ServiceSpec *spec = table.findService(service);
     const double fleetLimit = spec == nullptr ? 0 : spec->maxConnections;
-    return static_cast<std::size_t>(
-        std::max(1.0, fleetLimit * this->context.endpoints.fleetShare() + roundingTolerance));
+    return static_cast<std::size_t>(std::max(1.0, fleetLimit * context.endpoints.fleetShare() + roundingTolerance));
 }
 
 void ServiceCall::handleOutcome(const ServiceAttemptPtr &attempt, const CallOutcome &outcome)
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -82,6 +82,10 @@
     /// objective.
     static Duration typicalLatency(const ForwardingContext &context, const Route &route);
 
+    /// Maximum number of connections of this instance to each endpoint of @p service.
+    static std::size_t
+    connectionLimit(const ForwardingContext &context, const RouteTable &table, const ServiceId &service);
+
     /// Time after which a request whose first attempt starts now is hedged.
     static Duration hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request);
 
@@ -132,7 +136,6 @@
     StartResult startAttempt(AttemptKind kind);
     void sendAttempt(const EndpointPtr &endpoint, bool usesBudget, TimePoint now);
     bool isHedgeUseful(const ServiceEndpoint &endpoint, TimePoint now) const;
-    std::size_t connectionLimit() const;
     void handleOutcome(const ServiceAttemptPtr &attempt, const CallOutcome &outcome);
     bool finishIfConclusive(const CallOutcome &outcome);
     /// Retries after a failure. If that is impossible and no response can come, begins to wait for the budget or
--- a/Source/forwarding/shardrelay.h
+++ b/Source/forwarding/shardrelay.h
@@ -43,6 +43,15 @@
     virtual ~PendingRelay() = default;
 };
 
+/// An availability zone whose instances can relay shard requests, and the services that they can relay them to.
+struct RelayZone
+{
+    ZoneId zone;
+    /// Instances of which one is selected at random. Not empty.
+    std::vector<InstanceId> instances;
+    std::vector<ServiceId> services;
+};
+
 /**
  * Relays shard requests through an instance of another availability zone, for shards without an endpoint in this one.
  * One request and one merged response cross the zones instead of a request and a response for each shard.
@@ -55,7 +64,10 @@
 
     virtual ~ShardRelay() = default;
 
-    /// The instance that can reach the most of @p services; std::nullopt if none can reach two or more.
+    /// The zone that can reach the most of @p services; std::nullopt if none can reach two or more.
+    virtual std::optional<RelayZone> findZone(const std::vector<ServiceId> &services) const = 0;
+
+    /// An instance of the zone that findZone() returns, selected at random; std::nullopt if there is none.
     virtual std::optional<RelayTarget> selectTarget(const std::vector<ServiceId> &services) = 0;
 
     /// Sends a relay request to @p target. @p callback is called for each response, never from within send(), and not
--- a/Source/forwarding/shardselection.cpp
+++ b/Source/forwarding/shardselection.cpp
@@ -83,31 +83,77 @@
     }
 }
 
+/// Selects the shards of a query that has to leave @p reserve of the tokens of throttled shards to others.
+ShardSelection selectAmong(const ForwardingContext &context,
+                           const AdmittedRequest &request,
+                           const ThrottledShards &throttled,
+                           double reserve)
+{
+    const Route &route = *request.route;
+    const std::size_t omittable = route.shards.size() - std::min(route.requiredShards(), route.shards.size());
+    ShardSelection selection;
+    const auto exhausted = findExhausted(throttled, reserve);
+    if (exhausted.size() > omittable) {
+        const auto lastNeeded
+            = std::next(exhausted.begin(), static_cast<std::ptrdiff_t>(exhausted.size() - omittable - 1));
+        selection.retryAfter = lastNeeded->first;
+        return selection;
+    }
+    skipUpTo(omittable, exhausted, Refusal::EndpointThrottled, selection.skipped);
+    skipUpTo(omittable, findScarce(throttled), Refusal::EndpointThrottled, selection.skipped);
+    skipUpTo(omittable, findLateShards(context, request), Refusal::QueueFull, selection.skipped);
+    return selection;
+}
+
 }
 
 ShardSelection selectShards(const ForwardingContext &context, const AdmittedRequest &request)
 {
-    const Route &route = *request.route;
     const TimePoint now = context.clock.now();
-    const std::size_t omittable = route.shards.size() - std::min(route.requiredShards(), route.shards.size());
-    ShardSelection selection;
-    const ThrottledShards throttled = findThrottledShards(context.chooser, route, now);
-    if (!throttled.empty()) {
-        const OrganisationSpec *organisation = request.organisationSpec();
-        const double reserve = context.throttledAdmission.reserveForOthers(request.priority(), organisation, now);
-        const auto exhausted = findExhausted(throttled, reserve);
-        if (exhausted.size() > omittable) {
-            const auto lastNeeded
-                = std::next(exhausted.begin(), static_cast<std::ptrdiff_t>(exhausted.size() - omittable - 1));
-            selection.retryAfter = spreadRetryAfter(lastNeeded->first, context.random);
-            return selection;
-        }
+    const ThrottledShards throttled = findThrottledShards(context.chooser, *request.route, now);
+    if (throttled.empty()) {
+        return selectAmong(context, request, throttled, 0);
+    }
+    const OrganisationSpec *organisation = request.organisationSpec();
+    const double reserve = context.throttledAdmission.reserveForOthers(request.priority(), organisation, now);
+    ShardSelection selection = selectAmong(context, request, throttled, reserve);
+    if (selection.retryAfter) {
+        selection.retryAfter = spreadRetryAfter(*selection.retryAfter, context.random);
+    } else {
         context.throttledAdmission.recordSent(request.priority(), organisation, now);
-        skipUpTo(omittable, exhausted, Refusal::EndpointThrottled, selection.skipped);
-        skipUpTo(omittable, findScarce(throttled), Refusal::EndpointThrottled, selection.skipped);
     }
-    skipUpTo(omittable, findLateShards(context, request), Refusal::QueueFull, selection.skipped);
     return selection;
 }
 
+ShardSelection peekShards(const ForwardingContext &context, const AdmittedRequest &request)
+{
+    const TimePoint now = context.clock.now();
+    const ThrottledShards throttled = findThrottledShards(context.chooser, *request.route, now);
+    const double reserve = throttled.empty()
+        ? 0
+        : context.throttledAdmission.peekReserveForOthers(request.priority(), request.organisationSpec(), now);
+    return selectAmong(context, request, throttled, reserve);
+}
+
+std::vector<ServiceId>
+relayableShards(const ForwardingContext &context, const AdmittedRequest &request, const SkippedShards &skipped)
+{
+    std::vector<ServiceId> relayable;
+    // The relaying instance and this one share the route's maximum number of attempts.
+    if (context.relay == nullptr || request.route->maxAttempts < 2) {
+        return relayable;
+    }
+    const std::vector<ServiceId> &shards = request.route->shards;
+    const TimePoint now = context.clock.now();
+    for (std::size_t shard = 0; shard < shards.size(); ++shard) {
+        const bool hasLocalEndpoint = context.chooser.hasHealthyLocalEndpoint(shards[shard], now);
+        // This instance has a share of its own of the rate that the endpoints take.
+        const bool isThrottled = context.chooser.throttling(shards[shard], now).isThrottled;
+        if (skipped.count(shard) == 0 && !hasLocalEndpoint && !isThrottled) {
+            relayable.push_back(shards[shard]);
+        }
+    }
+    return relayable;
+}
+
 }
--- a/Source/forwarding/shardselection.h
+++ b/Source/forwarding/shardselection.h
@@ -29,4 +29,13 @@
  */
 ShardSelection selectShards(const ForwardingContext &context, const AdmittedRequest &request);
 
+/// Returns what selectShards() would select now, and records nothing. ShardSelection::retryAfter is the time until a
+/// retry can succeed, without the random time by which selectShards() extends it.
+ShardSelection peekShards(const ForwardingContext &context, const AdmittedRequest &request);
+
+/// The shards that should be relayed by another instance: no healthy endpoint is in the zone of this one. Empty if the
+/// route allows no second attempt or there is no relay. @p skipped is left out.
+std::vector<ServiceId>
+relayableShards(const ForwardingContext &context, const AdmittedRequest &request, const SkippedShards &skipped);
+
 }
--- a/Source/forwarding/throttledadmission.cpp
+++ b/Source/forwarding/throttledadmission.cpp
@@ -31,6 +31,12 @@
     return reserve;
 }
 
+double ThrottledAdmission::peekReserveForOthers(int priority, const OrganisationSpec *organisation, TimePoint now) const
+{
+    ThrottledAdmission copy = *this;
+    return copy.reserveForOthers(priority, organisation, now);
+}
+
 void ThrottledAdmission::recordSent(int priority, const OrganisationSpec *organisation, TimePoint now)
 {
     this->classes[priority].shares.recordSent(organisation, now);
--- a/Source/forwarding/throttledadmission.h
+++ b/Source/forwarding/throttledadmission.h
@@ -20,6 +20,9 @@
     /// the tokens that it has to leave to others. @p organisation is nullptr on public routes.
     double reserveForOthers(int priority, const OrganisationSpec *organisation, TimePoint now);
 
+    /// Returns what reserveForOthers() would return now, and records nothing.
+    double peekReserveForOthers(int priority, const OrganisationSpec *organisation, TimePoint now) const;
+
     /// Records that the request has been sent to a throttled service.
     void recordSent(int priority, const OrganisationSpec *organisation, TimePoint now);
 
--- a/Source/forwarding/weightedroundrobin.cpp
+++ b/Source/forwarding/weightedroundrobin.cpp
@@ -5,25 +5,22 @@
 namespace Lycheewall
 {
 
-std::vector<WeightedRoundRobin::WeightedEntry> &WeightedRoundRobin::entriesFor(const Route &route)
+void WeightedRoundRobin::updateEntries(std::vector<WeightedEntry> &entries, const Route &route)
 {
-    std::vector<WeightedEntry> &entries = this->entriesByRoute[route.name];
     const auto isSameEntry = [](const WeightedEntry &entry, const WeightedService &weighted) {
         return entry.service == weighted.service && entry.weight == weighted.weight;
     };
     if (std::equal(entries.begin(), entries.end(), route.services.begin(), route.services.end(), isSameEntry)) {
-        return entries;
+        return;
     }
     entries.clear();
     for (const WeightedService &weighted : route.services) {
         entries.push_back({ weighted.service, weighted.weight, 0 });
     }
-    return entries;
 }
 
-const ServiceId &WeightedRoundRobin::nextService(const Route &route)
+const ServiceId &WeightedRoundRobin::selectNext(std::vector<WeightedEntry> &entries)
 {
-    std::vector<WeightedEntry> &entries = this->entriesFor(route);
     double totalWeight = 0;
     WeightedEntry *best = &entries.front();
     for (WeightedEntry &entry : entries) {
@@ -37,4 +34,22 @@
     return best->service;
 }
 
+const ServiceId &WeightedRoundRobin::nextService(const Route &route)
+{
+    std::vector<WeightedEntry> &entries = this->entriesByRoute[route.name];
+    updateEntries(entries, route);
+    return selectNext(entries);
+}
+
+ServiceId WeightedRoundRobin::peekNextService(const Route &route) const
+{
+    const auto known = this->entriesByRoute.find(route.name);
+    std::vector<WeightedEntry> entries;
+    if (known != this->entriesByRoute.end()) {
+        entries = known->second;
+    }
+    updateEntries(entries, route);
+    return selectNext(entries);
+}
+
 }
--- a/Source/forwarding/weightedroundrobin.h
+++ b/Source/forwarding/weightedroundrobin.h
@@ -19,6 +19,9 @@
     /// are never selected unless all weights are 0.
     const ServiceId &nextService(const Route &route);
 
+    /// Returns what nextService() would return now, and changes nothing. Precondition: the route has services.
+    ServiceId peekNextService(const Route &route) const;
+
 private:
     struct WeightedEntry
     {
@@ -27,8 +30,10 @@
         double credit = 0;
     };
 
-    /// Entries of the route with their credits; the credits restart at 0 when the services or weights have changed.
-    std::vector<WeightedEntry> &entriesFor(const Route &route);
+    /// Restarts the credits at 0 if the services or weights of the route have changed.
+    static void updateEntries(std::vector<WeightedEntry> &entries, const Route &route);
+    /// Selects the next service and updates the credits.
+    static const ServiceId &selectNext(std::vector<WeightedEntry> &entries);
 
     std::unordered_map<std::string, std::vector<WeightedEntry>> entriesByRoute;
 };
--- a/Tests/forwarding/shardrelaytest.cpp
+++ b/Tests/forwarding/shardrelaytest.cpp
@@ -17,13 +17,21 @@
 class FakeRelay : public ShardRelay
 {
 public:
+    std::optional<RelayZone> findZone(const std::vector<ServiceId> &services) const override
+    {
+        if (services.size() < 2) {
+            return std::nullopt;
+        }
+        return RelayZone { ZoneId("elsewhere"), { InstanceId("far") }, services };
+    }
     std::optional<RelayTarget> selectTarget(const std::vector<ServiceId> &services) override
     {
         this->offeredServices = services;
-        if (services.size() < 2) {
+        const auto zone = this->findZone(services);
+        if (!zone) {
             return std::nullopt;
         }
-        return RelayTarget { InstanceId("far"), "peer-far", ZoneId("elsewhere"), services };
+        return RelayTarget { zone->instances.front(), "peer-far", zone->zone, zone->services };
     }
     std::unique_ptr<PendingRelay>
     send(const RelayTarget & /*target*/, const AdmittedRequest & /*request*/, ResponseCallback callback) override
