Tool: Explain where a request would go now, without sending it

Operators could see what had been done for a request, from the log, but not why the next one would go to an endpoint, or nowhere. `lycheewallctl explain-route` asks one instance: route, age of the feed, quota of the organisation, the answer of admission with the bounds of Retry-After, and for each service or shard the endpoints with estimate, age of the report, connections and the reason for which each one is not chosen; shards that are left out or relayed, and the retry budget.

RouteExplainer builds the explanation from the decisions that requests of callers use. The address of the metrics serves it at /explain as JSON or text, to whoever can read the metrics. It lists at most 64 services and 256 endpoints and counts the others, and takes the organisation instead of an API key; an unknown parameter is refused without a copy of its value.

Not run: test_integration, the soak, builds with sanitizers.

Seen, not changed: a query whose shards have no usable endpoint is sent to the shards before the one with which its coverage becomes unreachable, and then refused as outcome-unknown instead of not run. The explanation says so.

--- a/Source/gateway/auxiliaryserver.h
+++ b/Source/gateway/auxiliaryserver.h
@@ -12,7 +12,7 @@
 namespace Lycheewall
 {
 
-/// The response of an auxiliary server: readiness check, discovery, metrics or feed.
+/// The response of an auxiliary server: readiness check, discovery, metrics, explanation or feed.
 struct AuxiliaryResponse
 {
     int status = 200;
@@ -21,8 +21,8 @@
 };
 
 /**
- * An HTTP server for GET requests without a body: readiness checks, discovery, metrics and the peer feed. Requests that
- * are forwarded to endpoints arrive at FrontServer.
+ * An HTTP server for GET requests without a body: readiness checks, discovery, metrics, explanations of routes and the
+ * peer feed. Requests that are forwarded to endpoints arrive at FrontServer.
  * Thread safety: none; used on the thread of the request loop.
  */
 class AuxiliaryServer
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -323,6 +323,16 @@
     this->responseMemory->setTotalLimit(bytes);
 }
 
+ConnectionUsage EndpointConnectionPool::usageOf(const EndpointId &endpoint) const
+{
+    const auto entry = this->connectionsByEndpoint.find(endpoint);
+    if (entry == this->connectionsByEndpoint.end()) {
+        return {};
+    }
+    const EndpointConnections &connections = entry->second;
+    return { connections.size(), connections.idle.size(), connections.queued.size() };
+}
+
 std::size_t EndpointConnectionPool::connectionCount() const
 {
     return this->endpointByConnection.size();
--- a/Source/gateway/endpointconnectionpool.h
+++ b/Source/gateway/endpointconnectionpool.h
@@ -2,6 +2,7 @@
 
 #include "core/counters.h"
 #include "core/timerservice.h"
+#include "forwarding/connectionusage.h"
 #include "forwarding/endpointstatementhandler.h"
 #include "gateway/endpointconnection.h"
 
@@ -17,7 +18,7 @@
  * EndpointCall::connectionLimit; further calls are queued until a connection is idle.
  * Thread safety: none; used on the thread of the request loop.
  */
-class EndpointConnectionPool : public EndpointSender, private EndpointConnection::Owner
+class EndpointConnectionPool : public EndpointSender, public ConnectionUsageSource, private EndpointConnection::Owner
 {
 public:
     EndpointConnectionPool(boost::asio::io_context &io,
@@ -30,6 +31,8 @@
 
     std::shared_ptr<OutgoingCall> send(const EndpointCall &call, std::function<void(CallOutcome)> done) override;
 
+    ConnectionUsage usageOf(const EndpointId &endpoint) const override;
+
     /// Closes idle connections to endpoints that take no new requests, and those whose keep-alive timeout is about to
     /// expire. Ends the calls that wait for a connection to such an endpoint, as not sent.
     void closeUnusableConnections();
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 #include "fleet/datagramkind.h"
+#include "forwarding/routequerycodec.h"
+#include "gateway/explanationhandler.h"
 #include "runtime/eventloop.h"
 
 #include <algorithm>
@@ -82,6 +84,7 @@
                    requestLog, random,      throttledAdmission, overloadControl, nullptr }
     , freshness(clock)
     , forwarder(settings.forwarding, forwarding, freshness)
+    , explainer({ forwarding, forwarder, freshness, pool }, { settings.instance, settings.zone })
     , feedApplier({ clock, timers, counters, codecs.feed, endpoints, forwarder, quota })
     , members(clock, settings.instance, settings.zone)
     , feedSourcePolicy(
@@ -220,8 +223,8 @@
     const auto ready = startServer(this->settings.readinessAddress, [this](const std::string &target, auto respond) {
         this->handleReadinessRequest(target, respond);
     });
-    const auto metrics = startServer(this->settings.metricsAddress, [this](const std::string &, auto respond) {
-        this->handleMetricsRequest(respond);
+    const auto metrics = startServer(this->settings.metricsAddress, [this](const std::string &target, auto respond) {
+        this->handleMetricsRequest(target, respond);
     });
     for (const auto &result : { peers, directoryServer, ready, metrics }) {
         if (!result) {
@@ -333,8 +336,12 @@
     respond({ ready ? statusOk : statusUnavailable, "text/plain", ready ? "ready" : "not ready" });
 }
 
-void Gateway::handleMetricsRequest(const AuxiliaryServer::Respond &respond)
+void Gateway::handleMetricsRequest(const std::string &target, const AuxiliaryServer::Respond &respond)
 {
+    if (isExplanationTarget(target)) {
+        respond(handleExplanationRequest(this->explainer, target));
+        return;
+    }
     respond({ statusOk,
               "text/plain; version=0.0.4",
               this->counters.exposition() + this->connectionGauges()
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "fleet/relayclient.h"
 #include "fleet/relayserver.h"
 #include "fleet/requestload.h"
+#include "forwarding/routeexplainer.h"
 #include "gateway/auxiliarycodec.h"
 #include "gateway/datagramsocket.h"
 #include "gateway/endpointconnectionpool.h"
@@ -78,7 +79,7 @@
     void handleFeedUpdate();
     void handleDirectoryRequest(const std::string &target, const AuxiliaryServer::Respond &respond);
     void handleReadinessRequest(const std::string &target, const AuxiliaryServer::Respond &respond);
-    void handleMetricsRequest(const AuxiliaryServer::Respond &respond);
+    void handleMetricsRequest(const std::string &target, const AuxiliaryServer::Respond &respond);
     void awaitSignal();
     void reloadSettings();
     void logCounters();
@@ -111,6 +112,7 @@
     ForwardingContext forwarding;
     FeedFreshness freshness;
     Forwarder forwarder;
+    RouteExplainer explainer;
     FeedReplica replica;
     FeedApplier feedApplier;
     MemberTable members;
--- a/Source/http/blockingclient.cpp
+++ b/Source/http/blockingclient.cpp
@@ -63,6 +63,7 @@
     }
     HttpResponse answer;
     answer.status = static_cast<int>(response.result_int());
+    answer.contentType = std::string(response[http::field::content_type]);
     answer.body = response.body();
     return answer;
 }
--- a/Source/tool/callercommands.cpp
+++ b/Source/tool/callercommands.cpp
@@ -1,6 +1,7 @@
 #include "tool/callercommands.h"
 
 #include "http/blockingclient.h"
+#include "tool/reporting.h"
 
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -80,8 +81,7 @@
 ExitCode CallerCommand::run(const ToolOptions &options, const std::vector<std::string> &arguments)
 {
     if (arguments.size() != 2) {
-        std::cerr << "lycheewallctl: usage: " << this->name() << ' ' << this->arguments() << '\n';
-        return ExitCode::BadUsage;
+        return printUsage(*this);
     }
     const auto discovered = discoverInstances(options.addresses);
     if (!discovered) {
--- a/Source/tool/command.h
+++ b/Source/tool/command.h
@@ -9,7 +9,8 @@
 /// Exit codes of lycheewallctl.
 enum class ExitCode : int {
     Success = 0,
-    /// The request was refused, its reply is incomplete, no daemon knows the request id, or a file has problems.
+    /// The request was refused, its reply is incomplete, no daemon knows the request id, route or organisation, or a
+    /// file has problems.
     Refused = 1,
     /// The command line is invalid or a file cannot be read.
     BadUsage = 2,
@@ -28,6 +29,11 @@
     int deadlineMs = 0;
     bool idempotent = true;
     std::string routingKey;
+    /// Of the request that is explained. The organisation may be empty.
+    std::string host;
+    std::string path;
+    std::string method;
+    std::string organisation;
 };
 
 /// One command of lycheewallctl. Thread safety: none.
--- a/Source/tool/main.cpp
+++ b/Source/tool/main.cpp
@@ -1,4 +1,5 @@
 #include "tool/callercommands.h"
+#include "tool/explainroutecommand.h"
 #include "tool/operatorcommands.h"
 
 #include <gflags/gflags.h>
@@ -14,6 +15,10 @@
 DEFINE_string(key, "", "API key of the organisation; if empty, that in the environment variable LYCHEEWALL_KEY");
 DEFINE_int32(deadline_ms, 0, "deadline of the request in milliseconds; 0 for the default of the daemon");
 DEFINE_bool(idempotent, true, "whether the request may be sent more than once");
+DEFINE_string(host, "", "host of the request that is explained");
+DEFINE_string(path, "", "path and query of the request that is explained");
+DEFINE_string(method, "GET", "method of the request that is explained");
+DEFINE_string(organisation, "", "organisation of the request that is explained; empty for a request without API key");
 DEFINE_string(routing_key, "", "requests with the same routing key go to the same group");
 
 namespace
@@ -27,6 +32,7 @@
     commands.push_back(std::make_unique<AddressesCommand>());
     commands.push_back(std::make_unique<CountersCommand>());
     commands.push_back(std::make_unique<ExplainCommand>());
+    commands.push_back(std::make_unique<ExplainRouteCommand>());
     commands.push_back(std::make_unique<LogLevelCommand>());
     commands.push_back(std::make_unique<QueryCommand>());
     commands.push_back(std::make_unique<RequestCommand>());
@@ -48,6 +54,10 @@
     options.deadlineMs = FLAGS_deadline_ms;
     options.idempotent = FLAGS_idempotent;
     options.routingKey = FLAGS_routing_key;
+    options.host = FLAGS_host;
+    options.path = FLAGS_path;
+    options.method = FLAGS_method;
+    options.organisation = FLAGS_organisation;
     return options;
 }
 
--- a/Source/tool/operatorcommands.cpp
+++ b/Source/tool/operatorcommands.cpp
@@ -2,6 +2,7 @@
 
 #include "catalogue/instancelist.h"
 #include "http/blockingclient.h"
+#include "tool/reporting.h"
 
 #include <fstream>
 #include <iostream>
@@ -16,18 +17,6 @@
 namespace
 {
 
-ExitCode printUsage(const Command &command)
-{
-    std::cerr << "lycheewallctl: usage: " << command.name() << ' ' << command.arguments() << '\n';
-    return ExitCode::BadUsage;
-}
-
-ExitCode reportUnreachable(const std::string &address, const std::error_code &error)
-{
-    std::cerr << "lycheewallctl: " << address << ": " << error.message() << '\n';
-    return ExitCode::Unreachable;
-}
-
 ExitCode printProblems(const std::vector<CatalogueProblem> &problems)
 {
     for (const CatalogueProblem &problem : problems) {
--- a/Tests/gateway/endpointconnectionpooltest.cpp
+++ b/Tests/gateway/endpointconnectionpooltest.cpp
@@ -116,6 +116,24 @@
 
 }
 
+// Guards against an explanation that shows room where requests wait for a connection.
+BOOST_FIXTURE_TEST_CASE(tellsWhichConnectionsAreInUse, Fixture)
+{
+    this->serve([](int number) { return makeResponse(std::to_string(number), "body"); });
+    this->connectionLimit = 1;
+    const auto first = this->start("1");
+    const auto second = this->start("2");
+    const ConnectionUsage busy = this->pool.usageOf(EndpointId("e"));
+    BOOST_TEST(busy.open == 1U);
+    BOOST_TEST(!busy.hasRoom(this->connectionLimit));
+    BOOST_TEST(busy.waitingRequests > 0U);
+    BOOST_REQUIRE(runUntil(this->io, [this] { return this->outcomes.size() == 2; }));
+    const ConnectionUsage idle = this->pool.usageOf(EndpointId("e"));
+    BOOST_TEST(idle.idle == 1U);
+    BOOST_TEST(idle.waitingRequests == 0U);
+    BOOST_TEST(this->pool.usageOf(EndpointId("other")).open == 0U);
+}
+
 // Guards against opening a new connection for each request.
 BOOST_FIXTURE_TEST_CASE(reusesConnections, Fixture)
 {
