--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -111,6 +111,22 @@
     return result;
 }
 
+bool OverloadControl::holdsBackHedge(const AdmittedRequest &request, TimePoint now)
+{
+    const ServiceId &key = endpointsKeyOf(request);
+    const auto competing = this->competingRequests.find(key);
+    if (competing == this->competingRequests.end() || !EndpointQueues::areReported(this->endpoints, key)) {
+        return false;
+    }
+    return this->estimatedWait(request, competing->second, now) > Duration::zero()
+        && competing->second.kinds.yieldsToOthers(this->kindOf(request), request.organisationSpec(), now);
+}
+
+bool OverloadControl::needsResults(const AdmittedRequest &request) const
+{
+    return this->endpoints.workFactorsOf(endpointsKeyOf(request)) != ServiceLoadModel::WorkFactors::NotReported;
+}
+
 void OverloadControl::recordLatency(const AdmittedRequest &request,
                                     const ServiceId &service,
                                     Duration latency,
@@ -139,7 +155,7 @@
 OverloadControl::CompetingRequests &OverloadControl::competingWith(const AdmittedRequest &request, TimePoint now)
 {
     if (now >= this->nextCleanupAt) {
-        this->forgetIdle(now);
+        this->forgetUnused(*request.table, now);
         this->nextCleanupAt = now + cleanupInterval;
     }
     CompetingRequests &competing = this->competingRequests[endpointsKeyOf(request)];
@@ -216,10 +232,18 @@
     return now - competing.lastRequestAt > idleTime;
 }
 
-void OverloadControl::forgetIdle(TimePoint now)
+void OverloadControl::forgetUnused(const RouteTable &table, TimePoint now)
 {
     eraseValuesIf(this->competingRequests,
                   [now](const CompetingRequests &competing) { return isIdle(competing, now); });
+    std::map<std::string, WorkEstimate> workOfRoutes;
+    for (const Route &route : table.routes()) {
+        const auto estimate = this->work.find(route.name);
+        if (estimate != this->work.end()) {
+            workOfRoutes.insert(*estimate);
+        }
+    }
+    this->work = std::move(workOfRoutes);
 }
 
 }
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -62,6 +62,14 @@
     /// Returns what decide() would decide now, and records nothing.
     OverloadForecast peek(const AdmittedRequest &request, TimePoint now) const;
 
+    /// True while requests wait at the endpoints and @p request is one of those that are rejected first: a second copy
+    /// of it would take room from the others.
+    bool holdsBackHedge(const AdmittedRequest &request, TimePoint now);
+
+    /// False if what becomes of a request that starts now need not be recorded, as the endpoints that it goes to do not
+    /// report their work factors.
+    bool needsResults(const AdmittedRequest &request) const;
+
     /// Records the latency of a response to a request from an endpoint of @p service.
     void recordLatency(const AdmittedRequest &request, const ServiceId &service, Duration latency, TimePoint now);
 
@@ -110,7 +118,8 @@
     /// Time after which a rejected request may be sent again, by a fraction of the time that is left to its deadline.
     static Duration retryAfter(const AdmittedRequest &request, double fraction, TimePoint now);
     static bool isIdle(const CompetingRequests &competing, TimePoint now);
-    void forgetIdle(TimePoint now);
+    /// Drops state about endpoints to which no request goes, and about routes that @p table does not have.
+    void forgetUnused(const RouteTable &table, TimePoint now);
 
     const EndpointSet &endpoints;
     Random &random;
--- a/Source/forwarding/routeexplainer.cpp
+++ b/Source/forwarding/routeexplainer.cpp
@@ -208,11 +208,9 @@
     this->explainOverload(request, explanation);
     const ServiceThrottling throttling = forwarding.chooser.throttling(request.service, now);
     if (throttling.isThrottled) {
-        const double reserve
-            = forwarding.throttledAdmission.peekReserveForOthers(request.priority(), request.organisationSpec(), now);
-        const Duration wait = throttling.waitTimeFor(reserve);
-        if (wait > Duration::zero()) {
-            refuseThrottled(explanation, wait);
+        const ThrottledDecision decision = forwarding.throttledAdmission.peek(request, { { 0, throttling } }, 0, now);
+        if (decision.waitTime) {
+            refuseThrottled(explanation, *decision.waitTime);
         }
     }
     std::vector<WeightedService> services = request.route->services;
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -243,9 +243,12 @@
     switch (outcome.result) {
     case CallResult::Answered: {
         ServiceResult result;
-        result.response = outcome.response;
         result.success = isSuccess(outcome.response);
         result.mayHaveRun = true;
+        // The failure response of a shard is not passed on, and would be kept until the end of its query.
+        if (result.success || this->request.route->shards.empty()) {
+            result.response = outcome.response;
+        }
         if (result.success || nonIdempotent || !isServerError(outcome.response)) {
             this->finish(result);
             return true;
@@ -465,7 +468,10 @@
 
 void ServiceCall::tryHedge()
 {
-    if (!this->hedgeSent && this->startAttempt(AttemptKind::Hedge) == StartResult::Started) {
+    if (this->hedgeSent || this->context.overloadControl.holdsBackHedge(this->request, this->context.clock.now())) {
+        return;
+    }
+    if (this->startAttempt(AttemptKind::Hedge) == StartResult::Started) {
         this->hedgeSent = true;
         this->context.counters.counter("lycheewall_forwarding_hedges_total").add();
     }
--- a/Source/forwarding/shardselection.cpp
+++ b/Source/forwarding/shardselection.cpp
@@ -16,12 +16,9 @@
 /// A shard is left out of some queries when the rate left for it is below this fraction of a full bucket.
 constexpr double scarceFillLevel = 0.75;
 
-/// Shards whose endpoints have all asked for fewer requests.
-using ThrottledShards = std::map<std::size_t, ServiceThrottling>;
-
-ThrottledShards findThrottledShards(const EndpointChooser &chooser, const Route &route, TimePoint now)
+ThrottledServices findThrottledShards(const EndpointChooser &chooser, const Route &route, TimePoint now)
 {
-    ThrottledShards result;
+    ThrottledServices result;
     for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
         const ServiceThrottling throttling = chooser.throttling(route.shards[shard], now);
         if (throttling.isThrottled) {
@@ -31,21 +28,8 @@
     return result;
 }
 
-/// Shards that take no request now which has to leave @p reserve to others, by the time until they do.
-std::multimap<Duration, std::size_t> findExhausted(const ThrottledShards &throttled, double reserve)
-{
-    std::multimap<Duration, std::size_t> exhausted;
-    for (const auto &[shard, throttling] : throttled) {
-        const Duration wait = throttling.waitTimeFor(reserve);
-        if (wait > Duration::zero()) {
-            exhausted.emplace(wait, shard);
-        }
-    }
-    return exhausted;
-}
-
 /// Shards that will soon take no request, by their fill level.
-std::multimap<double, std::size_t> findScarce(const ThrottledShards &throttled)
+std::multimap<double, std::size_t> findScarce(const ThrottledServices &throttled)
 {
     std::multimap<double, std::size_t> scarce;
     for (const auto &[shard, throttling] : throttled) {
@@ -83,23 +67,24 @@
     }
 }
 
-/// Selects the shards of a query that has to leave @p reserve of the tokens of throttled shards to others.
+std::size_t countOmittable(const Route &route)
+{
+    return route.shards.size() - std::min(route.requiredShards(), route.shards.size());
+}
+
+/// Selects the shards of a query on whose @p throttled shards the admission has come to @p decision.
 ShardSelection selectAmong(const ForwardingContext &context,
                            const AdmittedRequest &request,
-                           const ThrottledShards &throttled,
-                           double reserve)
+                           const ThrottledServices &throttled,
+                           const ThrottledDecision &decision)
 {
-    const Route &route = *request.route;
-    const std::size_t omittable = route.shards.size() - std::min(route.requiredShards(), route.shards.size());
     ShardSelection selection;
-    const auto exhausted = findExhausted(throttled, reserve);
-    if (exhausted.size() > omittable) {
-        const auto lastNeeded
-            = std::next(exhausted.begin(), static_cast<std::ptrdiff_t>(exhausted.size() - omittable - 1));
-        selection.retryAfter = lastNeeded->first;
+    if (decision.waitTime) {
+        selection.retryAfter = decision.waitTime;
         return selection;
     }
-    skipUpTo(omittable, exhausted, Refusal::EndpointThrottled, selection.skipped);
+    const std::size_t omittable = countOmittable(*request.route);
+    skipUpTo(omittable, decision.exhausted, Refusal::EndpointThrottled, selection.skipped);
     skipUpTo(omittable, findScarce(throttled), Refusal::EndpointThrottled, selection.skipped);
     skipUpTo(omittable, findLateShards(context, request), Refusal::QueueFull, selection.skipped);
     return selection;
@@ -110,17 +95,14 @@
 ShardSelection selectShards(const ForwardingContext &context, const AdmittedRequest &request)
 {
     const TimePoint now = context.clock.now();
-    const ThrottledShards throttled = findThrottledShards(context.chooser, *request.route, now);
-    if (throttled.empty()) {
-        return selectAmong(context, request, throttled, 0);
+    const ThrottledServices throttled = findThrottledShards(context.chooser, *request.route, now);
+    ThrottledDecision decision;
+    if (!throttled.empty()) {
+        decision = context.throttledAdmission.decide(request, throttled, countOmittable(*request.route), now);
     }
-    const OrganisationSpec *organisation = request.organisationSpec();
-    const double reserve = context.throttledAdmission.reserveForOthers(request.priority(), organisation, now);
-    ShardSelection selection = selectAmong(context, request, throttled, reserve);
+    ShardSelection selection = selectAmong(context, request, throttled, decision);
     if (selection.retryAfter) {
         selection.retryAfter = spreadRetryAfter(*selection.retryAfter, context.random);
-    } else {
-        context.throttledAdmission.recordSent(request.priority(), organisation, now);
     }
     return selection;
 }
@@ -128,11 +110,12 @@
 ShardSelection peekShards(const ForwardingContext &context, const AdmittedRequest &request)
 {
     const TimePoint now = context.clock.now();
-    const ThrottledShards throttled = findThrottledShards(context.chooser, *request.route, now);
-    const double reserve = throttled.empty()
-        ? 0
-        : context.throttledAdmission.peekReserveForOthers(request.priority(), request.organisationSpec(), now);
-    return selectAmong(context, request, throttled, reserve);
+    const ThrottledServices throttled = findThrottledShards(context.chooser, *request.route, now);
+    ThrottledDecision decision;
+    if (!throttled.empty()) {
+        decision = context.throttledAdmission.peek(request, throttled, countOmittable(*request.route), now);
+    }
+    return selectAmong(context, request, throttled, decision);
 }
 
 std::vector<ServiceId>
--- a/Source/gateway/gateway.cpp
+++ b/Source/gateway/gateway.cpp
@@ -81,7 +81,8 @@
     , overloadControl(endpoints, random)
     , forwarding { clock,      timers,      counters,           endpoints,       chooser,
                    pool,       retryBudget, latencies,          serviceBalancer, quota,
-                   requestLog, random,      throttledAdmission, overloadControl, nullptr }
+                   requestLog, random,      throttledAdmission, overloadControl, pool.responseMemory(),
+                   nullptr }
     , freshness(clock)
     , forwarder(settings.forwarding, forwarding, freshness)
     , explainer({ forwarding, forwarder, freshness, pool }, { settings.instance, settings.zone })
@@ -129,7 +130,7 @@
     const ConnectionLimits limits
         = ConnectionLimits::ofMachine(this->settings.memoryLimitBytes, this->settings.maxDescriptors);
     this->connectionBudget->setLimits(limits);
-    this->pool.setResponseMemoryLimit(limits.responseBytes);
+    this->pool.responseMemory()->setLimits({ limits.responseBytes, limits.allResponseBytes });
 }
 
 Result<void> Gateway::start()
@@ -153,6 +154,9 @@
     }
     this->front = std::move(frontServer.value());
     this->awaitSignal();
+    if (this->hasOtherSeed()) {
+        this->reader.restoration().expectInstances();
+    }
     this->gossip->start();
     this->updateFleetShare();
     this->subscriptions.push_back(this->timers.after(joinDelay, [this] { this->updateFleetShare(); }));
@@ -183,6 +187,7 @@
                                                               this->members,
                                                               this->quota,
                                                               this->freshness,
+                                                              this->reader.restoration(),
                                                               this->endpoints,
                                                               this->activeInstances,
                                                               [this] { this->updateFleetShare(); },
@@ -200,6 +205,13 @@
     this->forwarding.relay = this->relayClient.get();
 }
 
+bool Gateway::hasOtherSeed() const
+{
+    return std::any_of(this->settings.seeds.begin(), this->settings.seeds.end(), [this](const std::string &seed) {
+        return seed != this->settings.peerAddress;
+    });
+}
+
 Result<void> Gateway::startAuxiliaryServers()
 {
     const auto startServer = [this](const std::string &address, AuxiliaryServer::Handler handler) -> Result<void> {
@@ -305,7 +317,8 @@
 
 void Gateway::updateReadiness()
 {
-    if (this->gossip->state() == MemberState::Starting && this->forwarder.table()) {
+    const bool isStarting = this->gossip->state() == MemberState::Starting;
+    if (isStarting && this->forwarder.table() && !this->reader.restoration().isAwaitingInstance()) {
         logger().info("Ready to serve requests with " + std::to_string(this->endpoints.size()) + " endpoints.");
         this->setState(MemberState::Ready);
     }
