--- a/Source/forwarding/shardselection.cpp
+++ b/Source/forwarding/shardselection.cpp
@@ -67,26 +67,76 @@
     }
 }
 
+std::size_t countOmittable(const Route &route)
+{
+    return route.shards.size() - std::min(route.requiredShards(), route.shards.size());
+}
+
+/// Selects the shards of a query on whose @p throttled shards the admission has come to @p decision.
+ShardSelection selectAmong(const ForwardingContext &context,
+                           const AdmittedRequest &request,
+                           const ThrottledServices &throttled,
+                           const ThrottledDecision &decision)
+{
+    ShardSelection selection;
+    if (decision.waitTime) {
+        selection.retryAfter = decision.waitTime;
+        return selection;
+    }
+    const std::size_t omittable = countOmittable(*request.route);
+    skipUpTo(omittable, decision.exhausted, Refusal::EndpointThrottled, selection.skipped);
+    skipUpTo(omittable, findScarce(throttled), Refusal::EndpointThrottled, selection.skipped);
+    skipUpTo(omittable, findLateShards(context, request), Refusal::QueueFull, selection.skipped);
+    return selection;
+}
+
 }
 
 ShardSelection selectShards(const ForwardingContext &context, const AdmittedRequest &request)
 {
-    const Route &route = *request.route;
     const TimePoint now = context.clock.now();
-    const std::size_t omittable = route.shards.size() - std::min(route.requiredShards(), route.shards.size());
-    ShardSelection selection;
-    const ThrottledServices throttled = findThrottledShards(context.chooser, route, now);
+    const ThrottledServices throttled = findThrottledShards(context.chooser, *request.route, now);
+    ThrottledDecision decision;
     if (!throttled.empty()) {
-        const ThrottledDecision decision = context.throttledAdmission.decide(request, throttled, omittable, now);
-        if (decision.waitTime) {
-            selection.retryAfter = spreadRetryAfter(*decision.waitTime, context.random);
-            return selection;
-        }
-        skipUpTo(omittable, decision.exhausted, Refusal::EndpointThrottled, selection.skipped);
-        skipUpTo(omittable, findScarce(throttled), Refusal::EndpointThrottled, selection.skipped);
+        decision = context.throttledAdmission.decide(request, throttled, countOmittable(*request.route), now);
+    }
+    ShardSelection selection = selectAmong(context, request, throttled, decision);
+    if (selection.retryAfter) {
+        selection.retryAfter = spreadRetryAfter(*selection.retryAfter, context.random);
     }
-    skipUpTo(omittable, findLateShards(context, request), Refusal::QueueFull, selection.skipped);
     return selection;
 }
 
+ShardSelection peekShards(const ForwardingContext &context, const AdmittedRequest &request)
+{
+    const TimePoint now = context.clock.now();
+    const ThrottledServices throttled = findThrottledShards(context.chooser, *request.route, now);
+    ThrottledDecision decision;
+    if (!throttled.empty()) {
+        decision = context.throttledAdmission.peek(request, throttled, countOmittable(*request.route), now);
+    }
+    return selectAmong(context, request, throttled, decision);
+}
+
+std::vector<ServiceId>
+relayableShards(const ForwardingContext &context, const AdmittedRequest &request, const SkippedShards &skipped)
+{
+    std::vector<ServiceId> relayable;
+    // The relaying instance and this one share the route's maximum number of attempts.
+    if (context.relay == nullptr || request.route->maxAttempts < 2) {
+        return relayable;
+    }
+    const std::vector<ServiceId> &shards = request.route->shards;
+    const TimePoint now = context.clock.now();
+    for (std::size_t shard = 0; shard < shards.size(); ++shard) {
+        const bool hasLocalEndpoint = context.chooser.hasHealthyLocalEndpoint(shards[shard], now);
+        // This instance has a share of its own of the rate that the endpoints take.
+        const bool isThrottled = context.chooser.throttling(shards[shard], now).isThrottled;
+        if (skipped.count(shard) == 0 && !hasLocalEndpoint && !isThrottled) {
+            relayable.push_back(shards[shard]);
+        }
+    }
+    return relayable;
+}
+
 }
--- a/Source/forwarding/throttledadmission.cpp
+++ b/Source/forwarding/throttledadmission.cpp
@@ -16,15 +16,9 @@
 constexpr double urgentReserve = 0.2;
 constexpr double fairShareReserve = 0.1;
 
-}
-
-ThrottledDecision ThrottledAdmission::decide(const AdmittedRequest &request,
-                                             const ThrottledServices &services,
-                                             std::size_t omittable,
-                                             TimePoint now)
+/// Decides on a request that has to leave @p reserve of the tokens to others.
+ThrottledDecision decideWithReserve(const ThrottledServices &services, std::size_t omittable, double reserve)
 {
-    const OrganisationSpec *organisation = request.organisationSpec();
-    const double reserve = this->reserveForOthers(request.priority(), organisation, now);
     ThrottledDecision decision;
     for (const auto &[index, throttling] : services) {
         const Duration wait = throttling.waitTimeFor(reserve);
@@ -36,15 +30,48 @@
         const auto lastNeeded = std::next(decision.exhausted.begin(),
                                           static_cast<std::ptrdiff_t>(decision.exhausted.size() - omittable - 1));
         decision.waitTime = lastNeeded->first;
-    } else {
+    }
+    return decision;
+}
+
+}
+
+ThrottledDecision ThrottledAdmission::decide(const AdmittedRequest &request,
+                                             const ThrottledServices &services,
+                                             std::size_t omittable,
+                                             TimePoint now)
+{
+    const OrganisationSpec *organisation = request.organisationSpec();
+    const double reserve = this->reserveForOthers(request.priority(), organisation, now);
+    ThrottledDecision decision = decideWithReserve(services, omittable, reserve);
+    if (!decision.waitTime) {
         this->recordSent(request.priority(), organisation, now);
     }
     return decision;
 }
 
+ThrottledDecision ThrottledAdmission::peek(const AdmittedRequest &request,
+                                           const ThrottledServices &services,
+                                           std::size_t omittable,
+                                           TimePoint now) const
+{
+    const int priority = request.priority();
+    const auto known = this->classes.find(priority);
+    PriorityClass priorityClass = known == this->classes.end() ? PriorityClass() : known->second;
+    const double reserve = this->reserveIn(priorityClass, priority, request.organisationSpec(), now);
+    return decideWithReserve(services, omittable, reserve);
+}
+
 double ThrottledAdmission::reserveForOthers(int priority, const OrganisationSpec *organisation, TimePoint now)
 {
-    PriorityClass &priorityClass = this->classes[priority];
+    return this->reserveIn(this->classes[priority], priority, organisation, now);
+}
+
+double ThrottledAdmission::reserveIn(PriorityClass &priorityClass,
+                                     int priority,
+                                     const OrganisationSpec *organisation,
+                                     TimePoint now) const
+{
     priorityClass.lastRequestAt = now;
     priorityClass.shares.forgetIdle(competingTime, now);
     double reserve = 0;
--- a/Source/forwarding/throttledadmission.h
+++ b/Source/forwarding/throttledadmission.h
@@ -38,6 +38,10 @@
     ThrottledDecision
     decide(const AdmittedRequest &request, const ThrottledServices &services, std::size_t omittable, TimePoint now);
 
+    /// Returns what decide() would decide now, and records nothing. Precondition: @p services is not empty.
+    ThrottledDecision
+    peek(const AdmittedRequest &request, const ThrottledServices &services, std::size_t omittable, TimePoint now) const;
+
     /// Records that a request of @p priority (0 is the highest) is for a throttled service, and returns the fraction of
     /// the tokens that it has to leave to others. @p organisation is nullptr on public routes.
     double reserveForOthers(int priority, const OrganisationSpec *organisation, TimePoint now);
@@ -53,6 +57,9 @@
         FairShares shares;
     };
 
+    /// The fraction of the tokens that a request has to leave to others. Records the request in @p priorityClass only.
+    double
+    reserveIn(PriorityClass &priorityClass, int priority, const OrganisationSpec *organisation, TimePoint now) const;
     bool isMoreUrgentWaiting(int priority, TimePoint now) const;
 
     std::map<int, PriorityClass> classes;
--- a/Source/gateway/endpointconnectionpool.cpp
+++ b/Source/gateway/endpointconnectionpool.cpp
@@ -324,6 +324,16 @@
     return this->memory;
 }
 
+ConnectionUsage EndpointConnectionPool::usageOf(const EndpointId &endpoint) const
+{
+    const auto entry = this->connectionsByEndpoint.find(endpoint);
+    if (entry == this->connectionsByEndpoint.end()) {
+        return {};
+    }
+    const EndpointConnections &connections = entry->second;
+    return { connections.size(), connections.idle.size(), connections.queued.size() };
+}
+
 std::size_t EndpointConnectionPool::connectionCount() const
 {
     return this->endpointByConnection.size();
