Forwarding: Ignore late work factors of endpoints that have left a service

When the last endpoint of a service that reports work factors was removed, the response to a request that it still had in flight marked the service as reporting again. Nothing resets that until the next removal, so results were recorded and all endpoints searched for a report for each request, although none of them reports. Decisions were not affected, as areReported() still asks the endpoints.

Each endpoint marks its service with its first report only. A service with a reporting endpoint stays marked, as the mark is removed only when no endpoint that is left has reported. The first response of an endpoint can still arrive after its removal and mark the service; the next removal resets it.

--- a/Source/forwarding/endpointload.cpp
+++ b/Source/forwarding/endpointload.cpp
@@ -74,13 +74,14 @@
 
 void EndpointLoad::storeFactor(double newLogFactor, TimePoint now)
 {
-    this->serviceModel->recordWorkFactor();
     this->model->countReport();
     this->model->recordFactor(newLogFactor);
     if (this->logFactor) {
         this->model->recordChange(
             *this->logFactor - this->logMean, newLogFactor - this->logMean, now - this->factorReceivedAt);
     } else {
+        // Later reports may arrive when the endpoint has left the service.
+        this->serviceModel->recordWorkFactor();
         this->logMean = this->model->typicalLogFactor();
     }
     this->logMean += meanGain * (newLogFactor - this->logMean);
--- a/Tests/forwarding/loadestimatetest.cpp
+++ b/Tests/forwarding/loadestimatetest.cpp
@@ -257,6 +257,25 @@
     }
 }
 
+// Guards against results that are recorded for good after the endpoints that reported work factors have left: the
+// response to a request that was in flight then reports one more.
+BOOST_AUTO_TEST_CASE(lateReportOfRemovedEndpointIsNoReportOfService)
+{
+    EndpointSet endpoints;
+    EndpointRecord record;
+    record.service = ServiceId("service");
+    for (const char *id : { "reporting", "other" }) {
+        record.id = EndpointId(id);
+        endpoints.addOrUpdate(record, at(0));
+    }
+    const EndpointPtr reporting = endpoints.find(EndpointId("reporting"));
+    reporting->stats.updateLoad({ 1, 0, 4, 1 }, at(1));
+    BOOST_TEST((endpoints.workFactorsOf(record.service) == ServiceLoadModel::WorkFactors::Reported));
+    endpoints.remove(reporting->record.id);
+    reporting->stats.updateLoad({ 1, 0, 4, 1 }, at(2));
+    BOOST_TEST((endpoints.workFactorsOf(record.service) == ServiceLoadModel::WorkFactors::Unknown));
+}
+
 // Guards against durations that overflow because an endpoint reports an absurd number of requests.
 BOOST_AUTO_TEST_CASE(boundsReportedNumberOfRequests)
 {
