Forwarding: Forget the work of removed routes also without decisions

Estimates of routes that are gone were dropped only when a request was decided on or a result of a shard recorded. Where single services report no work factors, neither happens: the latencies of the first requests, which are recorded until an endpoint has responded without a factor, left an entry for each route name that ever was.

recordLatency() starts the cleanup too when it is due.

--- a/Source/forwarding/overloadcontrol.cpp
+++ b/Source/forwarding/overloadcontrol.cpp
@@ -92,6 +92,7 @@
                                     Duration latency,
                                     TimePoint now)
 {
+    this->forgetUnused(*request.table, now);
     // With a queue, the latency includes the time that the request has waited.
     if (latency > Duration::zero() && EndpointQueues::longest(this->endpoints, service, now) <= 0) {
         this->work[request.route->name].record(latency);
@@ -114,10 +115,7 @@
 
 OverloadControl::CompetingRequests &OverloadControl::competingWith(const AdmittedRequest &request, TimePoint now)
 {
-    if (now >= this->nextCleanupAt) {
-        this->forgetUnused(*request.table, now);
-        this->nextCleanupAt = now + cleanupInterval;
-    }
+    this->forgetUnused(*request.table, now);
     CompetingRequests &competing = this->competingRequests[endpointsKeyOf(request)];
     competing.lastRequestAt = now;
     return competing;
@@ -190,6 +188,10 @@
 
 void OverloadControl::forgetUnused(const RouteTable &table, TimePoint now)
 {
+    if (now < this->nextCleanupAt) {
+        return;
+    }
+    this->nextCleanupAt = now + cleanupInterval;
     eraseValuesIf(this->competingRequests,
                   [now](const CompetingRequests &competing) { return now - competing.lastRequestAt > idleTime; });
     std::map<std::string, WorkEstimate> workOfRoutes;
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -89,7 +89,8 @@
     /// Estimated waiting time at the endpoints of the service, or of most of the shards.
     Duration estimatedWait(const AdmittedRequest &request, CompetingRequests &competing, TimePoint now) const;
     OverloadRejection reject(const AdmittedRequest &request, Refusal reason, Duration wait, TimePoint now);
-    /// Drops state about endpoints to which no request goes, and about routes that @p table does not have.
+    /// Drops state about endpoints to which no request goes, and about routes that @p table does not have, if a cleanup
+    /// is due.
     void forgetUnused(const RouteTable &table, TimePoint now);
 
     const EndpointSet &endpoints;
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -345,6 +345,20 @@
     BOOST_TEST(!this->decide("patient").has_value());
 }
 
+// Guards against estimates of routes that are gone and stay, as their requests went to single services whose endpoints
+// report no work factors: nothing is decided about those.
+BOOST_AUTO_TEST_CASE(forgetsWorkOfRemovedRouteWithoutDecisions)
+{
+    this->recordWork("patient", std::chrono::seconds(2));
+    const std::vector<Route> routes = this->tableContent.routes;
+    this->tableContent.routes.pop_back();
+    this->clock.advance(std::chrono::seconds(11));
+    this->recordWork("urgent", Milliseconds(10));
+    this->tableContent.routes = routes;
+    BOOST_TEST(!this->decide("patient").has_value());
+    BOOST_TEST(!this->decide("patient").has_value());
+}
+
 // Guards against work for each request to endpoints that report no work factors, and against results that are missing
 // once endpoints report them.
 BOOST_AUTO_TEST_CASE(needsResultsUnlessEndpointsRespondWithoutWorkFactors)
