Forwarding: Hold back no hedges for kinds whose callers have left

A kind stops competing 2 s after its last request, but it is dropped only when another request arrives. Hedges are decided on later than that: on an instance that gets no more requests while others keep the endpoints busy, the hedges of a patient request in flight were held back for a more urgent kind that had left.

CompetingKinds::yieldsToOthers() passes over kinds without recent requests.

--- a/Source/forwarding/competingkinds.cpp
+++ b/Source/forwarding/competingkinds.cpp
@@ -94,6 +94,10 @@
 {
     const Key ownKey(kind.priority, kind.route);
     for (const auto &[key, other] : this->kinds) {
+        // Idle kinds are dropped when a request arrives, which may be long ago.
+        if (now - other.lastArrivalAt > competingTime) {
+            continue;
+        }
         const bool isMoreUrgent = key.first < kind.priority && other.slack > Duration::zero();
         const bool needsLessWork = key.first == kind.priority && key != ownKey && other.work < kind.work;
         if (isMoreUrgent || needsLessWork) {
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -359,6 +359,19 @@
     BOOST_TEST(!this->decide("patient").has_value());
 }
 
+// Guards against hedges that are held back for a more urgent kind whose callers have left, as no request arrives that
+// would end its competition.
+BOOST_AUTO_TEST_CASE(holdsBackNoHedgeForKindThatHasLeft)
+{
+    this->reportWaiting(1);
+    this->decide("urgent");
+    const AdmittedRequest patient = this->admitted("patient");
+    BOOST_TEST(this->overloadControl.holdsBackHedge(patient, this->clock.now()));
+    this->clock.advance(std::chrono::seconds(3));
+    this->reportWaiting(1);
+    BOOST_TEST(!this->overloadControl.holdsBackHedge(patient, this->clock.now()));
+}
+
 // Guards against work for each request to endpoints that report no work factors, and against results that are missing
 // once endpoints report them.
 BOOST_AUTO_TEST_CASE(needsResultsUnlessEndpointsRespondWithoutWorkFactors)
