Docs: Say more exactly which hedges a shortage holds back

The rule is about more urgent and cheaper kinds and fair shares whatever the limits of the kinds, and applies from the first waiting request on.

--- a/Source/forwarding/competingkinds.h
+++ b/Source/forwarding/competingkinds.h
@@ -43,8 +43,8 @@
     /// the waiting time. Precondition: the arrival of @p kind was recorded.
     bool isBelowMinimum(const KindOfRequest &kind, const OrganisationSpec *organisation) const;
 
-    /// True if the request is rejected at shorter waiting times than others: for more urgent ones, for equally urgent
-    /// ones that need less work, or for those of organisations within their fair share.
+    /// True if others come before the request in a shortage: a more urgent kind that can be on time, an equally urgent
+    /// kind that needs less work, or organisations within their fair share.
     bool yieldsToOthers(const KindOfRequest &kind, const OrganisationSpec *organisation, TimePoint now) const;
 
     /// Records whether a request was sent while the endpoints were short of room.
--- a/Source/forwarding/overloadcontrol.h
+++ b/Source/forwarding/overloadcontrol.h
@@ -45,11 +45,11 @@
     /// Decides on a request that has arrived; std::nullopt if it may be sent.
     std::optional<OverloadRejection> decide(const AdmittedRequest &request, TimePoint now);
 
-    /// True while requests wait at the endpoints and @p request is one of those that are rejected first: a second copy
-    /// of it would take room from the others.
+    /// True while requests wait at the endpoints and @p request yields to others (CompetingKinds::yieldsToOthers()): a
+    /// second copy of it would take their room.
     bool holdsBackHedge(const AdmittedRequest &request, TimePoint now);
 
-    /// False if what becomes of a request that starts now need not be recorded, as the endpoints that it goes to do not
+    /// False if the results of a request that starts now need not be recorded, as the endpoints that it goes to do not
     /// report their work factors.
     bool needsResults(const AdmittedRequest &request) const;
 
--- a/Tests/forwarding/overloadloadtest.cpp
+++ b/Tests/forwarding/overloadloadtest.cpp
@@ -177,8 +177,9 @@
     checkOrderOfKinds(result);
 }
 
-// Guards against second copies of cheap requests that take the room of urgent dear ones. Pattern: a burst of 2.4 of the
-// cheapest kind while the dear one uses a third of the slots of the same service; both need 1.1 times the slots then.
+// Guards against second copies of cheap requests that take the room of urgent expensive ones. Pattern: a burst of 2.4
+// of the cheapest kind while the expensive one uses a third of the slots of the same service; both need 1.1 times the
+// slots then.
 BOOST_AUTO_TEST_CASE(cheapKindBurstsOnSingleService)
 {
     SimulationPlan plan = sharedShardsPlan(200, 767);
