Forwarding: Drop surplus records early while other shards are relayed

Callers of a sharded route of which some shards are relayed: since waiting responses are bounded, the query kept all records of its direct shards, however few its reply can contain. Such queries reached the limit with far fewer of them than queries without a relay, and were given up although no shard was silent.

Shown first by forwarding/keepsFewRecordsWhileShardsAreRelayed: a query for three records held 307,216 bytes instead of 1 KiB at most.

Cause: records were merged early only if no shard of the query is relayed, because a relay response may replace the direct response of a relayed shard. The records of the other shards cannot be replaced. Ruled out: merging everything once the last relay response has arrived; a relay response that arrives after the time for which it is waited for is still used.

The change: ShardRecords has add() for records that stay, which merges them when they hold too much, and setReplaceable() for those of relayed shards. A caller can no longer forget the merge or replace merged records.

Changed test: WaitingQueryTest/keepsFewRecords calls add(); it checks the same.

--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -105,7 +105,7 @@
     {
         --this->outstanding;
         if (result.success) {
-            this->records.set(this->shards.size(), result.response->body);
+            this->records.add(result.response->body);
             this->shards.push_back({ service, result.response->signature });
         }
         if (this->outstanding == 0) {
@@ -113,7 +113,6 @@
             this->finish();
             return;
         }
-        this->records.mergeIfLarge();
         this->memory->update(*this, this->records.bytes());
     }
 
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -165,7 +165,7 @@
             continue;
         }
         this->signatures[shard] = relayedShard.signature;
-        this->records.set(shard, isFirst ? response.records : std::string());
+        this->records.setReplaceable(shard, isFirst ? response.records : std::string());
         isFirst = false;
         this->shards.set(shard, ShardState::Succeeded);
     }
@@ -283,7 +283,12 @@
     this->recordShardResult(shard, result);
     if (result.success) {
         this->signatures[shard] = result.response->signature;
-        this->records.set(shard, result.response->body);
+        // Records of relayed shards may still be replaced by those of the relaying instance.
+        if (this->relayedShards.count(shard) > 0) {
+            this->records.setReplaceable(shard, result.response->body);
+        } else {
+            this->records.add(result.response->body);
+        }
         this->shards.set(shard, ShardState::Succeeded);
     } else if (this->relayedShards.count(shard) > 0 && !this->isRelayFinished) {
         // The relaying instance may still deliver the shard.
@@ -301,10 +306,6 @@
     if (this->finished) {
         return;
     }
-    // Records of relayed shards may still be replaced by those of the relaying instance.
-    if (this->relayedShards.empty()) {
-        this->records.mergeIfLarge();
-    }
     this->memory->update(*this, this->records.bytes());
 }
 
--- a/Source/forwarding/shardrecords.cpp
+++ b/Source/forwarding/shardrecords.cpp
@@ -22,44 +22,53 @@
 {
 }
 
-void ShardRecords::set(std::size_t shard, std::string records)
+void ShardRecords::add(std::string records)
 {
-    if (this->recordsByShard.size() <= shard) {
-        this->recordsByShard.resize(shard + 1);
-    }
-    this->bytesByShard = this->bytesByShard - this->recordsByShard[shard].size() + records.size();
-    this->recordsByShard[shard] = std::move(records);
+    this->addedBytes += records.size();
+    this->addedRecords.push_back(std::move(records));
+    this->mergeAddedIfLarge();
 }
 
-void ShardRecords::mergeIfLarge()
+void ShardRecords::setReplaceable(std::size_t shard, std::string records)
+{
+    std::string &current = this->replaceableRecords[shard];
+    this->replaceableBytes = this->replaceableBytes - current.size() + records.size();
+    current = std::move(records);
+}
+
+void ShardRecords::mergeAddedIfLarge()
 {
     // Divided, because the configured number of records may be very large.
-    const std::size_t bytesHeld = this->bytes();
-    if (bytesHeld < minBytesToMerge || bytesHeld / (mergeMultiple * recordBytes) <= this->maxRecords) {
+    if (this->addedBytes < minBytesToMerge || this->addedBytes / (mergeMultiple * recordBytes) <= this->maxRecords) {
         return;
     }
-    std::string records = this->merged();
-    this->clear();
-    this->mergedRecords = std::move(records);
+    const std::vector<std::string_view> views(this->addedRecords.begin(), this->addedRecords.end());
+    std::string records = mergeTopRecords(views, this->maxRecords);
+    this->addedBytes = records.size();
+    this->addedRecords = {};
+    this->addedRecords.push_back(std::move(records));
 }
 
 std::string ShardRecords::merged() const
 {
-    std::vector<std::string_view> views { this->mergedRecords };
-    views.insert(views.end(), this->recordsByShard.begin(), this->recordsByShard.end());
+    std::vector<std::string_view> views(this->addedRecords.begin(), this->addedRecords.end());
+    for (const auto &[shard, records] : this->replaceableRecords) {
+        views.push_back(records);
+    }
     return mergeTopRecords(views, this->maxRecords);
 }
 
 void ShardRecords::clear()
 {
-    this->recordsByShard = {};
-    this->bytesByShard = 0;
-    this->mergedRecords = {};
+    this->addedRecords = {};
+    this->addedBytes = 0;
+    this->replaceableRecords.clear();
+    this->replaceableBytes = 0;
 }
 
 std::size_t ShardRecords::bytes() const
 {
-    return this->bytesByShard + this->mergedRecords.size();
+    return this->addedBytes + this->replaceableBytes;
 }
 
 }
--- a/Source/forwarding/shardrecords.h
+++ b/Source/forwarding/shardrecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,12 @@
     /// @p maxRecords is the number of records in the reply.
     explicit ShardRecords(std::size_t maxRecords);
 
-    /// Sets the records of @p shard. Precondition: mergeIfLarge() was not called since records of @p shard were set.
-    void set(std::size_t shard, std::string records);
+    /// Adds the records of a shard, which are not replaced any more. Merges all that were added so if they hold much
+    /// more than a reply can contain.
+    void add(std::string records);
 
-    /// Merges the records if they hold much more than a reply can contain. No record can be replaced afterwards.
-    void mergeIfLarge();
+    /// Sets the records of @p shard, which may be set again later. They are not merged early.
+    void setReplaceable(std::size_t shard, std::string records);
 
     /// The greatest records of all shards; see mergeTopRecords().
     std::string merged() const;
@@ -33,12 +35,15 @@
     std::size_t bytes() const;
 
 private:
+    void mergeAddedIfLarge();
+
     std::size_t maxRecords;
-    /// By shard; empty if they were merged.
-    std::vector<std::string> recordsByShard;
-    std::size_t bytesByShard = 0;
-    /// The greatest records of shards that are not in recordsByShard any more.
-    std::string mergedRecords;
+    /// Of one shard, or merged from several ones.
+    std::vector<std::string> addedRecords;
+    std::size_t addedBytes = 0;
+    /// By shard.
+    std::map<std::size_t, std::string> replaceableRecords;
+    std::size_t replaceableBytes = 0;
 };
 
 }
--- a/Tests/forwarding/shardrelaytest.cpp
+++ b/Tests/forwarding/shardrelaytest.cpp
@@ -134,6 +134,28 @@
     BOOST_TEST((this->replies[0].merged->body == high + middle + low));
 }
 
+// Guards against a query for few records that holds all records of its direct shards while other shards are relayed,
+// and against counting a shard twice that responds directly and through the relaying instance.
+BOOST_AUTO_TEST_CASE(keepsFewRecordsWhileShardsAreRelayed)
+{
+    constexpr std::size_t kibibyte = 1024;
+    this->route.maxRecords = 3;
+    this->fillBudgetOf("far1");
+    this->start();
+    this->call(0).finish(CallResult::Answered, 200, high + std::string(300 * kibibyte, 'a'));
+    BOOST_TEST(this->responseMemory->totalBytes() <= kibibyte);
+    this->call(1).finish(CallResult::Answered, 200, low);
+    this->clock.advance(Milliseconds(60));
+    BOOST_REQUIRE(this->endpointSender.calls.size() > 2U);
+    BOOST_REQUIRE((this->call(2).call.endpoint->record.service == ServiceId("far1")));
+    this->call(2).finish(CallResult::Answered, 200, middle);
+    this->relay.responseCallback(
+        makeRelayResponse({ { ServiceId("far1"), "s1" }, { ServiceId("far2"), "s2" } }, middle + low, true));
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies[0].merged->missingShards == 0U);
+    BOOST_TEST((this->replies[0].merged->body == high + middle + low));
+}
+
 // Guards against a query that waits for a failed relaying instance, and against hedges of its shards beyond the retry
 // budget.
 BOOST_AUTO_TEST_CASE(hedgesWithinBudgetAfterRelayTimeout)
--- a/Tests/forwarding/waitingquerytest.cpp
+++ b/Tests/forwarding/waitingquerytest.cpp
@@ -96,11 +96,9 @@
 BOOST_AUTO_TEST_CASE(keepsFewRecords)
 {
     ShardRecords records(2);
-    records.set(0, std::string(recordBytes, 'z') + std::string(300 * kibibyte, 'a'));
-    records.mergeIfLarge();
+    records.add(std::string(recordBytes, 'z') + std::string(300 * kibibyte, 'a'));
     BOOST_TEST(records.bytes() <= kibibyte);
-    records.set(1, std::string(recordBytes, 'y') + std::string(300 * kibibyte, 'b'));
-    records.mergeIfLarge();
+    records.add(std::string(recordBytes, 'y') + std::string(300 * kibibyte, 'b'));
     BOOST_TEST(records.bytes() <= kibibyte);
     BOOST_TEST(records.merged() == std::string(recordBytes, 'z') + std::string(recordBytes, 'y'));
 }
