Forwarding: Log why a query was given up

Operators saw `memory-exceeded`, which stands for a refusal that was not run, for queries whose callers got outcome-unknown, and `partial` without the reason. A query that is given up now logs `given-up` with the bytes that it holds, before the line of its reply. Comments say what is done in either case.

--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -122,7 +122,7 @@
         this->memory->update(*this, 0);
     }
 
-    /// Sends the shard responses early, because memory is short. Calls for missing shards continue.
+    /// Sends the shard responses early because memory is short. Calls for missing shards continue.
     void giveUpResponse() override
     {
         this->sendResponse(false);
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -313,12 +313,16 @@
 {
     const auto self = this->shared_from_this();
     this->context.counters.counter("lycheewall_forwarding_queries_given_up_total").add();
+    this->context.requestLog.write(*this->request.request,
+                                   "given-up",
+                                   "held-bytes=" + std::to_string(this->records.bytes()) + ' '
+                                       + this->describeMissing());
     if (this->shards.hasRequiredCoverage()) {
         this->replyMerged();
         return;
     }
     this->recordSilentShards();
-    this->replyRefusal(std::string(refusalCode(Refusal::MemoryExceeded)));
+    this->replyRefusal();
 }
 
 void FanoutExchange::recordShardResult(std::size_t shard, const ServiceResult &result)
@@ -353,7 +357,7 @@
 void FanoutExchange::replyIfComplete()
 {
     if (!this->shards.canReachRequiredCoverage()) {
-        this->replyRefusal("failed");
+        this->replyRefusal();
         return;
     }
     if (this->shards.hasRequiredCoverage() && (this->shards.areAllFinished() || this->isObjectivePassed)) {
@@ -424,12 +428,12 @@
     this->reply(reply);
 }
 
-void FanoutExchange::replyRefusal(const std::string &outcome)
+void FanoutExchange::replyRefusal()
 {
     ServiceResult result;
     result.mayHaveRun = this->mayHaveBeenRun();
     result.reason = this->refusalReason;
-    this->context.requestLog.write(*this->request.request, outcome, this->describeMissing());
+    this->context.requestLog.write(*this->request.request, "failed", this->describeMissing());
     this->reply(makeRefusalReply(result));
 }
 
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -16,8 +16,8 @@
  * have responded. When the route's latency objective is reached, a reply that covers at least Route::minShardRatio of
  * the shards is sent without the missing ones and states their number; after the objective, the reply is sent as soon
  * as this coverage is reached. selectShards() decides which shards are skipped from the start, and whether the query is
- * refused at once because too many shards take no more requests.
- * Thread safety: none; used on the thread of the request loop.
+ * refused at once because too many shards take no more requests. A query whose responses hold too much memory ends
+ * early. Thread safety: none; used on the thread of the request loop.
  */
 class FanoutExchange : public Exchange,
                        public std::enable_shared_from_this<FanoutExchange>,
@@ -61,7 +61,8 @@
     void recordSilentShards();
     /// Replies, if that is possible. Otherwise reports what the query holds while it waits, which may give it up.
     void replyOrWait();
-    /// Replies without the missing shards because memory is short.
+    /// Replies at once because memory is short: without the missing shards if the coverage suffices, else with a
+    /// refusal.
     void giveUpResponse() override;
     void replyIfComplete();
     void handleObjective();
@@ -69,7 +70,7 @@
     /// True unless it is certain that no endpoint has run or will run the request.
     bool mayHaveBeenRun() const;
     void replyMerged();
-    void replyRefusal(const std::string &outcome);
+    void replyRefusal();
     std::string describeMissing() const;
     void reply(const ForwardReply &reply);
 
--- a/Source/gateway/connectionbudget.h
+++ b/Source/gateway/connectionbudget.h
@@ -22,7 +22,7 @@
     std::size_t responseBytes = 0;
     /// Sockets: accepted connections and connections to endpoints together.
     std::size_t sockets = 0;
-    /// Memory of the incomplete responses and of the complete ones of shards whose query waits for further shards.
+    /// Memory of incomplete responses and of complete ones of shards whose query waits for further shards, together.
     std::size_t allResponseBytes = 0;
 
     /// Divides the memory and the descriptors that one process may use. However small they are, the result allows 2 MiB
--- a/Tests/forwarding/waitingquerytest.cpp
+++ b/Tests/forwarding/waitingquerytest.cpp
@@ -92,6 +92,18 @@
     BOOST_TEST(this->replies[0].merged->body.size() == 600 * kibibyte);
 }
 
+// Guards against a query that is used after it has given up itself, and against memory that it does not release then.
+BOOST_AUTO_TEST_CASE(queryBeyondTheLimitGivesUpItself)
+{
+    this->routeToShards(1);
+    this->start();
+    this->call(0).finish(CallResult::Answered, 200, std::string(totalLimit + recordBytes, 'x'));
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST((this->replies[0].refusal == Refusal::OutcomeUnknown));
+    BOOST_TEST(this->call(1).cancelled);
+    BOOST_TEST(this->responseMemory->totalBytes() == 0U);
+}
+
 // Guards against a query for few records that holds all records of its shards, and against losing the greatest ones.
 BOOST_AUTO_TEST_CASE(keepsFewRecords)
 {
