Forwarding: Drop a query's surplus records before giving it up

Callers of a route for few records got outcome-unknown while memory was short, although their query could release nearly all that it held: it merges its records early only above 64 KiB, and incomplete responses beside it fill the memory.

Shown first by WaitingQueryTest/queryForFewRecordsDropsSurplusFirst: of two queries for two records that hold 60 KiB each, with a limit of 100 KiB, one was given up. Now both wait on, and the reply has all greatest records.

The change: a query that is to be given up merges its records first and waits on if it then holds at most half as much. Each such call releases memory, so ResponseMemory::update() ends.

--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -312,6 +312,10 @@
 void FanoutExchange::giveUpResponse()
 {
     const auto self = this->shared_from_this();
+    if (this->records.dropSurplus()) {
+        this->memory->update(*this, this->records.bytes());
+        return;
+    }
     this->context.counters.counter("lycheewall_forwarding_queries_given_up_total").add();
     this->context.requestLog.write(*this->request.request,
                                    "given-up",
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -61,8 +61,8 @@
     void recordSilentShards();
     /// Replies, if that is possible. Otherwise reports what the query holds while it waits, which may give it up.
     void replyOrWait();
-    /// Replies at once because memory is short: without the missing shards if the coverage suffices, else with a
-    /// refusal.
+    /// Called when memory is short. Drops the records that the reply cannot contain if they hold at least half of the
+    /// memory. Otherwise replies at once: without the missing shards if the coverage suffices, else with a refusal.
     void giveUpResponse() override;
     void replyIfComplete();
     void handleObjective();
--- a/Source/forwarding/responsememory.h
+++ b/Source/forwarding/responsememory.h
@@ -40,7 +40,8 @@
         }
         virtual ~Holder() = default;
 
-        /// Gives up what it holds. Must call update() with 0 bytes before it returns.
+        /// Gives up what it holds, or the part that it does not need. Must call update() with fewer bytes than it holds
+        /// before it returns.
         virtual void giveUpResponse() = 0;
 
     private:
--- a/Source/forwarding/shardrecords.cpp
+++ b/Source/forwarding/shardrecords.cpp
@@ -26,7 +26,10 @@
 {
     this->addedBytes += records.size();
     this->addedRecords.push_back(std::move(records));
-    this->mergeAddedIfLarge();
+    // Divided, because the configured number of records may be very large.
+    if (this->addedBytes >= minBytesToMerge && this->addedBytes / (mergeMultiple * recordBytes) > this->maxRecords) {
+        this->mergeAdded();
+    }
 }
 
 void ShardRecords::setReplaceable(std::size_t shard, std::string records)
@@ -36,12 +39,15 @@
     current = std::move(records);
 }
 
-void ShardRecords::mergeAddedIfLarge()
+bool ShardRecords::dropSurplus()
+{
+    const std::size_t bytesBefore = this->bytes();
+    this->mergeAdded();
+    return this->bytes() <= bytesBefore / 2;
+}
+
+void ShardRecords::mergeAdded()
 {
-    // Divided, because the configured number of records may be very large.
-    if (this->addedBytes < minBytesToMerge || this->addedBytes / (mergeMultiple * recordBytes) <= this->maxRecords) {
-        return;
-    }
     const std::vector<std::string_view> views(this->addedRecords.begin(), this->addedRecords.end());
     std::string records = mergeTopRecords(views, this->maxRecords);
     this->addedBytes = records.size();
--- a/Source/forwarding/shardrecords.h
+++ b/Source/forwarding/shardrecords.h
@@ -26,6 +26,9 @@
     /// Sets the records of @p shard, which may be set again later. They are not merged early.
     void setReplaceable(std::size_t shard, std::string records);
 
+    /// Merges all records that were added. Returns false if they hold more than half of the memory afterwards.
+    bool dropSurplus();
+
     /// The greatest records of all shards; see mergeTopRecords().
     std::string merged() const;
 
@@ -35,7 +38,7 @@
     std::size_t bytes() const;
 
 private:
-    void mergeAddedIfLarge();
+    void mergeAdded();
 
     std::size_t maxRecords;
     /// Of one shard, or merged from several ones.
--- a/Tests/forwarding/waitingquerytest.cpp
+++ b/Tests/forwarding/waitingquerytest.cpp
@@ -92,6 +92,20 @@
     BOOST_TEST(this->replies[0].merged->body.size() == 600 * kibibyte);
 }
 
+// Guards against giving up a query that can release nearly all of its memory without its reply losing a record.
+BOOST_AUTO_TEST_CASE(queryForFewRecordsDropsSurplusFirst)
+{
+    this->responseMemory->setLimits({ totalLimit, 100 * kibibyte });
+    this->route.maxRecords = 2;
+    this->routeToShards(1);
+    this->startTwoQueries(60 * kibibyte);
+    BOOST_TEST(this->replies.empty());
+    BOOST_TEST(this->responseMemory->totalBytes() < 61 * kibibyte);
+    this->call(1).finish(CallResult::Answered, 200, std::string(recordBytes, 'z'));
+    BOOST_REQUIRE(this->replies.size() == 1U);
+    BOOST_TEST(this->replies[0].merged->body == std::string(recordBytes, 'z') + std::string(recordBytes, 'x'));
+}
+
 // Guards against a query that is used after it has given up itself, and against memory that it does not release then.
 BOOST_AUTO_TEST_CASE(queryBeyondTheLimitGivesUpItself)
 {
