--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -155,7 +155,7 @@
             continue;
         }
         this->signatures[shard] = relayedShard.signature;
-        this->records.set(shard, isFirst ? response.records : std::string());
+        this->records.setReplaceable(shard, isFirst ? response.records : std::string());
         isFirst = false;
         this->shards.set(shard, ShardState::Succeeded);
     }
@@ -273,7 +273,12 @@
     this->recordShardResult(shard, result);
     if (result.success) {
         this->signatures[shard] = result.response->signature;
-        this->records.set(shard, result.response->body);
+        // Records of relayed shards may still be replaced by those of the relaying instance.
+        if (this->relayedShards.count(shard) > 0) {
+            this->records.setReplaceable(shard, result.response->body);
+        } else {
+            this->records.add(result.response->body);
+        }
         this->shards.set(shard, ShardState::Succeeded);
     } else if (this->relayedShards.count(shard) > 0 && !this->isRelayFinished) {
         // The relaying instance may still deliver the shard.
@@ -291,23 +296,27 @@
     if (this->finished) {
         return;
     }
-    // Records of relayed shards may still be replaced by those of the relaying instance.
-    if (this->relayedShards.empty()) {
-        this->records.mergeIfLarge();
-    }
     this->memory->update(*this, this->records.bytes());
 }
 
 void FanoutExchange::giveUpResponse()
 {
     const auto self = this->shared_from_this();
+    if (this->records.dropSurplus()) {
+        this->memory->update(*this, this->records.bytes());
+        return;
+    }
     this->context.counters.counter("lycheewall_forwarding_queries_given_up_total").add();
+    this->context.requestLog.write(*this->request.request,
+                                   "given-up",
+                                   "held-bytes=" + std::to_string(this->records.bytes()) + ' '
+                                       + this->describeMissing());
     if (this->shards.hasRequiredCoverage()) {
         this->replyMerged();
         return;
     }
     this->recordSilentShards();
-    this->replyRefusal(std::string(refusalCode(Refusal::MemoryExceeded)));
+    this->replyRefusal();
 }
 
 void FanoutExchange::recordShardResult(std::size_t shard, const ServiceResult &result)
@@ -348,7 +357,7 @@
 void FanoutExchange::replyIfComplete()
 {
     if (!this->shards.canReachRequiredCoverage()) {
-        this->replyRefusal("failed");
+        this->replyRefusal();
         return;
     }
     if (this->shards.hasRequiredCoverage() && (this->shards.areAllFinished() || this->isObjectivePassed)) {
@@ -421,12 +430,12 @@
     this->reply(reply);
 }
 
-void FanoutExchange::replyRefusal(const std::string &outcome)
+void FanoutExchange::replyRefusal()
 {
     ServiceResult result;
     result.mayHaveRun = this->mayHaveBeenRun();
     result.reason = this->refusalReason;
-    this->context.requestLog.write(*this->request.request, outcome, this->describeMissing());
+    this->context.requestLog.write(*this->request.request, "failed", this->describeMissing());
     this->reply(makeRefusalReply(result));
 }
 
