Forwarding: Test that explained requests leave fair shares unchanged

The test of explanations passed although a request that was only explained was recorded as sent to a throttled service: with a single organisation, fair shares cannot be exceeded. It now has two organisations. Verified with peek() changed to call recordSent(), to record the time of the request, and with OverloadControl::peek() changed to record the arrival: all three fail the test.

--- a/Tests/forwarding/routeexplainertest.cpp
+++ b/Tests/forwarding/routeexplainertest.cpp
@@ -414,6 +414,11 @@
     const auto run = [](bool explains) {
         ExplainerFixture fixture;
         fixture.tableContent.organisations.front().ratePerSecond = 30;
+        fixture.tableContent.organisations.front().burst = 20;
+        OrganisationSpec other = fixture.tableContent.organisations.front();
+        other.id = OrganisationId("other");
+        other.keys = { KeyCheck::hash("other-key") };
+        fixture.tableContent.organisations.push_back(other);
         fixture.routeToShards(0.5);
         fixture.route.prefix = "/shards/";
         fixture.route.priority = 1;
@@ -439,6 +444,7 @@
             fixture.clock.advance(Milliseconds(step % 7));
             fixture.freshness.confirm(fixture.clock.now());
             fixture.reportWaiting(step % 100);
+            fixture.query.organisation = OrganisationId("other");
             for (const char *target : { "/urgent/shards/x", "/urgent/weighted/x", "/shards/x", "/weighted/x" }) {
                 fixture.query.target = target;
                 if (explains) {
@@ -446,6 +452,8 @@
                 }
             }
             fixture.query.target = step % 2 == 0 ? "/shards/x" : "/weighted/x";
+            // Explained requests of the other organisation must not count in the fair shares.
+            fixture.query.organisation = OrganisationId(step % 3 == 0 ? "other" : "org");
             fixture.forward();
             if (!fixture.endpointSender.calls.empty()) {
                 fixture.endpointSender.calls.back()->finish(step % 5 == 0 ? CallResult::NotRun : CallResult::Answered);
