--- a/Tests/forwarding/routeexplainertest.cpp
+++ b/Tests/forwarding/routeexplainertest.cpp
@@ -444,6 +444,7 @@
             fixture.clock.advance(Milliseconds(step % 7));
             fixture.freshness.confirm(fixture.clock.now());
             fixture.reportWaiting(step % 100);
+            // If explained requests counted as sent, this organisation would exceed its fair share.
             fixture.query.organisation = OrganisationId("other");
             for (const char *target : { "/urgent/shards/x", "/urgent/weighted/x", "/shards/x", "/weighted/x" }) {
                 fixture.query.target = target;
@@ -452,7 +453,6 @@
                 }
             }
             fixture.query.target = step % 2 == 0 ? "/shards/x" : "/weighted/x";
-            // Explained requests of the other organisation must not count in the fair shares.
             fixture.query.organisation = OrganisationId(step % 3 == 0 ? "other" : "org");
             fixture.forward();
             if (!fixture.endpointSender.calls.empty()) {
