Forwarding: Give up the youngest of equally large responses

Which one of several equally large incomplete responses is given up depended on their addresses, so an older response could go for a younger one; the bound itself held. The test had run without sanitizers only, in test_gateway, where addresses happen to rise.

Equal sizes are now ordered by the time at which a connection began to hold a response, and the youngest goes. The test is unchanged; it failed before in the sanitized build and passes now, as the other tests of ResponseMemoryTest and WaitingQueryTest do.

--- a/Source/forwarding/responsememory.cpp
+++ b/Source/forwarding/responsememory.cpp
@@ -27,7 +27,7 @@
         holder.giveUpResponse();
     }
     while (this->incompleteBytes > this->currentLimits.incompleteBytes) {
-        this->incompleteBySize.rbegin()->second->giveUpResponse();
+        std::get<Holder *>(*this->incompleteBySize.rbegin())->giveUpResponse();
     }
     while (this->totalBytes() > this->currentLimits.allBytes) {
         this->heaviest().giveUpResponse();
@@ -38,12 +38,13 @@
 {
     if (holder.heldBytes == 0) {
         holder.heldSince = this->clock.now();
+        holder.order = ++this->lastOrder;
     }
     if (holder.content == Content::IncompleteResponse) {
-        this->incompleteBySize.erase({ holder.heldBytes, &holder });
+        this->incompleteBySize.erase({ holder.heldBytes, holder.order, &holder });
         this->incompleteBytes = this->incompleteBytes - holder.heldBytes + bytes;
         if (bytes > 0) {
-            this->incompleteBySize.emplace(bytes, &holder);
+            this->incompleteBySize.emplace(bytes, holder.order, &holder);
         }
     } else {
         this->queryBytes = this->queryBytes - holder.heldBytes + bytes;
@@ -70,7 +71,7 @@
         }
     };
     for (const auto &entry : this->incompleteBySize) {
-        consider(entry.second);
+        consider(std::get<Holder *>(entry));
     }
     for (Holder *query : this->queries) {
         consider(query);
--- a/Source/forwarding/responsememory.h
+++ b/Source/forwarding/responsememory.h
@@ -3,9 +3,10 @@
 #include "core/clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <set>
+#include <tuple>
 #include <unordered_set>
-#include <utility>
 
 namespace Lycheewall
 {
@@ -15,9 +16,10 @@
  * shards over all queries that wait for further shards. Endpoints in trouble may send without end, or keep many queries
  * waiting by their silence.
  *
- * When the incomplete responses hold too much, the largest one is given up: the responses of sound endpoints are
- * smaller and go on. When both kinds together hold too much, the holder is given up that has held most for the longest
- * time.
+ * When the incomplete responses hold too much, the largest one is given up, of several the one that began last: the
+ * responses of sound endpoints are smaller and go on. When both kinds together hold too much, the holder is given up
+ * that has held most for the longest time.
+ *
  * Thread safety: none; used on the thread of the request loop.
  */
 class ResponseMemory
@@ -49,6 +51,8 @@
         Content content;
         std::size_t heldBytes = 0;
         TimePoint heldSince;
+        /// Greater for holders that began later.
+        std::uint64_t order = 0;
     };
 
     /// Greatest size of an incomplete response.
@@ -83,10 +87,12 @@
 
     const Clock &clock;
     Limits currentLimits;
-    std::set<std::pair<std::size_t, Holder *>> incompleteBySize;
+    /// By size, and of the same size by the order in which they began.
+    std::set<std::tuple<std::size_t, std::uint64_t, Holder *>> incompleteBySize;
     std::unordered_set<Holder *> queries;
     std::size_t incompleteBytes = 0;
     std::size_t queryBytes = 0;
+    std::uint64_t lastOrder = 0;
 };
 
 }
