Forwarding: Hedge for organisations that send few requests in a shortage

In a shortage, requests of the most urgent kind got no hedge if many organisations sent few requests each. Hedges are held back for organisations above their fair share, and the request in question had been counted: with few requests of each organisation, one that has just sent a request is above the mean of all. Decisions on new requests are not affected, as they are made before the request is counted.

FairShares::wasExceededBeforeLatest() leaves the latest request of the organisation out, and hedges are decided on with it.

--- a/Source/forwarding/competingkinds.cpp
+++ b/Source/forwarding/competingkinds.cpp
@@ -105,7 +105,7 @@
         }
     }
     const auto own = this->kinds.find(ownKey);
-    return own != this->kinds.end() && own->second.shares.isExceeded(organisation, now);
+    return own != this->kinds.end() && own->second.shares.wasExceededBeforeLatest(organisation, now);
 }
 
 void CompetingKinds::recordDecision(const KindOfRequest &kind,
--- a/Source/forwarding/competingkinds.h
+++ b/Source/forwarding/competingkinds.h
@@ -44,7 +44,7 @@
     bool isBelowMinimum(const KindOfRequest &kind, const OrganisationSpec *organisation) const;
 
     /// True if others come before the request in a shortage: a more urgent kind that can be on time, an equally urgent
-    /// kind that needs less work, or organisations within their fair share.
+    /// kind that needs less work, or organisations within their fair share. The request was sent already.
     bool yieldsToOthers(const KindOfRequest &kind, const OrganisationSpec *organisation, TimePoint now) const;
 
     /// Records whether a request was sent while the endpoints were short of room.
--- a/Source/forwarding/fairshares.cpp
+++ b/Source/forwarding/fairshares.cpp
@@ -30,16 +30,25 @@
 bool FairShares::isExceeded(const OrganisationSpec *organisation, TimePoint now) const
 {
     const auto own = this->usage.find(organisationId(organisation));
-    if (own == this->usage.end()) {
-        return false;
-    }
+    return own != this->usage.end() && this->isAboveShare(own->second, own->second.sent.perSecond(now), now);
+}
+
+bool FairShares::wasExceededBeforeLatest(const OrganisationSpec *organisation, TimePoint now) const
+{
+    const auto own = this->usage.find(organisationId(organisation));
+    return own != this->usage.end()
+        && this->isAboveShare(own->second, own->second.sent.perSecondBeforeLatest(now), now);
+}
+
+bool FairShares::isAboveShare(const Usage &own, double ownRate, TimePoint now) const
+{
     double totalRate = 0;
     double totalWeight = 0;
     for (const auto &[id, entry] : this->usage) {
-        totalRate += entry.sent.perSecond(now);
+        totalRate += &entry == &own ? ownRate : entry.sent.perSecond(now);
         totalWeight += entry.weight;
     }
-    return own->second.sent.perSecond(now) * totalWeight > totalRate * own->second.weight;
+    return ownRate * totalWeight > totalRate * own.weight;
 }
 
 void FairShares::forgetIdle(Duration idleTime, TimePoint now)
--- a/Source/forwarding/fairshares.h
+++ b/Source/forwarding/fairshares.h
@@ -25,6 +25,10 @@
     /// True if the organisation has sent more than its fair share of the recent requests.
     bool isExceeded(const OrganisationSpec *organisation, TimePoint now) const;
 
+    /// True if the organisation had done so before its latest request. With few requests of each organisation, one that
+    /// has just sent a request is always above its fair share.
+    bool wasExceededBeforeLatest(const OrganisationSpec *organisation, TimePoint now) const;
+
     /// Drops organisations whose last request is older than @p idleTime.
     void forgetIdle(Duration idleTime, TimePoint now);
 
@@ -37,6 +41,8 @@
         TimePoint lastSentAt;
     };
 
+    bool isAboveShare(const Usage &own, double ownRate, TimePoint now) const;
+
     std::map<OrganisationId, Usage> usage;
 };
 
--- a/Source/forwarding/requestrate.h
+++ b/Source/forwarding/requestrate.h
@@ -18,7 +18,12 @@
     /// Requests per second.
     double perSecond(TimePoint now) const;
 
+    /// Requests per second without the latest one. Precondition: a request was recorded.
+    double perSecondBeforeLatest(TimePoint now) const;
+
 private:
+    double decayed(double value, TimePoint now) const;
+
     double rate = 0;
     TimePoint updatedAt;
 };
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -372,6 +372,27 @@
     BOOST_TEST(!this->overloadControl.holdsBackHedge(patient, this->clock.now()));
 }
 
+// Guards against hedges of the most urgent kind that are held back as each of many organisations seems to be above its
+// fair share just after its request.
+BOOST_AUTO_TEST_CASE(hedgesForManyOrganisationsWithFewRequests)
+{
+    std::vector<std::string> names;
+    for (int number = 0; number < 20; ++number) {
+        names.push_back("organisation-" + std::to_string(number));
+    }
+    this->setOrganisations(names);
+    this->waiting = 1;
+    int heldBack = 0;
+    for (int number = 0; number < 100; ++number) {
+        const std::string &name = names[number % names.size()];
+        this->countSent(1, "urgent", name);
+        this->clock.advance(Milliseconds(45));
+        this->reportWaiting(this->waiting);
+        heldBack += this->overloadControl.holdsBackHedge(this->admitted("urgent", name), this->clock.now()) ? 1 : 0;
+    }
+    BOOST_TEST(heldBack == 0);
+}
+
 // Guards against work for each request to endpoints that report no work factors, and against results that are missing
 // once endpoints report them.
 BOOST_AUTO_TEST_CASE(needsResultsUnlessEndpointsRespondWithoutWorkFactors)
