Fleet, forwarding: Look up relaying instances and idle connections once

For each relayed query, RelayClient filtered the instances of the selected zone twice, and copied their ids only for explain-route to count them. One lookup serves selectTarget() and findZone(), which names the number. The same random number is drawn.

To learn whether a shard has an idle connection, explain-route built the whole explanation of each shard; it asks for the likeliest endpoint now. Answers are the same. test_forwarding without the simulated suites, RelayTest and test_explain_route pass; the fakes name a number in place of ids, no check changed.

--- a/Source/fleet/relayclient.cpp
+++ b/Source/fleet/relayclient.cpp
@@ -53,7 +53,7 @@
 {
 }
 
-std::optional<RelayZone> RelayClient::findZone(const std::vector<ServiceId> &services) const
+std::optional<RelayClient::Candidates> RelayClient::findCandidates(const std::vector<ServiceId> &services) const
 {
     std::map<ZoneId, std::vector<ServiceId>> byZone;
     for (const ServiceId &service : services) {
@@ -62,31 +62,36 @@
         }
     }
     byZone.erase(this->zone);
-    std::optional<RelayZone> best;
+    std::optional<Candidates> best;
     for (const auto &[endpointZone, covered] : byZone) {
         const bool coversMore
             = covered.size() >= minServicesPerRelay && (!best || covered.size() > best->services.size());
-        const auto instances = coversMore ? this->usableInstances(endpointZone) : std::vector<InstanceInfo>();
-        if (instances.empty()) {
-            continue;
-        }
-        best = RelayZone { endpointZone, {}, covered };
-        for (const InstanceInfo &instance : instances) {
-            best->instances.push_back(instance.instance);
+        auto instances = coversMore ? this->usableInstances(endpointZone) : std::vector<InstanceInfo>();
+        if (!instances.empty()) {
+            best = Candidates { endpointZone, std::move(instances), covered };
         }
     }
     return best;
 }
 
+std::optional<RelayZone> RelayClient::findZone(const std::vector<ServiceId> &services) const
+{
+    const auto candidates = this->findCandidates(services);
+    if (!candidates) {
+        return std::nullopt;
+    }
+    return RelayZone { candidates->zone, candidates->instances.size(), candidates->services };
+}
+
 std::optional<RelayTarget> RelayClient::selectTarget(const std::vector<ServiceId> &services)
 {
-    const auto relayZone = this->findZone(services);
-    if (!relayZone) {
+    const auto candidates = this->findCandidates(services);
+    if (!candidates) {
         return std::nullopt;
     }
-    const std::vector<InstanceInfo> instances = this->usableInstances(relayZone->zone);
+    const std::vector<InstanceInfo> &instances = candidates->instances;
     const InstanceInfo &selected = instances[this->context.random.uniformInteger(instances.size())];
-    return RelayTarget { selected.instance, selected.peerAddress, relayZone->zone, relayZone->services };
+    return RelayTarget { selected.instance, selected.peerAddress, candidates->zone, candidates->services };
 }
 
 std::vector<InstanceInfo> RelayClient::usableInstances(const ZoneId &wanted) const
--- a/Source/fleet/relayclient.h
+++ b/Source/fleet/relayclient.h
@@ -46,6 +46,17 @@
 private:
     class PendingRequest;
 
+    /// A zone, its usable instances, and the services that they reach.
+    struct Candidates
+    {
+        ZoneId zone;
+        /// Not empty.
+        std::vector<InstanceInfo> instances;
+        std::vector<ServiceId> services;
+    };
+
+    /// The candidates that reach the most of @p services; std::nullopt if there are none.
+    std::optional<Candidates> findCandidates(const std::vector<ServiceId> &services) const;
     /// Instances of the zone that have not failed to respond recently.
     std::vector<InstanceInfo> usableInstances(const ZoneId &zone) const;
 
--- a/Source/forwarding/routeexplainer.cpp
+++ b/Source/forwarding/routeexplainer.cpp
@@ -245,16 +245,12 @@
     std::set<ServiceId> relayed;
     if (relayZone) {
         relayed.insert(relayZone->services.begin(), relayZone->services.end());
-        explanation.relay
-            = RelayExplanation { relayZone->zone, relayZone->instances.size(), relayZone->services.size() };
+        explanation.relay = RelayExplanation { relayZone->zone, relayZone->instances, relayZone->services.size() };
     }
     std::vector<ShardStart> starts = findShardStarts(forwarding, request, selection.skipped, relayed);
-    const auto explainShard = [&](const ServiceId &service) {
-        return explainService(
-            forwarding, this->context.connections, request, service, endpointsPerService(starts.size()));
-    };
     const auto refusal = refusalForCoverage(*request.route, starts, [&](const ServiceId &service) {
-        return explainShard(service).endpoints.front().connections.idle > 0;
+        const auto endpoint = likeliestEndpoint(forwarding, request, service);
+        return endpoint && this->context.connections.usageOf(*endpoint).idle > 0;
     });
     if (refusal) {
         refuse(explanation, *refusal);
@@ -263,7 +259,8 @@
     const std::size_t listed = std::min(starts.size(), maxListedServices);
     explanation.unlistedServices = starts.size() - listed;
     for (std::size_t index = 0; index < listed; ++index) {
-        ServiceExplanation service = explainShard(starts[index].service);
+        ServiceExplanation service = explainService(
+            forwarding, this->context.connections, request, starts[index].service, endpointsPerService(starts.size()));
         service.skipped = starts[index].skipped;
         service.isRelayed = starts[index].isRelayed;
         explanation.services.push_back(std::move(service));
--- a/Source/forwarding/serviceexplainer.cpp
+++ b/Source/forwarding/serviceexplainer.cpp
@@ -176,6 +176,15 @@
     return explanation;
 }
 
+std::optional<EndpointId>
+likeliestEndpoint(const ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service)
+{
+    const std::vector<Candidate> candidates
+        = findCandidates(context, firstAttemptCriteria(context, request, service), context.clock.now());
+    const bool isAnyUsable = !candidates.empty() && candidates.front().canBeChosen();
+    return isAnyUsable ? std::optional(candidates.front().endpoint->record.id) : std::nullopt;
+}
+
 bool hasUsableEndpoint(const ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service)
 {
     const TimePoint now = context.clock.now();
--- a/Source/forwarding/serviceexplainer.h
+++ b/Source/forwarding/serviceexplainer.h
@@ -15,6 +15,11 @@
                                   const ServiceId &service,
                                   std::size_t maxEndpoints);
 
+/// The endpoint of @p service that the first attempt of @p request would be sent to now; std::nullopt if none takes it.
+/// Thread safety: none; used on the thread of the request loop.
+std::optional<EndpointId>
+likeliestEndpoint(const ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service);
+
 /// True if an endpoint of @p service takes the request now. Thread safety: none; used on the thread of the request
 /// loop.
 bool hasUsableEndpoint(const ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service);
--- a/Source/forwarding/shardrelay.h
+++ b/Source/forwarding/shardrelay.h
@@ -47,8 +47,8 @@
 struct RelayZone
 {
     ZoneId zone;
-    /// Instances of which one is selected at random. Not empty.
-    std::vector<InstanceId> instances;
+    /// Number of instances of which one is selected at random; at least 1.
+    std::size_t instances = 0;
     std::vector<ServiceId> services;
 };
 
--- a/Tests/forwarding/routeexplainertest.cpp
+++ b/Tests/forwarding/routeexplainertest.cpp
@@ -31,7 +31,7 @@
 public:
     std::optional<RelayZone> findZone(const std::vector<ServiceId> &services) const override
     {
-        return RelayZone { ZoneId("there"), { InstanceId("x"), InstanceId("y") }, services };
+        return RelayZone { ZoneId("there"), 2, services };
     }
     std::optional<RelayTarget> selectTarget(const std::vector<ServiceId> & /*services*/) override
     {
--- a/Tests/forwarding/shardrelaytest.cpp
+++ b/Tests/forwarding/shardrelaytest.cpp
@@ -22,7 +22,7 @@
         if (services.size() < 2) {
             return std::nullopt;
         }
-        return RelayZone { ZoneId("elsewhere"), { InstanceId("far") }, services };
+        return RelayZone { ZoneId("elsewhere"), 1, services };
     }
     std::optional<RelayTarget> selectTarget(const std::vector<ServiceId> &services) override
     {
@@ -31,7 +31,7 @@
         if (!zone) {
             return std::nullopt;
         }
-        return RelayTarget { zone->instances.front(), "peer-far", zone->zone, zone->services };
+        return RelayTarget { InstanceId("far"), "peer-far", zone->zone, zone->services };
     }
     std::unique_ptr<PendingRelay>
     send(const RelayTarget & /*target*/, const AdmittedRequest & /*request*/, ResponseCallback callback) override
