--- a/Source/forwarding/shardselection.cpp
+++ b/Source/forwarding/shardselection.cpp
@@ -67,23 +67,21 @@
     }
 }
 
-std::size_t countOmittable(const Route &route)
-{
-    return route.shards.size() - std::min(route.requiredShards(), route.shards.size());
-}
-
-/// Selects the shards of a query on whose @p throttled shards the admission has come to @p decision.
-ShardSelection selectAmong(const ForwardingContext &context,
-                           const AdmittedRequest &request,
-                           const ThrottledServices &throttled,
-                           const ThrottledDecision &decision)
+/// Selects the shards of a query. @p decide decides on the throttled ones, given their number that may be left out; it
+/// is called only if there are any.
+template<typename Decide>
+ShardSelection
+selectBy(const Decide &decide, const ForwardingContext &context, const AdmittedRequest &request, TimePoint now)
 {
+    const Route &route = *request.route;
+    const std::size_t omittable = route.shards.size() - std::min(route.requiredShards(), route.shards.size());
+    const ThrottledServices throttled = findThrottledShards(context.chooser, route, now);
+    const ThrottledDecision decision = throttled.empty() ? ThrottledDecision() : decide(throttled, omittable);
     ShardSelection selection;
     if (decision.waitTime) {
         selection.retryAfter = decision.waitTime;
         return selection;
     }
-    const std::size_t omittable = countOmittable(*request.route);
     skipUpTo(omittable, decision.exhausted, Refusal::EndpointThrottled, selection.skipped);
     skipUpTo(omittable, findScarce(throttled), Refusal::EndpointThrottled, selection.skipped);
     skipUpTo(omittable, findLateShards(context, request), Refusal::QueueFull, selection.skipped);
@@ -95,12 +93,10 @@
 ShardSelection selectShards(const ForwardingContext &context, const AdmittedRequest &request)
 {
     const TimePoint now = context.clock.now();
-    const ThrottledServices throttled = findThrottledShards(context.chooser, *request.route, now);
-    ThrottledDecision decision;
-    if (!throttled.empty()) {
-        decision = context.throttledAdmission.decide(request, throttled, countOmittable(*request.route), now);
-    }
-    ShardSelection selection = selectAmong(context, request, throttled, decision);
+    const auto decide = [&](const ThrottledServices &throttled, std::size_t omittable) {
+        return context.throttledAdmission.decide(request, throttled, omittable, now);
+    };
+    ShardSelection selection = selectBy(decide, context, request, now);
     if (selection.retryAfter) {
         selection.retryAfter = spreadRetryAfter(*selection.retryAfter, context.random);
     }
@@ -110,12 +106,10 @@
 ShardSelection peekShards(const ForwardingContext &context, const AdmittedRequest &request)
 {
     const TimePoint now = context.clock.now();
-    const ThrottledServices throttled = findThrottledShards(context.chooser, *request.route, now);
-    ThrottledDecision decision;
-    if (!throttled.empty()) {
-        decision = context.throttledAdmission.peek(request, throttled, countOmittable(*request.route), now);
-    }
-    return selectAmong(context, request, throttled, decision);
+    const auto peek = [&](const ThrottledServices &throttled, std::size_t omittable) {
+        return context.throttledAdmission.peek(request, throttled, omittable, now);
+    };
+    return selectBy(peek, context, request, now);
 }
 
 std::vector<ServiceId>
