Core: State once which holder of memory gives way

The budget of accepted connections and that of responses computed the same weight, bytes times the time for which they are held. Both call memoryWeight(). The incomplete responses are a map by size and order, whose key does not need the holder.

--- a/Source/forwarding/responsememory.cpp
+++ b/Source/forwarding/responsememory.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/responsememory.h"
 
+#include "core/memoryweight.h"
+
 namespace Lycheewall
 {
 
@@ -27,7 +29,7 @@
         holder.giveUpResponse();
     }
     while (this->incompleteBytes > this->currentLimits.incompleteBytes) {
-        std::get<Holder *>(*this->incompleteBySize.rbegin())->giveUpResponse();
+        this->incompleteBySize.rbegin()->second->giveUpResponse();
     }
     while (this->totalBytes() > this->currentLimits.allBytes) {
         this->heaviest().giveUpResponse();
@@ -41,10 +43,10 @@
         holder.order = ++this->lastOrder;
     }
     if (holder.content == Content::IncompleteResponse) {
-        this->incompleteBySize.erase({ holder.heldBytes, holder.order, &holder });
+        this->incompleteBySize.erase({ holder.heldBytes, holder.order });
         this->incompleteBytes = this->incompleteBytes - holder.heldBytes + bytes;
         if (bytes > 0) {
-            this->incompleteBySize.emplace(bytes, holder.order, &holder);
+            this->incompleteBySize.emplace(std::pair(bytes, holder.order), &holder);
         }
     } else {
         this->queryBytes = this->queryBytes - holder.heldBytes + bytes;
@@ -63,15 +65,14 @@
     Holder *result = nullptr;
     double greatestWeight = 0;
     const auto consider = [&](Holder *holder) {
-        const double weight
-            = static_cast<double>(holder->heldBytes) * (fractionalMilliseconds(now - holder->heldSince) + 1);
+        const double weight = memoryWeight(holder->heldBytes, now - holder->heldSince);
         if (weight > greatestWeight) {
             greatestWeight = weight;
             result = holder;
         }
     };
     for (const auto &entry : this->incompleteBySize) {
-        consider(std::get<Holder *>(entry));
+        consider(entry.second);
     }
     for (Holder *query : this->queries) {
         consider(query);
--- a/Source/forwarding/responsememory.h
+++ b/Source/forwarding/responsememory.h
@@ -4,9 +4,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <set>
-#include <tuple>
+#include <map>
 #include <unordered_set>
+#include <utility>
 
 namespace Lycheewall
 {
@@ -88,7 +88,7 @@
     const Clock &clock;
     Limits currentLimits;
     /// By size, and of the same size by the order in which they began.
-    std::set<std::tuple<std::size_t, std::uint64_t, Holder *>> incompleteBySize;
+    std::map<std::pair<std::size_t, std::uint64_t>, Holder *> incompleteBySize;
     std::unordered_set<Holder *> queries;
     std::size_t incompleteBytes = 0;
     std::size_t queryBytes = 0;
--- a/Source/gateway/connectionbudget.cpp
+++ b/Source/gateway/connectionbudget.cpp
@@ -1,5 +1,6 @@
 #include "gateway/connectionbudget.h"
 
+#include "core/memoryweight.h"
 #include "forwarding/responsememory.h"
 
 #include <algorithm>
@@ -268,16 +269,14 @@
         Holder *holder;
         /// An idle connection holds little, and its client may use it again; it is ended after all others.
         bool isIdle;
-        /// Memory times the time for which it has been held, in byte milliseconds.
         double weight;
     };
     std::vector<Candidate> candidates;
     const TimePoint now = this->clock.now();
     for (Holder *holder : this->holders) {
         if (holder->phase != Phase::Serving && !isEnding(holder->phase) && holder->heldBytes > 0) {
-            const double held = fractionalMilliseconds(now - holder->phaseSince) + 1;
-            candidates.push_back(
-                { holder, holder->phase == Phase::Idle, static_cast<double>(holder->heldBytes) * held });
+            const double weight = memoryWeight(holder->heldBytes, now - holder->phaseSince);
+            candidates.push_back({ holder, holder->phase == Phase::Idle, weight });
         }
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
