--- a/Tests/forwarding/fixture.h
+++ b/Tests/forwarding/fixture.h
@@ -2,6 +2,7 @@
 
 #include "core/manualclock.h"
 #include "forwarding/exchange.h"
+#include "forwarding/forwarder.h"
 
 namespace Lycheewall
 {
@@ -179,4 +180,24 @@
     std::vector<ForwardReply> replies;
 };
 
+/// Requests that pass a forwarder, which has no route table before it is published.
+struct PublishedRoutesFixture : public ForwardingFixture
+{
+    ~PublishedRoutesFixture()
+    {
+        this->finishAllRequests();
+    }
+
+    void publishTable()
+    {
+        const auto built = this->table();
+        this->forwarder.setTable(built);
+        this->quota.setLimits(built->organisations());
+        this->freshness.confirm(this->clock.now());
+    }
+
+    FeedFreshness freshness { clock };
+    Forwarder forwarder { {}, context, freshness };
+};
+
 }
--- a/Tests/forwarding/forwardertest.cpp
+++ b/Tests/forwarding/forwardertest.cpp
@@ -1,4 +1,3 @@
-#include "forwarding/forwarder.h"
 #include "forwarding/fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -9,7 +8,7 @@
 namespace
 {
 
-struct ForwarderFixture : public ForwardingFixture
+struct ForwarderFixture : public PublishedRoutesFixture
 {
     ForwarderFixture()
     {
@@ -22,14 +21,6 @@
         this->tableContent.organisations.push_back(organisation);
     }
 
-    void publishTable()
-    {
-        const auto built = this->table();
-        this->forwarder.setTable(built);
-        this->quota.setLimits(built->organisations());
-        this->freshness.confirm(this->clock.now());
-    }
-
     void forward(const std::string &target, const std::optional<std::string> &key)
     {
         const auto callerRequest = request(this->clock.now());
@@ -45,9 +36,6 @@
         this->forward(target, key);
         return this->replies.empty() ? Refusal::None : this->replies.front().refusal;
     }
-
-    FeedFreshness freshness { clock };
-    Forwarder forwarder { {}, context, freshness };
 };
 
 }
--- a/Tests/forwarding/routeexplainertest.cpp
+++ b/Tests/forwarding/routeexplainertest.cpp
@@ -1,12 +1,6 @@
-#include "forwarding/routeexplainer.h"
-#include "forwarding/fixture.h"
-#include "forwarding/routeexplanationjson.h"
-#include "forwarding/routeexplanationtext.h"
+#include "forwarding/routeexplainerfixture.h"
 
 #include <algorithm>
-#include <boost/test/unit_test.hpp>
-#include <functional>
-#include <nlohmann/json.hpp>
 
 namespace Lycheewall
 {
@@ -14,131 +8,6 @@
 namespace
 {
 
-class FakeConnections : public ConnectionUsageSource
-{
-public:
-    ConnectionUsage usageOf(const EndpointId &endpoint) const override
-    {
-        return endpoint == this->busyEndpoint ? ConnectionUsage { 10, 0, 3 } : ConnectionUsage { 2, 1, 0 };
-    }
-
-    EndpointId busyEndpoint;
-};
-
-/// A relay for all shards that are offered. It must not be asked to send.
-class FakeRelay : public ShardRelay
-{
-public:
-    std::optional<RelayZone> findZone(const std::vector<ServiceId> &services) const override
-    {
-        return RelayZone { ZoneId("there"), 2, services };
-    }
-    std::optional<RelayTarget> selectTarget(const std::vector<ServiceId> & /*services*/) override
-    {
-        BOOST_ERROR("a relay was selected");
-        return std::nullopt;
-    }
-    std::unique_ptr<PendingRelay>
-    send(const RelayTarget & /*target*/, const AdmittedRequest & /*request*/, ResponseCallback /*callback*/) override
-    {
-        BOOST_ERROR("a relay request was sent");
-        return nullptr;
-    }
-    void handleTimeout(const InstanceId & /*instance*/) override
-    {
-    }
-};
-
-struct ExplainerFixture : public ForwardingFixture
-{
-    ExplainerFixture()
-    {
-        OrganisationSpec organisation;
-        organisation.id = OrganisationId("org");
-        organisation.keys = { KeyCheck::hash("secret-key") };
-        organisation.ratePerSecond = 100;
-        organisation.burst = 100;
-        this->tableContent.organisations.push_back(organisation);
-    }
-    ~ExplainerFixture()
-    {
-        this->finishAllRequests();
-    }
-
-    void publish()
-    {
-        const auto built = this->table();
-        this->forwarder.setTable(built);
-        this->quota.setLimits(built->organisations());
-        this->freshness.confirm(this->clock.now());
-    }
-
-    RouteExplanation explain() const
-    {
-        return this->explainer.explain(this->query);
-    }
-
-    void forward()
-    {
-        const auto callerRequest = request(this->clock.now());
-        callerRequest->host = this->query.host;
-        callerRequest->target = this->query.target;
-        callerRequest->deadline = this->clock.now() + this->query.deadline.value_or(std::chrono::seconds(5));
-        if (this->query.organisation) {
-            callerRequest->apiKey = this->query.organisation->value() == "org" ? "secret-key" : "other-key";
-        }
-        this->forwarder.forward(callerRequest, [this](const ForwardReply &reply) { this->replies.push_back(reply); });
-    }
-
-    /// Explains a request and forwards it. Both must come to the same result, @p refusal.
-    void checkRefusal(Refusal refusal)
-    {
-        this->replies.clear();
-        const AdmissionExplanation admission = this->explain().admission;
-        this->forward();
-        BOOST_TEST(refusalCode(admission.refusal) == refusalCode(refusal));
-        if (refusal == Refusal::None) {
-            BOOST_TEST(this->replies.empty());
-            return;
-        }
-        BOOST_REQUIRE(this->replies.size() == 1U);
-        const ForwardReply &reply = this->replies.front();
-        BOOST_TEST(refusalCode(reply.refusal) == refusalCode(refusal));
-        BOOST_TEST(reply.retryAfter.has_value() == admission.minRetryAfter.has_value());
-        if (reply.retryAfter && admission.minRetryAfter) {
-            BOOST_TEST(
-                (*reply.retryAfter >= *admission.minRetryAfter && *reply.retryAfter <= *admission.maxRetryAfter));
-        }
-    }
-
-    ServiceEndpoint &endpoint(const char *id)
-    {
-        return *this->endpoints.find(EndpointId(id));
-    }
-
-    void changeRecord(const char *id, const std::function<void(EndpointRecord &)> &change)
-    {
-        EndpointRecord record = this->endpoint(id).record;
-        change(record);
-        this->endpoints.addOrUpdate(record, this->clock.now());
-    }
-
-    /// Lets all endpoints report @p waiting requests in their queues.
-    void reportWaiting(int waiting)
-    {
-        for (const char *id : { "s1a", "s1b", "s2a", "s2b" }) {
-            this->endpoint(id).stats.updateLoad({ 4, waiting, 4, 1.0 }, this->clock.now());
-        }
-    }
-
-    FeedFreshness freshness { clock };
-    Forwarder forwarder { {}, context, freshness };
-    FakeConnections connections;
-    FakeRelay relay;
-    RouteExplainer explainer { { context, forwarder, freshness, connections }, { InstanceId("i"), ZoneId("here") } };
-    RouteQuery query { "host", "/x", "GET", OrganisationId("org"), std::nullopt };
-};
-
 std::optional<EndpointVerdict> verdictOn(const RouteExplanation &explanation, const char *id)
 {
     for (const ServiceExplanation &service : explanation.services) {
@@ -236,7 +105,7 @@
         ExplainerFixture fixture;
         fixture.routeToService();
         verdictCase.prepare(fixture);
-        fixture.publish();
+        fixture.publishTable();
         const RouteExplanation explanation = fixture.explain();
         const auto verdict = verdictOn(explanation, "s1a");
         BOOST_REQUIRE(verdict);
@@ -251,7 +120,7 @@
 BOOST_AUTO_TEST_CASE(namesEndpointsBetweenWhichChanceDecides)
 {
     this->routeToService();
-    this->publish();
+    this->publishTable();
     const RouteExplanation explanation = this->explain();
     BOOST_TEST((verdictOn(explanation, "s1a") == EndpointVerdict::Chosen));
     BOOST_TEST((verdictOn(explanation, "s1b") == EndpointVerdict::EquallyGood));
@@ -262,7 +131,7 @@
 {
     this->routeToService();
     this->checkRefusal(Refusal::NotReady);
-    this->publish();
+    this->publishTable();
     this->checkRefusal(Refusal::None);
     this->query.host = "other-host";
     this->checkRefusal(Refusal::UnknownRoute);
@@ -283,7 +152,7 @@
 BOOST_AUTO_TEST_CASE(answersAsForwarderDoesForTimeAndRate)
 {
     this->routeToService();
-    this->publish();
+    this->publishTable();
     this->query.deadline = Duration::zero();
     this->checkRefusal(Refusal::DeadlineUnreachable);
     this->query.deadline.reset();
@@ -300,7 +169,7 @@
 BOOST_AUTO_TEST_CASE(answersAsForwarderDoesWithoutUsableEndpoints)
 {
     this->routeToService();
-    this->publish();
+    this->publishTable();
     for (const char *id : { "s1a", "s1b" }) {
         this->endpoint(id).backoff.start(Milliseconds(700), this->clock.now());
     }
@@ -316,7 +185,7 @@
 BOOST_AUTO_TEST_CASE(answersAsForwarderDoesWithoutCoverage)
 {
     this->routeToShards(1);
-    this->publish();
+    this->publishTable();
     for (const char *id : { "s2a", "s2b" }) {
         this->endpoint(id).backoff.start(Milliseconds(700), this->clock.now());
     }
@@ -336,7 +205,7 @@
 BOOST_AUTO_TEST_CASE(answersAsOverloadControlDoes)
 {
     this->routeToService();
-    this->publish();
+    this->publishTable();
     int rejected = 0;
     int probes = 0;
     for (int number = 0; number < 100; ++number) {
@@ -364,7 +233,7 @@
     for (const char *id : { "s2a", "s2b" }) {
         this->changeRecord(id, [](EndpointRecord &record) { record.zone = ZoneId("there"); });
     }
-    this->publish();
+    this->publishTable();
     const RouteExplanation explanation = this->explain();
     BOOST_TEST(refusalCode(explanation.admission.refusal) == refusalCode(Refusal::None));
     BOOST_REQUIRE(explanation.services.size() == 2U);
@@ -396,7 +265,7 @@
             this->endpoints.addOrUpdate(record, this->clock.now());
         }
     }
-    this->publish();
+    this->publishTable();
     const RouteExplanation explanation = this->explain();
     BOOST_TEST(explanation.services.size() == maxListedServices);
     BOOST_TEST(explanation.unlistedServices == shards - maxListedServices);
@@ -436,7 +305,7 @@
             urgent.priority = 0;
             fixture.tableContent.routes.push_back(urgent);
         }
-        fixture.publish();
+        fixture.publishTable();
         for (const char *id : { "s2a", "s2b" }) {
             fixture.endpoint(id).rateLimit.apply({ 40.0, false }, fixture.clock.now(), fixture.clock.now());
         }
@@ -481,51 +350,6 @@
     }
 }
 
-// Guards against the loss of an item in one of the formats, and against the disclosure of a key.
-BOOST_AUTO_TEST_CASE(encodesAsJsonAndText)
-{
-    this->routeToService();
-    this->endpoint("s1b").leaving = true;
-    this->endpoint("s1a").stats.updateLoad({ 2, 0, 4, std::nullopt }, this->clock.now());
-    this->connections.busyEndpoint = EndpointId("s1a");
-    this->publish();
-    this->clock.advance(Milliseconds(50));
-    this->query.target = "/x\xff";
-    const RouteExplanation explanation = this->explain();
-    const std::string encoded = encodeAsJson(explanation);
-    const auto json = nlohmann::json::parse(encoded);
-    BOOST_TEST(json["route"]["name"] == "route");
-    BOOST_TEST(json["feed-age-ms"] == 50);
-    BOOST_TEST(json["admission"]["accepted"] == true);
-    BOOST_TEST(json["quota"]["burst"] == 100);
-    const auto &service = json["services"][0];
-    BOOST_TEST(service["chosen"] == "s1a");
-    BOOST_TEST(service["connection-limit"] == 10);
-    BOOST_TEST(service["endpoints"][0]["report-age-ms"] == 50);
-    BOOST_TEST(service["endpoints"][0]["waiting-for-connection"] == 3);
-    BOOST_TEST(service["endpoints"][1]["verdict"] == "leaving");
-    const std::string text = encodeAsText(explanation);
-    for (const char *expected : { "route     route, prefix /",
-                                  "quota     35.0 requests left of a burst of 100.0",
-                                  "admission accepted",
-                                  "service   s1: to s1a",
-                                  "report 50.0 ms old",
-                                  "connections 10 of 10, 0 idle, all busy, 3 requests wait for one",
-                                  "s1b                  leaving" }) {
-        BOOST_TEST(text.find(expected) != std::string::npos, "\"" << expected << "\" is missing in " << text);
-    }
-    BOOST_TEST((encoded + text).find("secret") == std::string::npos);
-}
-
-// Guards against an encoder that expects a route.
-BOOST_AUTO_TEST_CASE(encodesWithoutRoute)
-{
-    const RouteExplanation explanation = this->explain();
-    BOOST_TEST(nlohmann::json::parse(encodeAsJson(explanation))["route"].is_null());
-    const std::string text = encodeAsText(explanation);
-    BOOST_TEST(text.find("rejected: not-ready, retry after 200.0 ms") != std::string::npos, text);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }
