Core: Keep what is known of a request in one type

The interface of lycheewalld kept it as the flag mayHaveRun, which the status of a refusal used for 503 only; 408 and 429 promise the same.

Ruled out: that a status of an endpoint reaches a caller here. The endpoint client reads "not run" from 503 with Lycheewall-Not-Run only, and any other status but 200 as unknown. No code was found that gives 408 or 429 to a request that may have run, so callers have seen nothing of this.

The explanation of a request that has a result now says that it may have run.

--- a/Source/coordinator/callerrequest.h
+++ b/Source/coordinator/callerrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/execution.h"
 #include "query/query.h"
 
 #include <optional>
@@ -31,8 +32,8 @@
     RequestId id;
     /// Refusal::None when there is a result.
     Refusal refusal = Refusal::None;
-    /// Only with a refusal: false when the request certainly ran nowhere.
-    bool mayHaveRun = false;
+    /// What is known of whether an endpoint has run the request.
+    Execution execution = Execution::NotRun;
     Duration retryAfter {};
     OrganisationId organisation;
     SnapshotVersion snapshot;
--- a/Source/coordinator/coordinator.cpp
+++ b/Source/coordinator/coordinator.cpp
@@ -131,7 +131,7 @@
         answer.id = entry->request.id;
         answer.organisation = entry->organisation;
         answer.refusal = ended.refusal;
-        answer.mayHaveRun = ended.refusal != Refusal::None;
+        answer.execution = ended.refusal == Refusal::None ? Execution::Ran : Execution::Unknown;
         answer.snapshot = ended.snapshot;
         answer.coverage = std::move(ended.coverage);
         answer.results = std::move(ended.results);
@@ -175,7 +175,7 @@
     trace.pool = entry->request.pool;
     trace.organisation = answer.organisation;
     trace.refusal = answer.refusal;
-    trace.mayHaveRun = answer.mayHaveRun;
+    trace.execution = answer.execution;
     trace.snapshot = answer.snapshot;
     trace.coverage = answer.coverage;
     trace.parts = answer.trace;
--- a/Source/coordinator/requesttraces.h
+++ b/Source/coordinator/requesttraces.h
@@ -16,7 +16,7 @@
     PoolId pool;
     OrganisationId organisation;
     Refusal refusal = Refusal::None;
-    bool mayHaveRun = false;
+    Execution execution = Execution::NotRun;
     SnapshotVersion snapshot;
     Coverage coverage;
     std::vector<PartTrace> parts;
--- a/Source/coordinator/singlerequest.cpp
+++ b/Source/coordinator/singlerequest.cpp
@@ -108,11 +108,11 @@
     answer.id = this->request.id;
     answer.organisation = this->organisation;
     answer.trace = std::move(this->trace);
+    answer.execution = executionOf(outcome.outcome);
     if (outcome.outcome == AttemptOutcome::Answered) {
         answer.results.push_back({ outcome.group, outcome.body });
     } else {
-        answer.mayHaveRun = outcome.outcome == AttemptOutcome::Unknown;
-        const bool unknownOutcome = answer.mayHaveRun && !this->request.idempotent;
+        const bool unknownOutcome = answer.execution == Execution::Unknown && !this->request.idempotent;
         answer.refusal = unknownOutcome ? Refusal::OutcomeUnknown : outcome.reason;
     }
     const Done whenDone = std::move(this->done);
--- a/Source/http/operatorinterface.cpp
+++ b/Source/http/operatorinterface.cpp
@@ -75,7 +75,7 @@
 HttpResponse OperatorInterface::refuse(Refusal refusal)
 {
     HttpResponse response;
-    response.status = CallerJson::statusOf(refusal, false);
+    response.status = CallerJson::statusOf(refusal, Execution::NotRun);
     response.body = json { { "error", { { "code", refusalCode(refusal) } } } }.dump();
     return response;
 }
@@ -96,7 +96,7 @@
         { "pool", trace->pool.value() },
         { "organisation", trace->organisation.value() },
         { "refusal", refusalCode(trace->refusal) },
-        { "may-have-run", trace->mayHaveRun },
+        { "may-have-run", trace->execution != Execution::NotRun },
         { "snapshot", trace->snapshot.value() },
         { "shards-asked", trace->coverage.shardsAsked() },
         { "shards-answered", trace->coverage.shardsAnswered() },
--- a/Source/scheduling/endpointtransport.h
+++ b/Source/scheduling/endpointtransport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/execution.h"
 #include "core/refusal.h"
 #include "core/strongid.h"
 
@@ -35,6 +36,15 @@
     Unknown
 };
 
+/// What an attempt tells about the execution of its request. Thread safety: any thread.
+constexpr Execution executionOf(AttemptOutcome outcome)
+{
+    if (outcome == AttemptOutcome::Answered) {
+        return Execution::Ran;
+    }
+    return outcome == AttemptOutcome::NotRun ? Execution::NotRun : Execution::Unknown;
+}
+
 struct EndpointAnswer
 {
     AttemptOutcome outcome = AttemptOutcome::Unknown;
--- a/Tests/coordinator/coordinatortest.cpp
+++ b/Tests/coordinator/coordinatortest.cpp
@@ -108,8 +108,9 @@
     /// True when exactly one request ended, with this refusal and without any work.
     bool refusedOnce(Refusal refusal) const
     {
-        return this->answers.size() == 1 && this->answers[0].refusal == refusal && !this->answers[0].mayHaveRun
-            && this->router.submitted.empty() && this->coordinator.running() == 0;
+        return this->answers.size() == 1 && this->answers[0].refusal == refusal
+            && this->answers[0].execution == Execution::NotRun && this->router.submitted.empty()
+            && this->coordinator.running() == 0;
     }
 
 private:
@@ -225,7 +226,7 @@
     this->router.end(AttemptOutcome::Unknown, Refusal::ConnectionLost);
     BOOST_REQUIRE(this->answers.size() == 1U);
     BOOST_TEST((this->answers[0].refusal == Refusal::OutcomeUnknown));
-    BOOST_TEST(this->answers[0].mayHaveRun);
+    BOOST_TEST((this->answers[0].execution == Execution::Unknown));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/coordinator/singlerequesttest.cpp
+++ b/Tests/coordinator/singlerequesttest.cpp
@@ -38,10 +38,10 @@
                              pool,
                              [this](const CallerAnswer &answer) { this->answers.push_back(answer); });
     }
-    bool endedOnce(Refusal refusal, bool mayHaveRun) const
+    bool endedOnce(Refusal refusal, Execution execution) const
     {
         return this->answers.size() == 1 && this->answers[0].refusal == refusal
-            && this->answers[0].mayHaveRun == mayHaveRun;
+            && this->answers[0].execution == execution;
     }
     GroupId lastGroup() const
     {
@@ -64,7 +64,7 @@
             BOOST_TEST(this->router.submitted.back().first.idempotent == idempotent);
             this->router.end(AttemptOutcome::Unknown, reason);
             BOOST_TEST(this->router.submitted.size() == 1U);
-            BOOST_TEST(this->endedOnce(idempotent ? reason : Refusal::OutcomeUnknown, true));
+            BOOST_TEST(this->endedOnce(idempotent ? reason : Refusal::OutcomeUnknown, Execution::Unknown));
         }
     }
 }
@@ -83,7 +83,7 @@
     }
     BOOST_TEST((this->router.submitted.back().first.remaining == Duration(800ms)));
     BOOST_TEST(this->router.submitted.size() == SingleRequest::maxGroups);
-    BOOST_TEST(this->endedOnce(Refusal::QueueFull, false));
+    BOOST_TEST(this->endedOnce(Refusal::QueueFull, Execution::NotRun));
     BOOST_TEST(this->answers[0].trace.size() == SingleRequest::maxGroups);
 }
 
@@ -94,12 +94,12 @@
     this->router.end(AttemptOutcome::NotRun, Refusal::EndpointShed);
     this->router.end(AttemptOutcome::Unknown, Refusal::ConnectionLost);
     BOOST_TEST(this->router.submitted.size() == 2U);
-    BOOST_TEST(this->endedOnce(Refusal::OutcomeUnknown, true));
+    BOOST_TEST(this->endedOnce(Refusal::OutcomeUnknown, Execution::Unknown));
     this->answers.clear();
     this->start(false);
     this->router.end(AttemptOutcome::NotRun, Refusal::EndpointShed);
     this->router.end(AttemptOutcome::Answered, Refusal::None, "body");
-    BOOST_TEST(this->endedOnce(Refusal::None, false));
+    BOOST_TEST(this->endedOnce(Refusal::None, Execution::Ran));
     BOOST_REQUIRE(this->answers[0].results.size() == 1U);
     BOOST_TEST(this->answers[0].results[0].body == "body");
 }
@@ -109,16 +109,16 @@
 {
     this->start(true, 1);
     this->router.end(AttemptOutcome::NotRun, Refusal::QueueFull);
-    BOOST_TEST(this->endedOnce(Refusal::QueueFull, false));
+    BOOST_TEST(this->endedOnce(Refusal::QueueFull, Execution::NotRun));
     this->answers.clear();
     this->start(true);
     this->clock.advanceWithoutTimers(1s);
     this->router.end(AttemptOutcome::NotRun, Refusal::QueueFull);
-    BOOST_TEST(this->endedOnce(Refusal::QueueFull, false));
+    BOOST_TEST(this->endedOnce(Refusal::QueueFull, Execution::NotRun));
     this->answers.clear();
     this->start(true);
     this->router.end(AttemptOutcome::NotRun, Refusal::DeadlineExceeded);
-    BOOST_TEST(this->endedOnce(Refusal::DeadlineExceeded, false));
+    BOOST_TEST(this->endedOnce(Refusal::DeadlineExceeded, Execution::NotRun));
     BOOST_TEST(this->router.submitted.size() == 3U);
 }
 
