Forwarding: Promise "not run" only for requests that have not run

Cause: the status of an endpoint's response was passed on as a part of its content. Towards callers it is a statement: 408, 421, 429 and 503 promise "not run". What the endpoint had stated was read correctly, but was used for retries and for refusals of the instance only. ForwardReply kept it as a flag that a passed-on response left unset and nobody compared with the status.

The same cause was found on a second path: the failure that is kept for an idempotent request until its deadline, or until no retry is possible. Queries never pass a shard's failure on.

Change: ForwardReply is made by factory functions that get what is known of the request (Execution), and no reply can promise more. A failure that would is replaced by 502 without the endpoint's signature, counted and logged with its status; an idempotent request is retried first, as after a 5xx.

Tests: replies are read through functions now; no check is weaker.

--- a/Source/forwarding/exchange.cpp
+++ b/Source/forwarding/exchange.cpp
@@ -9,16 +9,6 @@
 namespace
 {
 
-ForwardReply replyOf(const OverloadRejection &rejection)
-{
-    ForwardReply reply;
-    reply.refusal = rejection.reason;
-    reply.notRun = true;
-    reply.isOverloadRejection = true;
-    reply.retryAfter = rejection.retryAfter;
-    return reply;
-}
-
 void logRejection(ForwardingContext &context, const AdmittedRequest &request, const OverloadRejection &rejection)
 {
     context.counters.countRefusal(rejection.reason);
@@ -38,7 +28,7 @@
         return done;
     }
     return [&context, request, done = std::move(done)](const ForwardReply &reply) {
-        if (reply.response) {
+        if (reply.response()) {
             const TimePoint now = context.clock.now();
             context.overloadControl.recordLatency(request, request.service, now - request.request->arrivedAt, now);
         }
@@ -58,7 +48,7 @@
     }
     if (const auto rejection = context.overloadControl.decide(request, context.clock.now())) {
         logRejection(context, request, *rejection);
-        done(replyOf(*rejection));
+        done(ForwardReply::rejectedForOverload(rejection->reason, rejection->retryAfter));
         return nullptr;
     }
     return isFanout ? FanoutExchange::start(context, request, std::move(done))
--- a/Source/forwarding/exchange.h
+++ b/Source/forwarding/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwardingcontext.h"
+#include "forwarding/forwardreply.h"
 
 #include <functional>
 
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -145,7 +145,9 @@
     }
     this->relayTimer.reset();
     this->isRelayFinished = response.isFinal;
-    this->mayHaveRun = this->mayHaveRun || !response.isRefused;
+    if (!response.isRefused) {
+        this->reportedExecution = combined(this->reportedExecution, Execution::Unknown);
+    }
     // The records of these shards are already merged, so they replace direct responses that have arrived meanwhile;
     // otherwise records would count twice.
     bool isFirst = true;
@@ -219,7 +221,7 @@
     }
     this->hasRelayTimedOut = true;
     this->context.relay->handleTimeout(this->relayInstance);
-    this->mayHaveRun = true;
+    this->reportedExecution = combined(this->reportedExecution, Execution::Unknown);
     this->recordRelayedFirstAttempts();
     this->hedgeRelayedShards();
 }
@@ -269,7 +271,7 @@
     if (this->finished || this->shards.hasSucceeded(shard)) {
         return;
     }
-    this->mayHaveRun = this->mayHaveRun || result.mayHaveRun;
+    this->reportedExecution = combined(this->reportedExecution, result.execution);
     this->recordShardResult(shard, result);
     if (result.success) {
         this->signatures[shard] = result.response->signature;
@@ -387,7 +389,7 @@
     }
     this->recordSilentShards();
     this->context.requestLog.write(*this->request.request, "deadline", this->describeMissing());
-    this->reply(makeDeadlineReply(this->mayHaveBeenRun()));
+    this->reply(makeDeadlineReply(this->knownExecution()));
 }
 
 void FanoutExchange::finishEarly()
@@ -395,13 +397,17 @@
     this->handleDeadline();
 }
 
-bool FanoutExchange::mayHaveBeenRun() const
+Execution FanoutExchange::knownExecution() const
 {
+    // The relaying instance sends the request to endpoints of its zone.
     const bool isRelayed = !this->relayedShards.empty();
-    return isRelayed || this->mayHaveRun
-        || std::any_of(this->calls.begin(), this->calls.end(), [](const std::shared_ptr<ServiceCall> &call) {
-               return call && call->interimResult().mayHaveRun;
-           });
+    Execution execution = isRelayed ? combined(this->reportedExecution, Execution::Unknown) : this->reportedExecution;
+    for (const std::shared_ptr<ServiceCall> &call : this->calls) {
+        if (call) {
+            execution = combined(execution, call->interimResult().execution);
+        }
+    }
+    return execution;
 }
 
 void FanoutExchange::replyMerged()
@@ -425,15 +431,13 @@
         this->context.overloadControl.recordCoverage(
             this->request, this->shards.succeededCount(), this->context.clock.now());
     }
-    ForwardReply reply;
-    reply.merged = std::move(merged);
-    this->reply(reply);
+    this->reply(ForwardReply::fromMerged(std::move(merged)));
 }
 
 void FanoutExchange::replyRefusal()
 {
     ServiceResult result;
-    result.mayHaveRun = this->mayHaveBeenRun();
+    result.execution = this->knownExecution();
     result.reason = this->refusalReason;
     this->context.requestLog.write(*this->request.request, "failed", this->describeMissing());
     this->reply(makeRefusalReply(result));
--- a/Source/forwarding/fanoutexchange.h
+++ b/Source/forwarding/fanoutexchange.h
@@ -67,8 +67,8 @@
     void replyIfComplete();
     void handleObjective();
     void handleDeadline();
-    /// True unless it is certain that no endpoint has run or will run the request.
-    bool mayHaveBeenRun() const;
+    /// What is known of the execution of the request at any shard.
+    Execution knownExecution() const;
     void replyMerged();
     void replyRefusal();
     std::string describeMissing() const;
@@ -91,8 +91,8 @@
     std::size_t measuredShard;
     /// True if overload control needs the results of the shards.
     bool recordsResults;
-    /// True if some endpoint may have run the request.
-    bool mayHaveRun = false;
+    /// What the shard results and the relaying instance have told so far.
+    Execution reportedExecution = Execution::NotRun;
     Refusal refusalReason = Refusal::None;
     bool isObjectivePassed = false;
     bool finished = false;
--- a/Source/forwarding/forwarder.cpp
+++ b/Source/forwarding/forwarder.cpp
@@ -53,18 +53,14 @@
 
 ForwardReply Forwarder::makeRefusal(Refusal refusal, std::optional<Duration> retryAfter) const
 {
-    ForwardReply reply;
-    reply.refusal = refusal;
-    reply.notRun = true;
-    reply.retryAfter = retryAfter;
-    return reply;
+    return ForwardReply::refused(refusal, Execution::NotRun, retryAfter);
 }
 
 std::shared_ptr<Exchange> Forwarder::forward(const CallerRequestPtr &request, Exchange::ReplyCallback done)
 {
     const auto admitted = this->admit(request);
     if (!admitted) {
-        const Refusal refusal = admitted.error().reply.refusal;
+        const Refusal refusal = admitted.error().reply.refusal();
         this->context.counters.countRefusal(refusal);
         const Duration age = this->freshness.age();
         this->context.requestLog.write(
@@ -82,8 +78,8 @@
         admitted.value(),
         [this, organisation = admitted.value().organisation, done = std::move(done)](const ForwardReply &reply) {
             // The caller will retry, and the organisation's rate counts the requests that endpoints get.
-            const bool wasThrottled = reply.refusal == Refusal::EndpointThrottled;
-            if (reply.notRun && (wasThrottled || reply.isOverloadRejection)) {
+            const bool wasThrottled = reply.refusal() == Refusal::EndpointThrottled;
+            if (wasThrottled || reply.isOverloadRejection()) {
                 this->context.quota.refund(organisation);
             }
             done(reply);
--- a/Source/forwarding/messages.h
+++ b/Source/forwarding/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/execution.h"
 #include "core/refusal.h"
 #include "forwarding/endpointset.h"
 
@@ -79,6 +80,9 @@
 {
     CallResult result = CallResult::NotSent;
     EndpointResponse response;
+
+    /// What the outcome tells about the execution of the request.
+    Execution execution() const;
 };
 
 /**
@@ -122,18 +126,4 @@
     std::string body;
 };
 
-/// The reply to a caller. Exactly one of response, merged and refusal is set.
-struct ForwardReply
-{
-    std::optional<EndpointResponse> response;
-    std::optional<MergedResponse> merged;
-    Refusal refusal = Refusal::None;
-    /// With a refusal: true if the request has not run and will not run.
-    bool notRun = false;
-    /// With a refusal: true if overload control rejected the request before anything was sent.
-    bool isOverloadRejection = false;
-    /// With a refusal: the time after which a retry can succeed; std::nullopt if none is known.
-    std::optional<Duration> retryAfter;
-};
-
 }
--- a/Source/forwarding/refusalreply.cpp
+++ b/Source/forwarding/refusalreply.cpp
@@ -15,15 +15,8 @@
 
 ForwardReply makeRefusalReply(const ServiceResult &result)
 {
-    ForwardReply reply;
-    reply.notRun = !result.mayHaveRun;
-    reply.refusal = result.reason == Refusal::None ? Refusal::EndpointUnavailable : result.reason;
-    if (reply.notRun) {
-        reply.retryAfter = result.retryAfter.value_or(defaultRetryAfter);
-    } else {
-        reply.refusal = Refusal::OutcomeUnknown;
-    }
-    return reply;
+    const Refusal reason = result.reason == Refusal::None ? Refusal::EndpointUnavailable : result.reason;
+    return ForwardReply::refused(reason, result.execution, result.retryAfter.value_or(defaultRetryAfter));
 }
 
 Duration spreadRetryAfter(Duration wait, Random &random)
@@ -36,12 +29,9 @@
     return wait + retrySpread;
 }
 
-ForwardReply makeDeadlineReply(bool mayHaveRun)
+ForwardReply makeDeadlineReply(Execution execution)
 {
-    ForwardReply reply;
-    reply.refusal = mayHaveRun ? Refusal::DeadlineExceeded : Refusal::DeadlineUnreachable;
-    reply.notRun = !mayHaveRun;
-    return reply;
+    return ForwardReply::refused(Refusal::DeadlineExceeded, execution);
 }
 
 }
--- a/Source/forwarding/retrypolicy.cpp
+++ b/Source/forwarding/retrypolicy.cpp
@@ -29,7 +29,8 @@
     return std::max(implausibleMultiple * slowest, minImplausibleLatency);
 }
 
-Duration retryBudgetWaitLimit(const AdmittedRequest &request, Duration typicalLatency, bool mayHaveRun, TimePoint now)
+Duration
+retryBudgetWaitLimit(const AdmittedRequest &request, Duration typicalLatency, Execution execution, TimePoint now)
 {
     const TimePoint arrivedAt = request.request->arrivedAt;
     const Duration objective = request.route->latencyObjective;
@@ -40,7 +41,7 @@
     }
     // A retry that starts later cannot get a response before the deadline.
     limit = std::min(limit, request.deadline - callerRoundTrip - typicalLatency - now);
-    if (!mayHaveRun) {
+    if (execution == Execution::NotRun) {
         limit = std::min(limit, arrivedAt + objective / notRunObjectiveDivisor - now);
     }
     return std::max(limit, Duration::zero());
--- a/Source/forwarding/retrypolicy.h
+++ b/Source/forwarding/retrypolicy.h
@@ -12,7 +12,9 @@
 /// How long a failed request may wait for the retry budget without making the caller's result worse: until its retry
 /// would miss the latency objective or, once that cannot be reached any more, for a fraction of the remaining time. The
 /// retry can always get a response before the deadline. A caller that gets the failure instead can repeat the request
-/// itself. @p typicalLatency is that of one attempt; @p mayHaveRun is false if the request can be refused as not run.
-Duration retryBudgetWaitLimit(const AdmittedRequest &request, Duration typicalLatency, bool mayHaveRun, TimePoint now);
+/// itself. @p typicalLatency is that of one attempt. A request with Execution::NotRun waits for less, as its caller gets
+/// the promise that it can be repeated.
+Duration
+retryBudgetWaitLimit(const AdmittedRequest &request, Duration typicalLatency, Execution execution, TimePoint now);
 
 }
--- a/Source/forwarding/routeexplainer.cpp
+++ b/Source/forwarding/routeexplainer.cpp
@@ -44,7 +44,7 @@
 
 void refuse(RouteExplanation &explanation, const ForwardReply &reply)
 {
-    refuse(explanation, reply.refusal, reply.retryAfter, reply.retryAfter);
+    refuse(explanation, reply.refusal(), reply.retryAfter(), reply.retryAfter());
 }
 
 void refuseThrottled(RouteExplanation &explanation, Duration wait)
@@ -135,9 +135,10 @@
     result.reason = last->skipped == Refusal::None ? Refusal::EndpointUnavailable : last->skipped;
     const bool isAnyRelayed
         = std::any_of(starts.begin(), starts.end(), [](const ShardStart &start) { return start.isRelayed; });
-    result.mayHaveRun = isAnyRelayed || std::any_of(starts.begin(), last, [&](const ShardStart &start) {
-                            return start.isSent() && hasIdleConnection(start.service);
-                        });
+    const bool isAnySent = isAnyRelayed || std::any_of(starts.begin(), last, [&](const ShardStart &start) {
+                               return start.isSent() && hasIdleConnection(start.service);
+                           });
+    result.execution = isAnySent ? Execution::Unknown : Execution::NotRun;
     return makeRefusalReply(result);
 }
 
--- a/Source/forwarding/serviceattempt.cpp
+++ b/Source/forwarding/serviceattempt.cpp
@@ -104,18 +104,23 @@
 
 std::string ServiceAttempt::describe(TimePoint now) const
 {
-    return this->endpoint->record.id.value() + '/' + std::to_string(toMilliseconds(now - this->startedAt)) + '/'
-        + (this->ended ? callResultName(this->result) : "waiting");
+    std::string text
+        = this->endpoint->record.id.value() + '/' + std::to_string(toMilliseconds(now - this->startedAt)) + '/';
+    text += this->ended ? callResultName(this->result) : "waiting";
+    if (this->status != 0) {
+        text += '-' + std::to_string(this->status);
+    }
+    return text;
 }
 
-bool isServerError(const EndpointResponse &response)
+bool isRetryable(const EndpointResponse &response)
 {
-    return response.status >= firstServerError;
+    return response.status >= firstServerError || promisesNotRun(response.status);
 }
 
 bool isFailure(const EndpointResponse &response)
 {
-    return isServerError(response) || response.signature.empty();
+    return isRetryable(response) || response.signature.empty();
 }
 
 bool isSuccess(const EndpointResponse &response)
--- a/Source/forwarding/serviceattempt.h
+++ b/Source/forwarding/serviceattempt.h
@@ -18,6 +18,8 @@
     bool usesBudget = false;
     bool ended = false;
     CallResult result = CallResult::Answered;
+    /// Of the endpoint's response, once the attempt has ended with one.
+    int status = 0;
     /// Set while the process of the endpoint is not registered: when this was first seen.
     std::optional<TimePoint> removalSeenAt;
     /// True if another process is registered under the id of the endpoint.
@@ -49,8 +51,9 @@
 };
 using ServiceAttemptPtr = std::shared_ptr<ServiceAttempt>;
 
-/// True if the status states an error of the endpoint.
-bool isServerError(const EndpointResponse &response);
+/// True if the status states a failure that another endpoint may not share: an error of the endpoint, or one that
+/// cannot be passed on because it promises callers that the request has not run.
+bool isRetryable(const EndpointResponse &response);
 
 /// True if the endpoint failed to serve the request: an error of its own, or no signature.
 bool isFailure(const EndpointResponse &response);
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -100,7 +100,7 @@
 void ServiceCall::finishWithoutResponse()
 {
     this->lastResult = this->interimResult();
-    if (!this->lastResult.mayHaveRun) {
+    if (this->lastResult.execution == Execution::NotRun) {
         const Duration wait = this->context.chooser.throttling(this->service, this->context.clock.now()).waitTime;
         if (wait > Duration::zero()) {
             this->lastResult.reason = Refusal::EndpointThrottled;
@@ -218,6 +218,7 @@
     }
     attempt->ended = true;
     attempt->result = outcome.result;
+    attempt->status = outcome.response.status;
     const TimePoint now = this->context.clock.now();
     attempt->recordOutcome(outcome, now);
     if (outcome.result == CallResult::Answered && !isFailure(outcome.response)) {
@@ -244,12 +245,12 @@
     case CallResult::Answered: {
         ServiceResult result;
         result.success = isSuccess(outcome.response);
-        result.mayHaveRun = true;
+        result.execution = combined(this->lastResult.execution, outcome.execution());
         // The failure response of a shard is not passed on, and would be kept until the end of its query.
         if (result.success || this->request.route->shards.empty()) {
             result.response = outcome.response;
         }
-        if (result.success || nonIdempotent || !isServerError(outcome.response)) {
+        if (result.success || nonIdempotent || !isRetryable(outcome.response)) {
             this->finish(result);
             return true;
         }
@@ -265,7 +266,7 @@
             = this->lastResult.reason == Refusal::None ? Refusal::EndpointUnavailable : this->lastResult.reason;
         return false;
     case CallResult::Lost:
-        this->lastResult.mayHaveRun = true;
+        this->lastResult.execution = combined(this->lastResult.execution, outcome.execution());
         this->lastResult.reason = Refusal::ConnectionLost;
         if (nonIdempotent) {
             this->finish(this->lastResult);
@@ -309,8 +310,8 @@
     if (!this->isIdempotent()) {
         return false;
     }
-    const bool mayHaveRun = this->interimResult().mayHaveRun;
-    const Duration limit = retryBudgetWaitLimit(this->request, this->expectedLatency, mayHaveRun, now);
+    const Execution execution = this->interimResult().execution;
+    const Duration limit = retryBudgetWaitLimit(this->request, this->expectedLatency, execution, now);
     if (this->context.retryBudget.expectedWait(this->service) > limit) {
         return false;
     }
@@ -378,7 +379,9 @@
 {
     ServiceResult result = this->lastResult;
     for (const ServiceAttemptPtr &attempt : this->attempts) {
-        result.mayHaveRun = result.mayHaveRun || attempt->mayBeRunning();
+        if (attempt->mayBeRunning()) {
+            result.execution = combined(result.execution, Execution::Unknown);
+        }
     }
     return result;
 }
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -16,8 +16,8 @@
     std::optional<EndpointResponse> response;
     /// True if the response has a success status and the endpoint's signature.
     bool success = false;
-    /// Without a response: true if an endpoint may have run the request.
-    bool mayHaveRun = false;
+    /// What all attempts together tell about the execution of the request.
+    Execution execution = Execution::NotRun;
     Refusal reason = Refusal::None;
     /// Without a response: the time after which a retry can succeed; std::nullopt if none is known.
     std::optional<Duration> retryAfter;
--- a/Source/forwarding/singleexchange.cpp
+++ b/Source/forwarding/singleexchange.cpp
@@ -62,8 +62,12 @@
         this->reply(makeRefusalReply(result));
         return;
     }
-    ForwardReply reply;
-    reply.response = result.response;
+    const ForwardReply reply = ForwardReply::fromResponse(*result.response, result.execution);
+    if (!reply.response()) {
+        this->context.counters
+            .counter("lycheewall_forwarding_responses_withheld_total", std::to_string(result.response->status))
+            .add();
+    }
     this->reply(reply);
 }
 
@@ -77,7 +81,7 @@
         this->handleResult(result);
         return;
     }
-    this->reply(makeDeadlineReply(result.mayHaveRun));
+    this->reply(makeDeadlineReply(result.execution));
 }
 
 void SingleExchange::finishEarly()
@@ -90,11 +94,12 @@
     if (this->finished) {
         return;
     }
-    if (!reply.response) {
+    if (!reply.response()) {
         this->context.requestLog.write(*this->request.request,
-                                       std::string(refusalCode(reply.refusal)),
+                                       std::string(refusalCode(reply.refusal())),
                                        "route=" + this->request.route->name
                                            + " version=" + std::to_string(this->request.table->version())
+                                           + " run=" + std::string(executionName(reply.execution()))
                                            + " attempts=" + (this->call ? this->call->describe() : "none"));
     }
     const ReplyCallback callback = std::move(this->done);
--- a/Source/gateway/codecs.h
+++ b/Source/gateway/codecs.h
@@ -2,7 +2,7 @@
 
 #include "core/result.h"
 #include "forwarding/endpointstatement.h"
-#include "forwarding/messages.h"
+#include "forwarding/forwardreply.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
--- a/Source/gateway/frontconnection.cpp
+++ b/Source/gateway/frontconnection.cpp
@@ -328,12 +328,9 @@
 void FrontConnection::refuse(Refusal refusal)
 {
     this->context.counters.countRefusal(refusal);
-    ForwardReply reply;
-    reply.refusal = refusal;
-    reply.notRun = true;
-    if (refusal == Refusal::MemoryExceeded || refusal == Refusal::TooManyConnections) {
-        reply.retryAfter = shortageRetryAfter;
-    }
+    const bool isShortage = refusal == Refusal::MemoryExceeded || refusal == Refusal::TooManyConnections;
+    const ForwardReply reply = ForwardReply::refused(
+        refusal, Execution::NotRun, isShortage ? std::optional(shortageRetryAfter) : std::nullopt);
     this->write(this->context.codec.encode(reply, this->request.get()), false);
 }
 
--- a/Tests/forwarding/endpointratelimittest.cpp
+++ b/Tests/forwarding/endpointratelimittest.cpp
@@ -154,11 +154,11 @@
     this->limit("s1b", 4);
     this->start();
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointThrottled));
-    BOOST_TEST(this->replies[0].notRun);
-    BOOST_TEST(this->replies[0].retryAfter.has_value());
-    BOOST_TEST((*this->replies[0].retryAfter >= Milliseconds(250)));
-    BOOST_TEST((*this->replies[0].retryAfter <= Milliseconds(450)));
+    BOOST_TEST((this->replies[0].refusal() == Refusal::EndpointThrottled));
+    BOOST_TEST((this->replies[0].execution() == Execution::NotRun));
+    BOOST_TEST(this->replies[0].retryAfter().has_value());
+    BOOST_TEST((*this->replies[0].retryAfter() >= Milliseconds(250)));
+    BOOST_TEST((*this->replies[0].retryAfter() <= Milliseconds(450)));
 }
 
 // Guards against callers that were refused together and return in the same moment.
@@ -172,7 +172,7 @@
     for (std::size_t caller = 0; caller < callers; ++caller) {
         this->start();
         BOOST_REQUIRE(this->replies.size() == caller + 1);
-        times.insert(this->replies.back().retryAfter.value());
+        times.insert(this->replies.back().retryAfter().value());
     }
     BOOST_TEST(times.size() == callers);
 }
@@ -186,9 +186,9 @@
     this->start();
     BOOST_TEST(this->endpointSender.calls.empty());
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointThrottled));
-    BOOST_TEST(this->replies[0].notRun);
-    BOOST_TEST((*this->replies[0].retryAfter >= Milliseconds(500)));
+    BOOST_TEST((this->replies[0].refusal() == Refusal::EndpointThrottled));
+    BOOST_TEST((this->replies[0].execution() == Execution::NotRun));
+    BOOST_TEST((*this->replies[0].retryAfter() >= Milliseconds(500)));
 }
 
 // Guards against a refusal although the required coverage can be reached without the shard.
@@ -201,7 +201,7 @@
     BOOST_REQUIRE(this->endpointSender.calls.size() == 1U);
     this->call(0).finish(CallResult::Answered, 200, "aaaaaaaaaaaaaaaa");
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 1U);
+    BOOST_TEST(this->replies[0].merged()->missingShards == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/forwarding/fanoutexchangetest.cpp
+++ b/Tests/forwarding/fanoutexchangetest.cpp
@@ -25,9 +25,9 @@
     this->call(0).finish(CallResult::Answered, 200, low + high + "rest");
     this->call(1).finish(CallResult::Answered, 200, middle + middle);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].merged->body == high + middle + middle));
-    BOOST_TEST(this->replies[0].merged->signatures.size() == 2U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 0U);
+    BOOST_TEST((this->replies[0].merged()->body == high + middle + middle));
+    BOOST_TEST(this->replies[0].merged()->signatures.size() == 2U);
+    BOOST_TEST(this->replies[0].merged()->missingShards == 0U);
 }
 
 // Guards against a reply that waits for one shard beyond the objective although the required coverage is reached.
@@ -40,8 +40,8 @@
     BOOST_TEST(this->replies.empty());
     this->clock.advance(Milliseconds(20));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 1U);
-    BOOST_TEST(this->replies[0].merged->signatures.size() == 1U);
+    BOOST_TEST(this->replies[0].merged()->missingShards == 1U);
+    BOOST_TEST(this->replies[0].merged()->signatures.size() == 1U);
 }
 
 // Guards against a partial reply at the objective that does not reach the required coverage.
@@ -54,7 +54,7 @@
     BOOST_TEST(this->replies.empty());
     this->call(1).finish(CallResult::Answered, 200, middle);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 0U);
+    BOOST_TEST(this->replies[0].merged()->missingShards == 0U);
 }
 
 // Guards against merging an error response because it has a signature.
@@ -66,8 +66,8 @@
     this->call(0).finish(CallResult::Answered, 500, low);
     this->call(1).finish(CallResult::Answered, 200, middle);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->signatures.size() == 1U);
-    BOOST_TEST((this->replies[0].merged->body == middle));
+    BOOST_TEST(this->replies[0].merged()->signatures.size() == 1U);
+    BOOST_TEST((this->replies[0].merged()->body == middle));
 }
 
 // Guards against waiting for the deadline after the required coverage has become unreachable, and against a wrong "not
@@ -79,8 +79,8 @@
     this->start();
     this->call(0).finish(CallResult::NotRun, 503);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::OutcomeUnknown));
-    BOOST_TEST(!this->replies[0].notRun);
+    BOOST_TEST((this->replies[0].refusal() == Refusal::OutcomeUnknown));
+    BOOST_TEST((this->replies[0].execution() != Execution::NotRun));
     BOOST_TEST(this->call(1).cancelled);
 }
 
@@ -97,7 +97,7 @@
     BOOST_TEST((this->call(2).call.endpoint->record.service == ServiceId("s2")));
     this->call(2).finish(CallResult::Answered, 200, middle);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->signatures.size() == 2U);
+    BOOST_TEST(this->replies[0].merged()->signatures.size() == 2U);
     BOOST_TEST(this->call(1).cancelled);
 }
 
@@ -119,7 +119,7 @@
     BOOST_REQUIRE(this->endpointSender.calls.size() == 3U);
     this->call(2).finish(CallResult::Answered, 200, low);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 0U);
+    BOOST_TEST(this->replies[0].merged()->missingShards == 0U);
 }
 
 // Guards against shard calls that continue, and against a reply, after the caller has disconnected.
@@ -143,7 +143,7 @@
     this->start();
     this->call(0).finish(CallResult::Answered, 200, low);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 1U);
+    BOOST_TEST(this->replies[0].merged()->missingShards == 1U);
 }
 
 // Guards against a "may have run" reply to a query that reached no endpoint, because calls of other shards still waited
@@ -157,7 +157,7 @@
     this->call(1).sent = false;
     this->call(0).finish(CallResult::NotRun, 503);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.at(0).notRun);
+    BOOST_TEST((this->replies.at(0).execution() == Execution::NotRun));
     BOOST_TEST(this->call(1).cancelled);
 }
 
@@ -170,7 +170,7 @@
     BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
     this->call(0).finish(CallResult::NotRun, 503);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(!this->replies.at(0).notRun);
+    BOOST_TEST((this->replies.at(0).execution() != Execution::NotRun));
 }
 
 // Guards against queries that wait until their deadline for shards which have not responded for a while.
@@ -189,8 +189,8 @@
     this->start();
     this->start();
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::EndpointShed));
-    BOOST_TEST(this->replies[0].notRun);
+    BOOST_TEST((this->replies[0].refusal() == Refusal::EndpointShed));
+    BOOST_TEST((this->replies[0].execution() == Execution::NotRun));
     // The other query finds out whether the shards respond again.
     BOOST_TEST(this->endpointSender.calls.size() == 2U);
 }
--- a/Tests/forwarding/forwardertest.cpp
+++ b/Tests/forwarding/forwardertest.cpp
@@ -34,7 +34,7 @@
     {
         this->replies.clear();
         this->forward(target, key);
-        return this->replies.empty() ? Refusal::None : this->replies.front().refusal;
+        return this->replies.empty() ? Refusal::None : this->replies.front().refusal();
     }
 };
 
@@ -46,7 +46,7 @@
 BOOST_AUTO_TEST_CASE(refusesBeforeFirstRouteTable)
 {
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::NotReady));
-    BOOST_TEST(this->replies.at(0).notRun);
+    BOOST_TEST((this->replies.at(0).execution() == Execution::NotRun));
 }
 
 // Guards against requests that are forwarded without an API key, or with an unknown one.
@@ -91,7 +91,7 @@
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
     this->clock.advance(Milliseconds(200));
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::StaleConfiguration));
-    BOOST_TEST(this->replies.at(0).notRun);
+    BOOST_TEST((this->replies.at(0).execution() == Execution::NotRun));
 }
 
 // Guards against a process that resumes after a pause and trusts the feed data from before it.
@@ -126,8 +126,8 @@
         ++admitted;
     }
     BOOST_TEST(admitted == 10);
-    BOOST_REQUIRE(this->replies.at(0).retryAfter.has_value());
-    this->clock.advance(*this->replies.at(0).retryAfter + Milliseconds(1));
+    BOOST_REQUIRE(this->replies.at(0).retryAfter().has_value());
+    this->clock.advance(*this->replies.at(0).retryAfter() + Milliseconds(1));
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
 }
 
@@ -195,7 +195,7 @@
     callerRequest->apiKey = "secret";
     callerRequest->deadline = this->clock.now();
     this->forwarder.forward(callerRequest, [this](const ForwardReply &reply) { this->replies.push_back(reply); });
-    BOOST_TEST((this->replies.at(0).refusal == Refusal::DeadlineUnreachable));
+    BOOST_TEST((this->replies.at(0).refusal() == Refusal::DeadlineUnreachable));
     BOOST_TEST(this->endpointSender.calls.empty());
 }
 
@@ -207,7 +207,7 @@
     this->publishTable();
     this->forwarder.setStopTime(this->clock.now() + Milliseconds(999));
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::ShuttingDown));
-    BOOST_TEST(this->replies.at(0).notRun);
+    BOOST_TEST((this->replies.at(0).execution() == Execution::NotRun));
     BOOST_TEST(this->endpointSender.calls.empty());
     // The route's timeout of 1 s ends just before the stop.
     this->forwarder.setStopTime(this->clock.now() + Milliseconds(1001));
@@ -223,7 +223,7 @@
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::None));
     this->clock.advance(Milliseconds(2));
     BOOST_TEST((this->forwardForRefusal("/x", "secret") == Refusal::ShuttingDown));
-    BOOST_TEST((this->replies.at(0).retryAfter == Duration::zero()));
+    BOOST_TEST((this->replies.at(0).retryAfter() == Duration::zero()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/forwarding/overloadcontroltest.cpp
+++ b/Tests/forwarding/overloadcontroltest.cpp
@@ -286,9 +286,9 @@
     BOOST_TEST((started == nullptr));
     BOOST_TEST(this->endpointSender.calls.empty());
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::QueueFull));
-    BOOST_TEST(this->replies[0].notRun);
-    BOOST_TEST(this->replies[0].retryAfter.has_value());
+    BOOST_TEST((this->replies[0].refusal() == Refusal::QueueFull));
+    BOOST_TEST((this->replies[0].execution() == Execution::NotRun));
+    BOOST_TEST(this->replies[0].retryAfter().has_value());
     BOOST_TEST(this->counters.value(std::string(rejections) + "{reason=\"queue-full\"}") == 1U);
 }
 
--- a/Tests/forwarding/routeexplainerfixture.h
+++ b/Tests/forwarding/routeexplainerfixture.h
@@ -92,11 +92,11 @@
         }
         BOOST_REQUIRE(this->replies.size() == 1U);
         const ForwardReply &reply = this->replies.front();
-        BOOST_TEST(refusalCode(reply.refusal) == refusalCode(refusal));
-        BOOST_TEST(reply.retryAfter.has_value() == admission.minRetryAfter.has_value());
-        if (reply.retryAfter && admission.minRetryAfter) {
+        BOOST_TEST(refusalCode(reply.refusal()) == refusalCode(refusal));
+        BOOST_TEST(reply.retryAfter().has_value() == admission.minRetryAfter.has_value());
+        if (reply.retryAfter() && admission.minRetryAfter) {
             BOOST_TEST(
-                (*reply.retryAfter >= *admission.minRetryAfter && *reply.retryAfter <= *admission.maxRetryAfter));
+                (*reply.retryAfter() >= *admission.minRetryAfter && *reply.retryAfter() <= *admission.maxRetryAfter));
         }
     }
 
--- a/Tests/forwarding/routeexplainertest.cpp
+++ b/Tests/forwarding/routeexplainertest.cpp
@@ -333,8 +333,8 @@
             result += call->call.endpoint->record.id.value() + ' ';
         }
         for (const ForwardReply &reply : fixture.replies) {
-            result += std::string(refusalCode(reply.refusal)) + ' '
-                + std::to_string(reply.retryAfter.value_or(Duration::zero()).count()) + ' ';
+            result += std::string(refusalCode(reply.refusal())) + ' '
+                + std::to_string(reply.retryAfter().value_or(Duration::zero()).count()) + ' ';
         }
         result += std::to_string(fixture.quota.state(OrganisationId("org"))->tokens) + ' '
             + std::to_string(fixture.retryBudget.state(ServiceId("s1")).extraAttempts) + ' '
--- a/Tests/forwarding/secondattempttest.cpp
+++ b/Tests/forwarding/secondattempttest.cpp
@@ -72,7 +72,7 @@
 
     bool isAnsweredWith(Refusal refusal) const
     {
-        return this->replies.size() == 1 && this->replies.front().refusal == refusal;
+        return this->replies.size() == 1 && this->replies.front().refusal() == refusal;
     }
 };
 
@@ -89,7 +89,7 @@
     BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
     this->call(1).finish(CallResult::Answered);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.front().response.has_value());
+    BOOST_TEST(this->replies.front().response().has_value());
 }
 
 // Guards against a 502 at once although the budget allows the retry a moment later, while the response can still arrive
@@ -104,7 +104,7 @@
     BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
     this->call(1).finish(CallResult::Answered);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.front().response.has_value());
+    BOOST_TEST(this->replies.front().response().has_value());
 }
 
 // Guards against a caller that waits for a budget that comes too late for its objective: it can repeat the request
@@ -171,7 +171,7 @@
     this->start();
     this->call(0).finish(CallResult::NotRun, 503);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.front().notRun);
+    BOOST_TEST((this->replies.front().execution() == Execution::NotRun));
 }
 
 // Guards against a request that is held to its deadline by an endpoint that is gone without a reset of its connections,
@@ -187,7 +187,7 @@
     this->clock.advance(std::chrono::seconds(1));
     BOOST_TEST(this->endpointSender.calls.size() == 1U);
     BOOST_REQUIRE(this->isAnsweredWith(Refusal::OutcomeUnknown));
-    BOOST_TEST(!this->replies.front().notRun);
+    BOOST_TEST((this->replies.front().execution() != Execution::NotRun));
     BOOST_TEST(this->call(0).cancelled);
 }
 
@@ -229,7 +229,7 @@
     BOOST_REQUIRE(this->endpointSender.calls.size() == 2U);
     this->call(1).finish(CallResult::Answered);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.front().response.has_value());
+    BOOST_TEST(this->replies.front().response().has_value());
 }
 
 // Guards against losing the response of an endpoint that has left cleanly and completes what it runs.
@@ -243,7 +243,7 @@
     BOOST_TEST(!this->call(0).cancelled);
     this->call(0).finish(CallResult::Answered);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.front().response.has_value());
+    BOOST_TEST(this->replies.front().response().has_value());
 }
 
 // Guards against a request that ends early although the feed names its endpoint again: a store that lost the latest
@@ -261,7 +261,7 @@
     BOOST_TEST(this->replies.empty());
     this->call(0).finish(CallResult::Answered);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.front().response.has_value());
+    BOOST_TEST(this->replies.front().response().has_value());
 }
 
 // Guards against hedges that are denied until the end of a request that has waited for the budget, although it has its
@@ -295,7 +295,7 @@
     BOOST_TEST(this->replies.empty());
     this->call(0).finish(CallResult::Answered);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies.front().response.has_value());
+    BOOST_TEST(this->replies.front().response().has_value());
 }
 
 // Guards against a silent second attempt that is the last one, although the route allows a third.
--- a/Tests/forwarding/shardrelaytest.cpp
+++ b/Tests/forwarding/shardrelaytest.cpp
@@ -138,8 +138,8 @@
         makeRelayResponse({ { ServiceId("far1"), "s1" }, { ServiceId("far2"), "s2" } }, high + middle, true));
     this->respondFromLocalShards();
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->signatures.size() == 4U);
-    BOOST_TEST((this->replies[0].merged->body == high + middle + low));
+    BOOST_TEST(this->replies[0].merged()->signatures.size() == 4U);
+    BOOST_TEST((this->replies[0].merged()->body == high + middle + low));
 }
 
 // Guards against a query for few records that holds all records of its direct shards while other shards are relayed,
@@ -160,8 +160,8 @@
     this->relay.responseCallback(
         makeRelayResponse({ { ServiceId("far1"), "s1" }, { ServiceId("far2"), "s2" } }, middle + low, true));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 0U);
-    BOOST_TEST((this->replies[0].merged->body == high + middle + low));
+    BOOST_TEST(this->replies[0].merged()->missingShards == 0U);
+    BOOST_TEST((this->replies[0].merged()->body == high + middle + low));
 }
 
 // Guards against a query that waits for a failed relaying instance, and against hedges of its shards beyond the retry
@@ -211,7 +211,7 @@
     BOOST_TEST(this->replies.empty());
     this->relay.responseCallback(makeRelayResponse({ { ServiceId("far2"), "s2" } }, middle, true));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::OutcomeUnknown));
+    BOOST_TEST((this->replies[0].refusal() == Refusal::OutcomeUnknown));
 }
 
 // Guards against relayed shards that cannot be hedged for lack of retry budget: the requesting instance records their
@@ -239,8 +239,8 @@
     this->relay.responseCallback(
         makeRelayResponse({ { ServiceId("far1"), "s1" }, { ServiceId("far2"), "s2" } }, high + middle, true));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->signatures.size() == 4U);
-    BOOST_TEST((this->replies[0].merged->body == high + middle + low));
+    BOOST_TEST(this->replies[0].merged()->signatures.size() == 4U);
+    BOOST_TEST((this->replies[0].merged()->body == high + middle + low));
 }
 
 // Guards against merging responses of an instance with another route table version, and against missing shards when the
@@ -316,7 +316,7 @@
     BOOST_TEST(this->replies.empty());
     this->relay.responseCallback(makeRelayResponse({}, "", true));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->missingShards == 1U);
+    BOOST_TEST(this->replies[0].merged()->missingShards == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/forwarding/simulatedfleet.cpp
+++ b/Tests/forwarding/simulatedfleet.cpp
@@ -379,7 +379,8 @@
 
 bool SimulatedFleet::repeat(const Arrival &arrival, const ForwardReply &reply)
 {
-    if (reply.merged || !reply.notRun || !reply.retryAfter || arrival.repeats >= this->plan.repeats.maxRepeats) {
+    if (reply.merged() || reply.execution() != Execution::NotRun || !reply.retryAfter()
+        || arrival.repeats >= this->plan.repeats.maxRepeats) {
         return false;
     }
     const Duration remaining = arrival.deadline - this->clock.now();
@@ -388,7 +389,7 @@
     Arrival next = arrival;
     ++next.repeats;
     this->arrivals.push_back(
-        this->clock.after(std::min(*reply.retryAfter, longestWait), [this, next] { this->arrive(next); }));
+        this->clock.after(std::min(*reply.retryAfter(), longestWait), [this, next] { this->arrive(next); }));
     return true;
 }
 
@@ -397,8 +398,8 @@
     const Duration latency = this->clock.now() - arrival.at + fromMilliseconds(2 * this->plan.callerDelayMs);
     KindResult &kind = this->result.kinds[arrival.kind];
     ++kind.requests;
-    if (!reply.merged) {
-        ++(reply.notRun ? kind.refused : kind.failed);
+    if (!reply.merged()) {
+        ++(reply.execution() == Execution::NotRun ? kind.refused : kind.failed);
     } else if (latency > this->plan.kinds[arrival.kind].objective) {
         ++kind.late;
     } else {
@@ -416,15 +417,15 @@
     if (!this->result.organisations.empty()) {
         OrganisationResult &organisation = this->result.organisations[arrival.organisation];
         ++organisation.requests;
-        organisation.served += reply.merged ? 1 : 0;
+        organisation.served += reply.merged() ? 1 : 0;
     }
-    if (!reply.merged) {
+    if (!reply.merged()) {
         ++this->result.refused;
         return;
     }
     const Duration latency = this->clock.now() - arrival.at + fromMilliseconds(2 * this->plan.callerDelayMs);
     this->latenciesMs.push_back(fractionalMilliseconds(latency));
-    if (reply.merged->missingShards > 0) {
+    if (reply.merged()->missingShards > 0) {
         ++this->result.partial;
     }
     if (latency > this->plan.kinds[arrival.kind].objective) {
@@ -433,7 +434,7 @@
     }
     ++this->result.onTime;
     const double coverage
-        = static_cast<double>(reply.merged->signatures.size()) / static_cast<double>(this->plan.shards);
+        = static_cast<double>(reply.merged()->signatures.size()) / static_cast<double>(this->plan.shards);
     this->creditSum += coverage * coverage;
 }
 
--- a/Tests/forwarding/throttledendpointtest.cpp
+++ b/Tests/forwarding/throttledendpointtest.cpp
@@ -134,10 +134,10 @@
         fixture.start();
         BOOST_TEST(fixture.endpointSender.calls.empty());
         BOOST_REQUIRE(fixture.replies.size() == 1U);
-        BOOST_TEST(fixture.replies[0].notRun);
-        BOOST_TEST(fixture.replies[0].retryAfter.has_value());
+        BOOST_TEST((fixture.replies[0].execution() == Execution::NotRun));
+        BOOST_TEST(fixture.replies[0].retryAfter().has_value());
         const Refusal expected = form == "leaving" ? Refusal::EndpointUnavailable : Refusal::EndpointThrottled;
-        BOOST_TEST((fixture.replies[0].refusal == expected));
+        BOOST_TEST((fixture.replies[0].refusal() == expected));
     });
 }
 
@@ -154,9 +154,9 @@
     }
     fixture.call(0).finish(CallResult::NotRun);
     BOOST_REQUIRE(fixture.replies.size() == 1U);
-    BOOST_TEST(fixture.replies[0].notRun);
-    BOOST_TEST((fixture.replies[0].refusal == Refusal::EndpointThrottled));
-    BOOST_TEST((fixture.replies[0].retryAfter.value() >= std::chrono::seconds(60)));
+    BOOST_TEST((fixture.replies[0].execution() == Execution::NotRun));
+    BOOST_TEST((fixture.replies[0].refusal() == Refusal::EndpointThrottled));
+    BOOST_TEST((fixture.replies[0].retryAfter().value() >= std::chrono::seconds(60)));
 }
 
 // Guards against a refusal although the route allows a reply without the shard.
@@ -170,7 +170,7 @@
         BOOST_REQUIRE(fixture.endpointSender.calls.size() == 1U);
         fixture.call(0).finish(CallResult::Answered, 200, "aaaaaaaaaaaaaaaa");
         BOOST_REQUIRE(fixture.replies.size() == 1U);
-        BOOST_TEST(fixture.replies[0].merged->missingShards == 1U);
+        BOOST_TEST(fixture.replies[0].merged()->missingShards == 1U);
     });
 }
 
--- a/Tests/forwarding/waitingquerytest.cpp
+++ b/Tests/forwarding/waitingquerytest.cpp
@@ -52,7 +52,7 @@
     BOOST_TEST(this->responseMemory->totalBytes() >= 600 * kibibyte);
     this->call(1).finish(CallResult::Answered, 200, std::string(600 * kibibyte, 'y'));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->body.size() == 1200 * kibibyte);
+    BOOST_TEST(this->replies[0].merged()->body.size() == 1200 * kibibyte);
     BOOST_TEST(this->responseMemory->totalBytes() == 0U);
 }
 
@@ -73,12 +73,12 @@
     this->routeToShards(1);
     this->startTwoQueries(600 * kibibyte);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::OutcomeUnknown));
-    BOOST_TEST(!this->replies[0].notRun);
+    BOOST_TEST((this->replies[0].refusal() == Refusal::OutcomeUnknown));
+    BOOST_TEST((this->replies[0].execution() != Execution::NotRun));
     BOOST_TEST(this->call(1).cancelled);
     this->call(3).finish(CallResult::Answered, 200, "");
     BOOST_REQUIRE(this->replies.size() == 2U);
-    BOOST_TEST(this->replies[1].merged->missingShards == 0U);
+    BOOST_TEST(this->replies[1].merged()->missingShards == 0U);
 }
 
 // Guards against the refusal of a query that has the required coverage.
@@ -87,9 +87,9 @@
     this->routeToShards(0.5);
     this->startTwoQueries(600 * kibibyte);
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_REQUIRE(this->replies[0].merged.has_value());
-    BOOST_TEST(this->replies[0].merged->missingShards == 1U);
-    BOOST_TEST(this->replies[0].merged->body.size() == 600 * kibibyte);
+    BOOST_REQUIRE(this->replies[0].merged().has_value());
+    BOOST_TEST(this->replies[0].merged()->missingShards == 1U);
+    BOOST_TEST(this->replies[0].merged()->body.size() == 600 * kibibyte);
 }
 
 // Guards against giving up a query that can release nearly all of its memory without its reply losing a record.
@@ -103,7 +103,7 @@
     BOOST_TEST(this->responseMemory->totalBytes() < 61 * kibibyte);
     this->call(1).finish(CallResult::Answered, 200, std::string(recordBytes, 'z'));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST(this->replies[0].merged->body == std::string(recordBytes, 'z') + std::string(recordBytes, 'x'));
+    BOOST_TEST(this->replies[0].merged()->body == std::string(recordBytes, 'z') + std::string(recordBytes, 'x'));
 }
 
 // Guards against a query that is used after it has given up itself, and against memory that it does not release then.
@@ -113,7 +113,7 @@
     this->start();
     this->call(0).finish(CallResult::Answered, 200, std::string(totalLimit + recordBytes, 'x'));
     BOOST_REQUIRE(this->replies.size() == 1U);
-    BOOST_TEST((this->replies[0].refusal == Refusal::OutcomeUnknown));
+    BOOST_TEST((this->replies[0].refusal() == Refusal::OutcomeUnknown));
     BOOST_TEST(this->call(1).cancelled);
     BOOST_TEST(this->responseMemory->totalBytes() == 0U);
 }
--- a/Tests/gateway/frontservertest.cpp
+++ b/Tests/gateway/frontservertest.cpp
@@ -39,8 +39,8 @@
     HttpResponseMessage encode(const ForwardReply &reply, const CallerRequest * /*request*/) const override
     {
         HttpResponseMessage message;
-        message.result(reply.response ? http::status::ok : http::status::bad_request);
-        message.body() = reply.response ? reply.response->body : std::string(refusalCode(reply.refusal));
+        message.result(reply.response() ? http::status::ok : http::status::bad_request);
+        message.body() = reply.response() ? reply.response()->body : std::string(refusalCode(reply.refusal()));
         return message;
     }
 };
--- a/Tests/platform/platformtest.cpp
+++ b/Tests/platform/platformtest.cpp
@@ -301,28 +301,65 @@
 // Guards against a status that states "not run" to the caller for a request that may have run, and the reverse.
 BOOST_AUTO_TEST_CASE(statusTellsWhetherRequestHasRun)
 {
-    const auto status = [](Refusal refusal, bool notRun) {
-        ForwardReply reply;
-        reply.refusal = refusal;
-        reply.notRun = notRun;
-        reply.retryAfter = Milliseconds(250);
-        return PlatformCallerCodec().encode(reply, nullptr);
+    const auto reply = [](Refusal refusal, Execution execution) {
+        return PlatformCallerCodec().encode(ForwardReply::refused(refusal, execution, Milliseconds(250)), nullptr);
     };
-    BOOST_TEST(status(Refusal::OutcomeUnknown, false).result_int() == 502U);
-    BOOST_TEST(status(Refusal::DeadlineExceeded, false).result_int() == 504U);
-    BOOST_TEST(status(Refusal::EndpointShed, true).result_int() == 503U);
-    BOOST_TEST(status(Refusal::NotReady, true).result_int() == 503U);
-    BOOST_TEST(status(Refusal::RateExceeded, true).result_int() == 429U);
-    BOOST_TEST(status(Refusal::RateExceeded, true)[Names::Header::retryAfter] == "0.250");
-    BOOST_TEST(status(Refusal::KeyUnknown, true).result_int() == 401U);
-    BOOST_TEST(status(Refusal::UnknownRoute, true).result_int() == 404U);
+    const auto status = [&](Refusal refusal, Execution execution) {
+        return reply(refusal, execution).result_int();
+    };
+    BOOST_TEST(status(Refusal::OutcomeUnknown, Execution::Unknown) == 502U);
+    BOOST_TEST(status(Refusal::DeadlineExceeded, Execution::Unknown) == 504U);
+    BOOST_TEST(status(Refusal::EndpointShed, Execution::NotRun) == 503U);
+    BOOST_TEST(status(Refusal::NotReady, Execution::NotRun) == 503U);
+    BOOST_TEST(status(Refusal::RateExceeded, Execution::NotRun) == 429U);
+    BOOST_TEST(reply(Refusal::RateExceeded, Execution::NotRun)[Names::Header::retryAfter] == "0.250");
+    BOOST_TEST(status(Refusal::KeyUnknown, Execution::NotRun) == 401U);
+    BOOST_TEST(status(Refusal::UnknownRoute, Execution::NotRun) == 404U);
+}
+
+// Guards against a refusal for any reason that promises "not run" for a request that may have run or has run.
+BOOST_AUTO_TEST_CASE(noRefusalPromisesNotRunForARequestThatMayHaveRun)
+{
+    for (std::size_t number = 1; number < refusalCount; ++number) {
+        const auto reason = static_cast<Refusal>(number);
+        for (const Execution execution : { Execution::Unknown, Execution::Ran }) {
+            const HttpResponseMessage message
+                = PlatformCallerCodec().encode(ForwardReply::refused(reason, execution, Milliseconds(250)), nullptr);
+            BOOST_TEST(!promisesNotRun(static_cast<int>(message.result_int())), refusalCode(reason));
+            BOOST_TEST(message.count(Names::Header::retryAfter) == 0U, refusalCode(reason));
+        }
+    }
+}
+
+// Guards against a response of an endpoint whose status promises callers that the request has not run although the
+// endpoint did not state that, and against other responses that are changed on their way.
+BOOST_AUTO_TEST_CASE(noResponsePromisesNotRunForARequestThatMayHaveRun)
+{
+    for (unsigned status = 200; status < 600; ++status) {
+        for (const bool isSigned : { false, true }) {
+            HttpResponseMessage received(static_cast<http::status>(status), 11);
+            received.result(status);
+            received.set(http::field::retry_after, "1");
+            if (isSigned) {
+                received.set(Names::Header::serverStamp, "s.1");
+            }
+            CallOutcome outcome;
+            outcome.result = CallResult::Answered;
+            outcome.response = PlatformEndpointCodec().decode(std::move(received));
+            const HttpResponseMessage sent = PlatformCallerCodec().encode(
+                ForwardReply::fromResponse(outcome.response, outcome.execution()), nullptr);
+            const bool isPromise = status == 408 || status == 421 || status == 429 || status == 503;
+            BOOST_TEST(sent.result_int() == (isPromise ? 502U : status));
+            BOOST_TEST(sent.count(Names::Header::serverStamp) == (isSigned && !isPromise ? 1U : 0U), status);
+            BOOST_TEST(sent.count(Names::Header::retryAfter) == (isPromise ? 0U : 1U), status);
+        }
+    }
 }
 
 // Guards against a merged reply without the signatures of its shards and the number of missing shards.
 BOOST_AUTO_TEST_CASE(mergedReplyStatesCoverage)
 {
-    ForwardReply reply;
-    reply.merged = MergedResponse { { "s.1", "s.2" }, 3, "records" };
+    const auto reply = ForwardReply::fromMerged({ { "s.1", "s.2" }, 3, "records" });
     const HttpResponseMessage message = PlatformCallerCodec().encode(reply, nullptr);
     BOOST_TEST(message[Names::Header::partStamps] == "s.1, s.2");
     BOOST_TEST(message[Names::Header::missingParts] == "3");
