--- a/Tests/soak/checker.cpp
+++ b/Tests/soak/checker.cpp
@@ -15,6 +15,8 @@
 
 constexpr int maxAttempts = 2;
 constexpr double minShardRatio = 0.75;
+/// The statuses with which a reply promises its caller that the request has not run.
+const std::set<int> promises { 408, 421, 429, 503 };
 constexpr std::size_t maxRecords = 6;
 constexpr std::size_t recordBytes = 16;
 /// Time after a response with a statement from which the instance must act on it.
@@ -104,8 +106,7 @@
             if (!attempt.isIdempotent && runs > 1) {
                 this->report("TWICE", attempt.attemptId, " ran ", runs, " times");
             }
-            const bool claimsNotRun = attempt.status == 503 || attempt.status == 429;
-            if (!attempt.isIdempotent && claimsNotRun && runs > 0) {
+            if (promises.count(attempt.status) > 0 && runs > 0) {
                 this->report("REFUSED", attempt.attemptId, " got ", attempt.status, " and has run");
             }
         }
--- a/Tests/soak/endpointstandin.cpp
+++ b/Tests/soak/endpointstandin.cpp
@@ -1,5 +1,6 @@
 #include "endpointstandin.h"
 
+#include <array>
 #include <functional>
 #include <iomanip>
 #include <sstream>
@@ -14,6 +15,9 @@
 constexpr double meanWorkMs = 12;
 /// One in this many requests takes ten times as long.
 constexpr int tailOneIn = 50;
+/// One in this many requests fails after it has run, with one of these statuses.
+constexpr std::size_t failureOneIn = 20;
+constexpr std::array<int, 4> failures { 500, 503, 429, 408 };
 constexpr std::size_t recordBytes = 16;
 constexpr std::size_t recordsPerPart = 4;
 
@@ -93,6 +97,12 @@
     return body.str();
 }
 
+int EndpointStandin::statusOf(const std::string &stamp)
+{
+    const std::size_t hash = std::hash<std::string>()(stamp);
+    return hash % failureOneIn == 0 ? failures[hash / failureOneIn % failures.size()] : 200;
+}
+
 const StatementSpan *EndpointStandin::currentSpan(Statement::Kind kind) const
 {
     const double now = elapsedSeconds();
@@ -149,7 +159,7 @@
     timer->expires_after(std::chrono::microseconds(static_cast<int>(1000 * work(this->random) * (isTail ? 10 : 1))));
     timer->async_wait([this, timer, connection, attemptId](const boost::system::error_code &) {
         const std::string stamp = stampOf(attemptId, this->endpointId);
-        Standins::HttpResponse response = Standins::textResponse(200, bodyOf(stamp));
+        Standins::HttpResponse response = Standins::textResponse(statusOf(stamp), bodyOf(stamp));
         response.set("X-Lycheewall-Attempt-Id", attemptId);
         response.set("X-Lycheewall-Server-Stamp", stamp);
         this->addStatements(response, attemptId, false);
--- a/Tests/soak/endpointstandin.h
+++ b/Tests/soak/endpointstandin.h
@@ -49,6 +49,9 @@
     static std::string stampOf(const std::string &attemptId, const std::string &endpoint);
     static std::string bodyOf(const std::string &stamp);
 
+    /// The status of the response with this signature: a failure for some of the requests that have run.
+    static int statusOf(const std::string &stamp);
+
 private:
     void handle(const Standins::ConnectionPointer &connection, const Standins::HttpRequest &request);
     /// The statement that holds now; nullptr if none does.
