--- a/Source/http/callerjson.cpp
+++ b/Source/http/callerjson.cpp
@@ -1,5 +1,7 @@
 #include "http/callerjson.h"
 
+#include "core/refusalstatus.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Lycheewall
@@ -101,40 +103,6 @@
              { "missing", missing } };
 }
 
-/// The status of a refusal that states nothing untrue about the request.
-int usualStatusOf(Refusal refusal)
-{
-    switch (refusal) {
-    case Refusal::BadRequest:
-        return 400;
-    case Refusal::KeyMissing:
-    case Refusal::KeyUnknown:
-        return 401;
-    case Refusal::PoolForbidden:
-        return 403;
-    case Refusal::UnknownPool:
-    case Refusal::UnknownRoute:
-        return 404;
-    case Refusal::MethodNotAllowed:
-        return 405;
-    case Refusal::RequestTimeout:
-        return 408;
-    case Refusal::BodyTooLarge:
-        return 413;
-    case Refusal::RateExceeded:
-        return 429;
-    case Refusal::HeaderTooLarge:
-        return 431;
-    case Refusal::OutcomeUnknown:
-        return 502;
-    case Refusal::DeadlineExceeded:
-    case Refusal::DeadlineUnreachable:
-        return 504;
-    default:
-        return 503;
-    }
-}
-
 }
 
 ResultOr<CallerRequest, BodyProblem> CallerJson::readQuery(const std::string &body, const DeadlineRange &range)
@@ -205,7 +173,7 @@
 HttpResponse CallerJson::refusal(const CallerAnswer &answer, bool idempotent)
 {
     HttpResponse response;
-    response.status = statusOf(answer.refusal, answer.execution);
+    response.status = refusalStatus(answer.refusal, answer.execution);
     const bool hasNotRun = answer.execution == Execution::NotRun;
     const bool retry = mayRetry(answer.refusal) && (idempotent || hasNotRun);
     json error { { "code", refusalCode(answer.refusal) },
@@ -223,7 +191,7 @@
 HttpResponse CallerJson::badBody(const RequestId &id, const BodyProblem &problem)
 {
     HttpResponse response;
-    response.status = statusOf(Refusal::BadRequest, Execution::NotRun);
+    response.status = refusalStatus(Refusal::BadRequest, Execution::NotRun);
     const json error { { "code", refusalCode(Refusal::BadRequest) },
                        { "message", problem.item + ": expected " + problem.expected },
                        { "item", problem.item },
@@ -234,16 +202,9 @@
     return response;
 }
 
-int CallerJson::statusOf(Refusal refusal, Execution execution)
-{
-    constexpr int badGateway = 502;
-    const int status = usualStatusOf(refusal);
-    return isTruthfulStatus(status, execution) ? status : badGateway;
-}
-
 bool CallerJson::mayRetry(Refusal refusal)
 {
-    const int status = statusOf(refusal, Execution::NotRun);
+    const int status = refusalStatus(refusal, Execution::NotRun);
     return status == 408 || status == 429 || status >= 500;
 }
 
--- a/Source/http/callerjson.h
+++ b/Source/http/callerjson.h
@@ -37,9 +37,6 @@
     static HttpResponse refusal(const CallerAnswer &answer, bool idempotent);
     static HttpResponse badBody(const RequestId &id, const BodyProblem &problem);
 
-    /// HTTP status of a refusal. Promises "not run" only if @p execution is Execution::NotRun.
-    static int statusOf(Refusal refusal, Execution execution);
-
     /// True when the same request may succeed later or at another instance.
     static bool mayRetry(Refusal refusal);
 };
--- a/Source/http/operatorinterface.cpp
+++ b/Source/http/operatorinterface.cpp
@@ -1,6 +1,6 @@
 #include "http/operatorinterface.h"
 
-#include "http/callerjson.h"
+#include "core/refusalstatus.h"
 
 #include <nlohmann/json.hpp>
 
@@ -75,7 +75,7 @@
 HttpResponse OperatorInterface::refuse(Refusal refusal)
 {
     HttpResponse response;
-    response.status = CallerJson::statusOf(refusal, Execution::NotRun);
+    response.status = refusalStatus(refusal, Execution::NotRun);
     response.body = json { { "error", { { "code", refusalCode(refusal) } } } }.dump();
     return response;
 }
