Forwarding: Keep the times of attempts in the retry policy

typicalLatency() and hedgeDelay() were static functions of ServiceCall that use nothing of it; the relay server, the explainer and the selection of shards include the whole class for them. They join the other times of attempts. No change of behaviour.

--- a/Source/fleet/relayserver.cpp
+++ b/Source/fleet/relayserver.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/datagramkind.h"
 #include "forwarding/forwardingtimes.h"
+#include "forwarding/retrypolicy.h"
 #include "forwarding/servicecall.h"
 #include "forwarding/shardrecords.h"
 
@@ -81,7 +82,7 @@
         }
         const TimePoint now = this->context.clock.now();
         const TimePoint objective = request.request->arrivedAt + request.route->latencyObjective;
-        const Duration firstResponseDelay = ServiceCall::hedgeDelay(this->context, request);
+        const Duration firstResponseDelay = hedgeDelay(this->context, request);
         this->firstResponseTimer
             = this->context.timers.after(firstResponseDelay, [self] { self->sendResponse(false); });
         const TimePoint lastResponseAt = std::max(objective - responseMargin, now);
--- a/Source/forwarding/fanoutexchange.cpp
+++ b/Source/forwarding/fanoutexchange.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/forwardingtimes.h"
 #include "forwarding/refusalreply.h"
+#include "forwarding/retrypolicy.h"
 
 #include <algorithm>
 
@@ -127,7 +128,7 @@
         this->relayedShards.insert(this->shardIndexOf(service));
     }
     // The relaying instance responds at the latest when the hedge is due.
-    const Duration relayTimeout = ServiceCall::hedgeDelay(this->context, this->request) + 3 * interZoneRoundTrip;
+    const Duration relayTimeout = hedgeDelay(this->context, this->request) + 3 * interZoneRoundTrip;
     this->relayTimer
         = this->context.timers.after(relayTimeout, [self = this->shared_from_this()] { self->handleRelayTimeout(); });
 }
--- a/Source/forwarding/retrypolicy.cpp
+++ b/Source/forwarding/retrypolicy.cpp
@@ -10,6 +10,13 @@
 namespace
 {
 
+/// The typical latency is the median; without measurements, the latency objective divided by the divisor is used.
+constexpr double typicalQuantile = 0.5;
+constexpr int fallbackObjectiveDivisor = 8;
+/// A hedge is not sent before the time within which this fraction of the responses arrives.
+constexpr double earliestHedgeQuantile = 0.9;
+/// A hedge is timed so that this fraction of the responses to it would arrive before the latency objective.
+constexpr double hedgeResponseQuantile = 0.95;
 /// The quantile is what slow responses of healthy endpoints take. A slow endpoint that is alive can take a multiple.
 constexpr double slowestQuantile = 0.99;
 constexpr int implausibleMultiple = 4;
@@ -23,6 +30,22 @@
 
 }
 
+Duration typicalAttemptLatency(const ForwardingContext &context, const Route &route)
+{
+    return context.latencies.quantile(route.name, typicalQuantile, route.latencyObjective / fallbackObjectiveDivisor);
+}
+
+Duration hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request)
+{
+    const Route &route = *request.route;
+    const Duration fallback = route.latencyObjective / fallbackObjectiveDivisor;
+    const Duration earliest = context.latencies.quantile(route.name, earliestHedgeQuantile, 2 * fallback);
+    const Duration responseTime = context.latencies.quantile(route.name, hedgeResponseQuantile, 2 * fallback);
+    const Duration elapsed = context.clock.now() - request.request->arrivedAt;
+    const Duration latest = route.latencyObjective - callerRoundTrip - elapsed - 2 * responseTime;
+    return std::max(earliest, latest);
+}
+
 Duration implausibleLatency(const LatencyModel &latencies, const Route &route)
 {
     const Duration slowest = latencies.quantile(route.name, slowestQuantile, route.latencyObjective);
--- a/Source/forwarding/servicecall.cpp
+++ b/Source/forwarding/servicecall.cpp
@@ -15,13 +15,6 @@
 /// How long an endpoint may take to complete a cancelled request before the connection is closed. Opening a new
 /// connection would cost the endpoint more than completing the request.
 constexpr Duration cancelGracePeriod = Milliseconds(40);
-/// The typical latency is the median; without measurements, the latency objective divided by the divisor is used.
-constexpr double typicalQuantile = 0.5;
-constexpr int fallbackObjectiveDivisor = 8;
-/// A hedge is not sent before the time within which this fraction of the responses arrives.
-constexpr double earliestHedgeQuantile = 0.9;
-/// A hedge is timed so that this fraction of the responses to it would arrive before the latency objective.
-constexpr double hedgeResponseQuantile = 0.95;
 /// An endpoint with a rate limit gets a hedge only above this fill level: the rate that it takes is for first attempts.
 constexpr double minFillLevelForHedge = 0.5;
 /// Interval at which a hedge is tried again if no endpoint was suitable or the retry budget was exhausted.
@@ -132,7 +125,7 @@
     , request(admitted)
     , service(target.service)
     , done(std::move(callback))
-    , expectedLatency(typicalLatency(callContext, *admitted.route))
+    , expectedLatency(typicalAttemptLatency(callContext, *admitted.route))
     , history(target.attempts)
 {
 }
@@ -412,22 +405,6 @@
     }
 }
 
-Duration ServiceCall::typicalLatency(const ForwardingContext &context, const Route &route)
-{
-    return context.latencies.quantile(route.name, typicalQuantile, route.latencyObjective / fallbackObjectiveDivisor);
-}
-
-Duration ServiceCall::hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request)
-{
-    const Route &route = *request.route;
-    const Duration fallback = route.latencyObjective / fallbackObjectiveDivisor;
-    const Duration earliest = context.latencies.quantile(route.name, earliestHedgeQuantile, 2 * fallback);
-    const Duration responseTime = context.latencies.quantile(route.name, hedgeResponseQuantile, 2 * fallback);
-    const Duration elapsed = context.clock.now() - request.request->arrivedAt;
-    const Duration latest = route.latencyObjective - callerRoundTrip - elapsed - 2 * responseTime;
-    return std::max(earliest, latest);
-}
-
 void ServiceCall::scheduleCheck(Duration delay)
 {
     if (this->context.clock.now() + delay >= this->request.deadline) {
--- a/Source/forwarding/servicecall.h
+++ b/Source/forwarding/servicecall.h
@@ -79,17 +79,10 @@
     /// Records the first attempt at @p target in the retry budget, unless that was done before.
     static void recordFirstAttempt(ForwardingContext &context, const CallTarget &target);
 
-    /// Median latency of the route's requests at endpoints; without measurements, a fixed fraction of the latency
-    /// objective.
-    static Duration typicalLatency(const ForwardingContext &context, const Route &route);
-
     /// Maximum number of connections of this instance to each endpoint of @p service.
     static std::size_t
     connectionLimit(const ForwardingContext &context, const RouteTable &table, const ServiceId &service);
 
-    /// Time after which a request whose first attempt starts now is hedged.
-    static Duration hedgeDelay(const ForwardingContext &context, const AdmittedRequest &request);
-
     /// Turns a hedge in flight into an ordinary call: the instance in the other zone has sent the request to no
     /// endpoint, so the remaining attempts of the route may be made here, in all zones. Has no effect on a finished
     /// call.
--- a/Source/forwarding/serviceexplainer.cpp
+++ b/Source/forwarding/serviceexplainer.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/serviceexplainer.h"
 
+#include "forwarding/retrypolicy.h"
 #include "forwarding/servicecall.h"
 
 #include <algorithm>
@@ -110,7 +111,7 @@
 EndpointCriteria
 firstAttemptCriteria(const ForwardingContext &context, const AdmittedRequest &request, const ServiceId &service)
 {
-    return { service, ServiceCall::typicalLatency(context, *request.route), {}, 0 };
+    return { service, typicalAttemptLatency(context, *request.route), {}, 0 };
 }
 
 /// All endpoints of the service, the likeliest first.
--- a/Source/forwarding/shardselection.cpp
+++ b/Source/forwarding/shardselection.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/forwardingtimes.h"
 #include "forwarding/refusalreply.h"
+#include "forwarding/retrypolicy.h"
 #include "forwarding/servicecall.h"
 
 #include <algorithm>
@@ -47,7 +48,7 @@
     const Route &route = *request.route;
     const TimePoint now = context.clock.now();
     const Duration remaining = request.request->arrivedAt + route.latencyObjective - callerRoundTrip - now;
-    const Duration typicalLatency = ServiceCall::typicalLatency(context, route);
+    const Duration typicalLatency = typicalAttemptLatency(context, route);
     std::multimap<Duration, std::size_t, std::greater<>> late;
     for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
         const auto latency = context.chooser.lowestEstimatedLatency(route.shards[shard], typicalLatency, now);
