--- a/Source/core/execution.h
+++ b/Source/core/execution.h
@@ -16,7 +16,7 @@
     Ran,
 };
 
-/// The text for log lines and replies, for example "not-run". Thread safety: any thread.
+/// The text for log lines, for example "not-run". Thread safety: any thread.
 constexpr std::string_view executionName(Execution execution)
 {
     switch (execution) {
--- a/Source/core/refusalstatus.cpp
+++ b/Source/core/refusalstatus.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-/// The status of a refusal that states nothing untrue about the request.
+/// The status of a refusal for a request that has not run, or whose outcome the reason itself names.
 int usualStatusOf(Refusal refusal)
 {
     switch (refusal) {
